--- /dev/null
+++ b/packages/endiveworks-ctl/src/endiveworks_ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The operator's command."""
--- /dev/null
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The entry and upstream processes of a deployment."""
--- /dev/null
+++ b/packages/endiveworks-standins/src/endiveworks_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and upstreams."""
--- /dev/null
+++ b/packages/endiveworks/src/endiveworks/cache/__init__.py
@@ -0,0 +1,1 @@
+"""Prefix cache that engines hold for programs."""
--- /dev/null
+++ b/packages/endiveworks/src/endiveworks/client/__init__.py
@@ -0,0 +1,1 @@
+"""Client of a deployment for the callers of agent programs."""
--- /dev/null
+++ b/packages/endiveworks/src/endiveworks/config/__init__.py
@@ -0,0 +1,1 @@
+"""Service files, the configuration bundle made from them, and its adoption."""
--- /dev/null
+++ b/packages/endiveworks/src/endiveworks/engines/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters of model engines and plain services."""
--- /dev/null
+++ b/packages/endiveworks/src/endiveworks/links/__init__.py
@@ -0,0 +1,1 @@
+"""Connections between processes: servers, clients and their liveness rule."""
--- /dev/null
+++ b/packages/endiveworks/src/endiveworks/members/__init__.py
@@ -0,0 +1,1 @@
+"""Hosts of the deployment: leases, incarnations and direct signals."""
--- /dev/null
+++ b/packages/endiveworks/src/endiveworks/members/member.py
@@ -0,0 +1,29 @@
+"""What the processes of a deployment know of one another."""
+
+from typing import NamedTuple
+
+
+class Member(NamedTuple):
+    """One live process.
+
+    Attributes:
+        host: Name of the process, unique in the deployment.
+        address: IP number and port of its Thrift server, as "ip:port".
+        role: "entry" or "upstream".
+        service: Service of the upstream; empty for an entry.
+        region: Region of the failure domain.
+        failure_domain: Failure domain from its settings.
+        incarnation: Random id that a process takes at its start.
+        has_disk: Whether it keeps journal copies.
+        draining: Whether it is leaving and takes no new work.
+    """
+
+    host: str
+    address: str
+    role: str
+    service: str
+    region: str
+    failure_domain: str
+    incarnation: int
+    has_disk: bool = False
+    draining: bool = False
--- /dev/null
+++ b/packages/endiveworks/src/endiveworks/platform/kv.py
@@ -0,0 +1,80 @@
+"""The functions that the platform's key-value service offers to the other slices."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from returns.result import Result
+
+from ..errors import Failure
+
+
+class Entry(NamedTuple):
+    """A key with its value and the revision that last changed it."""
+
+    key: str
+    value: bytes
+    mod_revision: int
+    lease: int = 0
+
+
+class Snapshot(NamedTuple):
+    """All entries under a prefix, as of one revision of the store."""
+
+    revision: int
+    entries: tuple[Entry, ...]
+
+
+class Swap(NamedTuple):
+    """A write that takes effect only if the key is still at the expected revision.
+
+    Attributes:
+        key: The key to change.
+        value: The new value; None deletes the key.
+        expected_revision: The mod_revision the key must have; 0 means absent.
+        lease: Lease id that the key is attached to; 0 for none.
+    """
+
+    key: str
+    value: bytes | None
+    expected_revision: int
+    lease: int = 0
+
+
+class Swapped(NamedTuple):
+    """The outcome of a swap: whether it took effect, and the entry now in force."""
+
+    done: bool
+    revision: int
+    current: Entry | None
+
+
+class Change(NamedTuple):
+    """One change seen by a watch; value is None for a deletion."""
+
+    key: str
+    value: bytes | None
+    mod_revision: int
+
+
+class Kv(NamedTuple):
+    """Access to the key-value service.
+
+    Every function returns a Failure with code TIMEOUT or UNREACHABLE when the service does not
+    answer; a swap that failed so may have taken effect, and the caller settles it by reading back.
+
+    Attributes:
+        read: Reads one key; None when absent.
+        read_prefix: Reads every key under a prefix.
+        swap: Writes one key by compare-and-swap.
+        grant_lease: Creates a lease with a time to live in seconds and returns its id.
+        keep_alive: Renews a lease and returns its remaining seconds; 0 when it has lapsed.
+        watch: Blocks and passes each batch of changes under a prefix after a revision to a
+            function, until that function returns False or the connection is lost.
+    """
+
+    read: Callable[[str], Result[Entry | None, Failure]]
+    read_prefix: Callable[[str], Result[Snapshot, Failure]]
+    swap: Callable[[Swap], Result[Swapped, Failure]]
+    grant_lease: Callable[[int], Result[int, Failure]]
+    keep_alive: Callable[[int], Result[int, Failure]]
+    watch: Callable[[str, int, Callable[[tuple[Change, ...]], bool]], Result[None, Failure]]
--- /dev/null
+++ b/packages/endiveworks/src/endiveworks/programs/__init__.py
@@ -0,0 +1,1 @@
+"""Programs: the order of their calls, their history and their budget."""
--- /dev/null
+++ b/packages/endiveworks/src/endiveworks/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of the upstream that runs a call."""
--- /dev/null
+++ b/packages/endiveworks/src/endiveworks/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings from flags and environment variables."""
--- /dev/null
+++ b/packages/endiveworks/src/endiveworks/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics and histograms."""
--- /dev/null
+++ b/packages/endiveworks/src/endiveworks/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Thrift messages between the processes of a deployment."""
