Add the key-value client and its stand-in

Every slice that reads or writes shared state needs the key-value service.

The stand-in keeps revisions, leases and events, and takes faults over HTTP.

--- /dev/null
+++ b/packages/endiveworks-standins/src/endiveworks_standins/kv.py
@@ -0,0 +1,232 @@
+"""Stand-in of the platform's key-value service and host list, with faults set over HTTP."""
+
+import contextlib
+import json
+import select
+import socket
+import sys
+import threading
+import time
+from collections.abc import Callable, Iterable, Iterator, Mapping
+from typing import Any
+
+from absl import app, flags
+from cheroot import wsgi
+
+from . import kv_api
+from .kv_state import Faults, HostList, State
+
+PROGRESS_EVERY_S = 5.0
+_SOCKET_CHECK_S = 0.5
+_LEASE_TICK_S = 0.1
+_WATCH = "watch"
+
+Environ = Mapping[str, Any]
+StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+
+
+class _Gateway(wsgi.Gateway_10):
+    """Passes the socket to the application, which cuts connections on purpose."""
+
+    def get_environ(self) -> dict[str, Any]:  # type: ignore[override]
+        return {**super().get_environ(), "standin.socket": self.req.conn.socket}
+
+
+def serve(port: int, threads: int) -> wsgi.Server:
+    """Returns a server that is bound to a loopback port and ready to be started."""
+    state = State()
+    server = wsgi.Server(("127.0.0.1", port), _application(state), numthreads=threads)
+    server.gateway = _Gateway
+    server.timeout = PROGRESS_EVERY_S * 4
+    server.prepare()
+    threading.Thread(target=_expire_leases, args=(state,), daemon=True).start()
+    return server
+
+
+def _application(state: State) -> Callable[[Environ, StartResponse], Iterable[bytes]]:
+    handlers = kv_api.handlers(state.store)
+
+    def answer(environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
+        path = environ["PATH_INFO"]
+        if path.startswith("/standin/") or path == "/hosts":
+            return _reply(start_response, 200, _control(state, path, _body(environ)))
+        if state.faults.down:
+            return _cut(environ, start_response)
+        time.sleep(state.faults.delay_ms / 1000)
+        if path == "/v3/watch":
+            return _watch(state, environ, start_response)
+        if path not in handlers:
+            return _reply(start_response, 404, {"error": f"no such path: {path}"})
+        kind, handle = handlers[path]
+        return _handle(state, environ, start_response, kind, handle)
+
+    return answer
+
+
+def _handle(
+    state: State,
+    environ: Environ,
+    start_response: StartResponse,
+    kind: str,
+    handle: Callable[[kv_api.Body], kv_api.Body],
+) -> Iterable[bytes]:
+    with state.lock:
+        state.calls[kind] += 1
+    state.store.expire(time.monotonic())
+    try:
+        reply = handle(_body(environ))
+    except (KeyError, LookupError, ValueError) as exc:
+        return _reply(start_response, 400, {"error": str(exc), "code": 3})
+    if kind == "txn" and _loses_answer(state):
+        return _cut(environ, start_response)
+    parts = _reply(start_response, 200, reply)
+    with state.lock:
+        state.sent_bytes += sum(map(len, parts))
+    return parts
+
+
+def _watch(state: State, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
+    key, end, start = kv_api.watch_range(_body(environ))
+    with state.lock:
+        state.calls[_WATCH] += 1
+        state.watches_opened += 1
+        number = state.watches_opened
+    start_response("200 OK", [("Content-Type", "application/json")])
+    return _messages(state, environ["standin.socket"], number, (key, end, start))
+
+
+def _messages(
+    state: State, sock: socket.socket, number: int, wanted: tuple[bytes, bytes, int]
+) -> Iterator[bytes]:
+    store = state.store
+    key, end, start = wanted
+    next_revision = start or store.revision + 1
+    with _waiting(state):
+        if next_revision < store.oldest_event:
+            compacted = str(store.oldest_event)
+            yield _line(kv_api.watch_message(store, [], canceled=True, compact_revision=compacted))
+            return
+        yield _line(kv_api.watch_message(store, [], created=True))
+        progress_at = time.monotonic() + PROGRESS_EVERY_S
+        while not (state.faults.down or _closed(sock)):
+            with store.changed:
+                events = store.events_from(next_revision, key, end)
+                next_revision = store.revision + 1
+                if not events:
+                    store.changed.wait(_SOCKET_CHECK_S)
+            if state.faults.silent_watches or number <= state.silenced_before:
+                continue
+            if events or time.monotonic() > progress_at:
+                progress_at = time.monotonic() + PROGRESS_EVERY_S
+                yield _line(kv_api.watch_message(store, events))
+    _shut(sock)
+
+
+@contextlib.contextmanager
+def _waiting(state: State) -> Iterator[None]:
+    with state.lock:
+        state.watches_waiting += 1
+    try:
+        yield
+    finally:
+        with state.lock:
+            state.watches_waiting -= 1
+
+
+def _control(state: State, path: str, body: kv_api.Body) -> Any:
+    if path == "/hosts":
+        return _served_hosts(state)
+    if path == "/standin/counters":
+        return _counters(state)
+    if path == "/standin/hosts":
+        state.host_lists.append(HostList(time.monotonic(), list(body["hosts"])))
+    elif path == "/standin/compact":
+        state.store.compact()
+    elif path == "/standin/faults":
+        state.faults = Faults(**body)
+        if state.faults.silent_watches:
+            state.silenced_before = state.watches_opened
+    return state.faults._asdict()
+
+
+def _counters(state: State) -> Mapping[str, Any]:
+    with state.lock:
+        return {
+            "calls": dict(state.calls),
+            "watches_waiting": state.watches_waiting,
+            "sent_bytes": state.sent_bytes,
+        }
+
+
+def _served_hosts(state: State) -> list[dict[str, str]]:
+    as_of = time.monotonic() - state.faults.hosts_lag_ms / 1000
+    return [listed for listed in state.host_lists if listed.set_at <= as_of][-1].hosts
+
+
+def _loses_answer(state: State) -> bool:
+    with state.lock:
+        left = state.faults.lose_answers
+        if left > 0:
+            state.faults = state.faults._replace(lose_answers=left - 1)
+        return left > 0
+
+
+def _cut(environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
+    """Ends the connection; the answer that the server still wants to send is lost."""
+    _shut(environ["standin.socket"])
+    return _reply(start_response, 503, {})
+
+
+def _shut(sock: socket.socket) -> None:
+    with contextlib.suppress(OSError):
+        sock.shutdown(socket.SHUT_RDWR)
+
+
+def _closed(sock: socket.socket) -> bool:
+    try:
+        readable, _, _ = select.select([sock], [], [], 0)
+        return bool(readable) and sock.recv(1, socket.MSG_PEEK) == b""
+    except (OSError, ValueError):
+        return True
+
+
+def _body(environ: Environ) -> kv_api.Body:
+    length = int(environ.get("CONTENT_LENGTH") or 0)
+    body: kv_api.Body = json.loads(environ["wsgi.input"].read(length) or b"{}")
+    return body
+
+
+def _reply(start_response: StartResponse, status: int, body: Any) -> list[bytes]:
+    data = json.dumps(body).encode()
+    headers = [("Content-Type", "application/json"), ("Content-Length", str(len(data)))]
+    start_response(f"{status} {'OK' if status == 200 else 'Error'}", headers)
+    return [data]
+
+
+def _line(message: kv_api.Body) -> bytes:
+    return json.dumps(message).encode() + b"\n"
+
+
+def _expire_leases(state: State) -> None:
+    while True:
+        time.sleep(_LEASE_TICK_S)
+        state.store.expire(time.monotonic())
+
+
+def _main(_: list[str]) -> None:
+    server = serve(flags.FLAGS.port, flags.FLAGS.threads)
+    host, port = server.bind_addr
+    listening = {"event": "listening", "address": f"{host}:{port}"}
+    print(json.dumps(listening), file=sys.stderr, flush=True)
+    server.serve()
+
+
+def run() -> None:
+    """Runs the stand-in until it is ended by a signal."""
+    flags.DEFINE_integer("port", 0, "Port to listen on; 0 takes one from the OS.")
+    flags.DEFINE_integer("threads", 64, "Calls and waiting watches served at once.")
+    app.run(_main)
+
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/packages/endiveworks/src/endiveworks/platform/etcd_messages.py
@@ -0,0 +1,71 @@
+"""Messages of etcd v3's JSON gateway, from and to the types of the key-value interface."""
+
+import base64
+from collections.abc import Iterator, Mapping
+from typing import Any
+
+from .kv import Change, Entry, Swap, Swapped
+
+
+def transaction(write: Swap) -> Mapping[str, Any]:
+    """Returns the transaction that does a compare-and-swap, or reads the key instead."""
+    key = encode(write.key.encode())
+    expected = str(write.expected_revision)
+    compare = {"key": key, "target": "MOD", "result": "EQUAL", "mod_revision": expected}
+    if write.value is None:
+        change: Mapping[str, Any] = {"request_delete_range": {"key": key}}
+    else:
+        put = {"key": key, "value": encode(write.value), "lease": str(write.lease)}
+        change = {"request_put": put}
+    otherwise = {"request_range": {"key": key}}
+    return {"compare": [compare], "success": [change], "failure": [otherwise]}
+
+
+def swapped(write: Swap, body: Mapping[str, Any]) -> Swapped:
+    """Returns the outcome of a compare-and-swap from the reply to its transaction."""
+    now_at = revision(body)
+    if not body.get("succeeded", False):
+        parts = body.get("responses", ())
+        found = (entry for part in parts for entry in entries(part["response_range"]))
+        return Swapped(False, now_at, next(found, None))
+    if write.value is None:
+        return Swapped(True, now_at, None)
+    return Swapped(True, now_at, Entry(write.key, write.value, now_at, write.lease))
+
+
+def entries(body: Mapping[str, Any]) -> Iterator[Entry]:
+    """Yields the entries of a range reply."""
+    for kv in body.get("kvs", ()):
+        key = decode(kv["key"]).decode()
+        value = decode(kv.get("value", ""))
+        yield Entry(key, value, int(kv.get("mod_revision", 0)), int(kv.get("lease", 0)))
+
+
+def change(event: Mapping[str, Any]) -> Change:
+    """Returns one change of a watch message."""
+    kv = event["kv"]
+    deleted = event.get("type", "PUT") == "DELETE"
+    value = None if deleted else decode(kv.get("value", ""))
+    return Change(decode(kv["key"]).decode(), value, int(kv["mod_revision"]))
+
+
+def prefix_range(prefix: str) -> dict[str, Any]:
+    """Returns the key and range end that cover a prefix."""
+    start = prefix.encode()
+    end = start[:-1] + bytes([start[-1] + 1])
+    return {"key": encode(start), "range_end": encode(end)}
+
+
+def revision(body: Mapping[str, Any]) -> int:
+    """Returns the revision of the store as of a reply."""
+    return int(body.get("header", {}).get("revision", 0))
+
+
+def encode(data: bytes) -> str:
+    """Returns the base64 form of a key or value."""
+    return base64.b64encode(data).decode()
+
+
+def decode(text: str) -> bytes:
+    """Returns the bytes of a base64 key or value."""
+    return base64.b64decode(text)
