Read settings from flags, environment and defaults, with every error listed at once

A process is to refuse a bad start with all its errors, not the first one only. absl.flags stops at the first, so flags keep their text while absl splits the command line, and absl's own parsers convert it afterwards, together with the environment. One registry for each program keeps tests independent. Unknown variables with the prefix are errors with a near match.

--- /dev/null
+++ b/packages/endiveworks/src/endiveworks/settings/flags.py
@@ -0,0 +1,259 @@
+"""Flags with an environment variable each, checked together before a process starts."""
+
+import difflib
+import sys
+from collections.abc import Callable, Mapping, Sequence
+from typing import NamedTuple
+
+from absl import flags as absl_flags
+from returns.result import Failure as Failed
+from returns.result import Result, Success
+
+ENV_PREFIX = "ENDIVEWORKS_"
+EXIT_USAGE = 64
+
+Check = Callable[[object], str | None]
+
+
+class _Setting(NamedTuple):
+    """One defined setting: how its text becomes a value, and what the value must satisfy."""
+
+    name: str
+    default: object
+    help: str
+    parser: absl_flags.ArgumentParser
+    check: Check | None
+
+
+class Values:
+    """The values in force after parsing.
+
+    Attributes:
+        args: Positional arguments, in order.
+        help_wanted: Whether --help was given; the other values are then the defaults.
+    """
+
+    def __init__(
+        self, values: Mapping[str, object], args: Sequence[str] = (), help_wanted: bool = False
+    ) -> None:
+        self._values = dict(values)
+        self.args = tuple(args)
+        self.help_wanted = help_wanted
+
+    def text(self, name: str) -> str:
+        """Returns the value of a string or choice setting."""
+        value = self._values[name]
+        assert isinstance(value, str), name
+        return value
+
+    def integer(self, name: str) -> int:
+        """Returns the value of an integer setting."""
+        value = self._values[name]
+        assert isinstance(value, int), name
+        return value
+
+    def number(self, name: str) -> float:
+        """Returns the value of a float setting."""
+        value = self._values[name]
+        assert isinstance(value, float), name
+        return value
+
+    def flag(self, name: str) -> bool:
+        """Returns the value of a boolean setting."""
+        value = self._values[name]
+        assert isinstance(value, bool), name
+        return value
+
+
+class _RawParser(absl_flags.ArgumentParser):
+    """Keeps the text of a flag, so that its errors are reported with all others."""
+
+    syntactic_help = ""
+
+    def parse(self, argument: object) -> object:
+        return argument
+
+
+class Flags:
+    """The settings that one program defines.
+
+    Args:
+        program: Name of the program in its help.
+        shared: Settings that other programs of the project define; their environment variables
+            are not errors here.
+    """
+
+    def __init__(self, program: str, shared: Sequence[str] = ()) -> None:
+        self.program = program
+        self._shared = frozenset(env_name(name) for name in shared)
+        self._settings: dict[str, _Setting] = {}
+
+    def define_string(
+        self, name: str, default: str, help: str, check: Check | None = None  # noqa: A002
+    ) -> None:
+        """Defines a text setting."""
+        self._define(_Setting(name, default, help, absl_flags.ArgumentParser(), check))
+
+    def define_integer(
+        self, name: str, default: int, help: str, check: Check | None = None  # noqa: A002
+    ) -> None:
+        """Defines an integer setting."""
+        self._define(_Setting(name, default, help, absl_flags.IntegerParser(), check))
+
+    def define_float(
+        self, name: str, default: float, help: str, check: Check | None = None  # noqa: A002
+    ) -> None:
+        """Defines a floating-point setting."""
+        self._define(_Setting(name, float(default), help, absl_flags.FloatParser(), check))
+
+    def define_boolean(self, name: str, default: bool, help: str) -> None:  # noqa: A002
+        """Defines an on-off setting, given as --name, --noname or --name=true."""
+        self._define(_Setting(name, default, help, absl_flags.BooleanParser(), None))
+
+    def define_choice(
+        self, name: str, default: str, allowed: Sequence[str], help: str  # noqa: A002
+    ) -> None:
+        """Defines a text setting with a fixed list of values; an empty default means required."""
+        parser = absl_flags.EnumParser(list(allowed))
+        text = f"{help} One of: {', '.join(allowed)}."
+        self._define(_Setting(name, default, text, parser, None))
+
+    def names(self) -> tuple[str, ...]:
+        """Returns the names of all settings, in order of definition."""
+        return tuple(self._settings)
+
+    def help_text(self) -> str:
+        """Returns the help for every setting, with its environment variable and default."""
+        return f"usage: {self.program} [flags] [arguments]\n{self._flag_values().get_help()}"
+
+    def parse(self, argv: Sequence[str], env: Mapping[str, str]) -> Result[Values, tuple[str, ...]]:
+        """Returns the values: a flag goes before its environment variable, that before the default.
+
+        Args:
+            argv: The command line without the program name.
+            env: The environment.
+
+        Returns:
+            The values, or every error found, one sentence each.
+        """
+        defaults = {setting.name: setting.default for setting in self._settings.values()}
+        given, args, errors = self._read_argv(argv)
+        if given.pop("help", None):
+            return Success(Values(defaults, help_wanted=True))
+        errors += self._unknown_variables(env)
+        values = {}
+        for setting in self._settings.values():
+            value, error = _resolve(setting, given, env)
+            values[setting.name] = value
+            errors += [error] if error else []
+        return Failed(tuple(errors)) if errors else Success(Values(values, args))
+
+    def _define(self, setting: _Setting) -> None:
+        if setting.name in self._settings:
+            raise ValueError(f"setting {setting.name} is defined twice")
+        self._settings[setting.name] = setting
+
+    def _flag_values(self) -> absl_flags.FlagValues:
+        registry = absl_flags.FlagValues()
+        for setting in self._settings.values():
+            _register(registry, setting, self.program)
+        absl_flags.DEFINE_boolean(
+            "help", False, "Show this help.", flag_values=registry, module_name=self.program
+        )
+        registry.set_gnu_getopt(True)
+        return registry
+
+    def _read_argv(self, argv: Sequence[str]) -> tuple[dict[str, str], list[str], list[str]]:
+        """Returns the text of the flags given, the positional arguments and the errors."""
+        registry = self._flag_values()
+        try:
+            rest = registry([self.program, *argv], known_only=True)[1:]
+        except absl_flags.Error as exc:
+            return {}, [], [f"{exc}."]
+        given = {name: registry[name].value for name in registry if registry[name].present}
+        literal = list(argv[list(argv).index("--") + 1 :]) if "--" in argv else []
+        parsed = rest[: len(rest) - len(literal)]
+        unknown = [word for word in parsed if word.startswith("-") and word not in ("-", "--")]
+        args = [word for word in parsed if word not in unknown and word != "--"] + literal
+        return given, args, [self._unknown_flag(word) for word in unknown]
+
+    def _unknown_flag(self, word: str) -> str:
+        name = word.lstrip("-").split("=")[0]
+        near = _nearest(name, [*self._settings, "help"])
+        return f"Unknown flag --{name}" + (f"; did you mean --{near}?" if near else ".")
+
+    def _unknown_variables(self, env: Mapping[str, str]) -> list[str]:
+        known = [env_name(name) for name in self._settings]
+        found = {name for name in env if name.startswith(ENV_PREFIX)}
+        errors = []
+        for name in sorted(found - set(known) - self._shared):
+            near = _nearest(name, known)
+            errors.append(
+                f"Unknown environment variable {name}"
+                + (f"; did you mean {near}?" if near else ".")
+            )
+        return errors
+
+
+def env_name(name: str) -> str:
+    """Returns the environment variable of a setting."""
+    return ENV_PREFIX + name.upper()
+
+
+def load(flags: Flags, argv: Sequence[str], env: Mapping[str, str]) -> Values:
+    """Returns the values, or ends the process: status 0 after --help, 64 after listing errors."""
+    outcome = flags.parse(argv, env)
+    if isinstance(outcome, Success):
+        values = outcome.unwrap()
+        if not values.help_wanted:
+            return values
+        print(flags.help_text())
+        raise SystemExit(0)
+    for error in outcome.failure():
+        print(f"{flags.program}: {error}", file=sys.stderr)
+    raise SystemExit(EXIT_USAGE)
+
+
+def _register(registry: absl_flags.FlagValues, setting: _Setting, program: str) -> None:
+    text = f"{setting.help} Environment: {env_name(setting.name)}. Default: {setting.default!r}."
+    flag = absl_flags.Flag(
+        _RawParser(),
+        None,
+        setting.name,
+        None,
+        text,
+        boolean=isinstance(setting.default, bool),
+    )
+    absl_flags.DEFINE_flag(flag, registry, module_name=program)
+
+
+def _resolve(
+    setting: _Setting, given: Mapping[str, str], env: Mapping[str, str]
+) -> tuple[object, str | None]:
+    """Returns the value of one setting and an error sentence, or None when it is valid."""
+    variable = env_name(setting.name)
+    if setting.name in given:
+        source, text = f"--{setting.name}", given[setting.name]
+    elif variable in env:
+        source, text = variable, env[variable]
+    else:
+        source, text = f"--{setting.name} (or {variable})", None
+    if text is None:
+        return setting.default, _check(setting, source, setting.default)
+    try:
+        value = setting.parser.parse(text)
+    except ValueError as exc:
+        return setting.default, f"{source}: {text!r} is not valid: {exc}."
+    return value, _check(setting, source, value)
+
+
+def _check(setting: _Setting, source: str, value: object) -> str | None:
+    if isinstance(setting.parser, absl_flags.EnumParser) and not value:
+        return f"{source}: a value is required: {', '.join(setting.parser.enum_values)}."
+    problem = setting.check(value) if setting.check else None
+    return f"{source}: {problem}" if problem else None
+
+
+def _nearest(name: str, known: Sequence[str]) -> str | None:
+    matches = difflib.get_close_matches(name, known, n=1)
+    return matches[0] if matches else None
