--- a/packages/endiveworks/src/endiveworks/settings/flags.py
+++ b/packages/endiveworks/src/endiveworks/settings/flags.py
@@ -138,7 +138,7 @@
         """
         defaults = {setting.name: setting.default for setting in self._settings.values()}
         given, args, errors = self._read_argv(argv)
-        if given.pop("help", None):
+        if given.pop("help", "false") != "false":
             return Success(Values(defaults, help_wanted=True))
         errors += self._unknown_variables(env)
         values = {}
@@ -170,7 +170,7 @@
             rest = registry([self.program, *argv], known_only=True)[1:]
         except absl_flags.Error as exc:
             return {}, [], [f"{exc}."]
-        given = {name: registry[name].value for name in registry if registry[name].present}
+        given = {name: str(registry[name].value) for name in registry if registry[name].present}
         literal = list(argv[list(argv).index("--") + 1 :]) if "--" in argv else []
         parsed = rest[: len(rest) - len(literal)]
         unknown = [word for word in parsed if word.startswith("-") and word not in ("-", "--")]
@@ -179,20 +179,13 @@
 
     def _unknown_flag(self, word: str) -> str:
         name = word.lstrip("-").split("=")[0]
-        near = _nearest(name, [*self._settings, "help"])
-        return f"Unknown flag --{name}" + (f"; did you mean --{near}?" if near else ".")
+        return f"Unknown flag --{name}{_hint(name, [*self._settings, 'help'], '--')}"
 
     def _unknown_variables(self, env: Mapping[str, str]) -> list[str]:
         known = [env_name(name) for name in self._settings]
         found = {name for name in env if name.startswith(ENV_PREFIX)}
-        errors = []
-        for name in sorted(found - set(known) - self._shared):
-            near = _nearest(name, known)
-            errors.append(
-                f"Unknown environment variable {name}"
-                + (f"; did you mean {near}?" if near else ".")
-            )
-        return errors
+        unknown = sorted(found - set(known) - self._shared)
+        return [f"Unknown environment variable {name}{_hint(name, known)}" for name in unknown]
 
 
 def env_name(name: str) -> str:
@@ -254,6 +247,7 @@
     return f"{source}: {problem}" if problem else None
 
 
-def _nearest(name: str, known: Sequence[str]) -> str | None:
+def _hint(name: str, known: Sequence[str], prefix: str = "") -> str:
+    """Returns the end of a sentence on an unknown name: the nearest known one, if any is near."""
     matches = difflib.get_close_matches(name, known, n=1)
-    return matches[0] if matches else None
+    return f"; did you mean {prefix}{matches[0]}?" if matches else "."
