--- /dev/null
+++ b/packages/endiveworks/src/endiveworks/telemetry/logs.py
@@ -0,0 +1,93 @@
+"""Logs: one JSON line for each event, with a fixed set of fields."""
+
+import re
+import sys
+import traceback
+from collections.abc import MutableMapping
+from types import TracebackType
+from typing import Any, TextIO
+
+import structlog
+from structlog.typing import EventDict, WrappedLogger
+
+from .fields import ALLOWED
+
+LEVELS = ("debug", "info", "warning", "error", "critical")
+MAX_VALUE_CHARS = 400
+MAX_FRAMES = 6
+
+_EVENT_NAME = re.compile(r"[a-z][a-z0-9_]{0,63}\Z")
+_INVALID_EVENT = "invalid_event"
+_EXCEPTION_FIELD = "exc_info"
+
+
+def configure(host: str, level: str, stream: TextIO) -> None:
+    """Sends the logs of this process to a stream.
+
+    Args:
+        host: Name of the process, written with every event.
+        level: Lowest level written, one of LEVELS.
+        stream: Open text stream, such as sys.stderr.
+    """
+
+    def add_host(_logger: WrappedLogger, _method: str, event: EventDict) -> EventDict:
+        event["host"] = host
+        return event
+
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            structlog.stdlib.add_log_level,
+            add_host,
+            _name_exception,
+            refuse_fields,
+            structlog.processors.TimeStamper(fmt="iso", utc=True, key="time"),
+            structlog.processors.JSONRenderer(ensure_ascii=True),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(level),
+        logger_factory=structlog.WriteLoggerFactory(stream),
+        cache_logger_on_first_use=False,
+    )
+
+
+def logger(part: str) -> Any:  # structlog's loggers have no common static type
+    """Returns the logger of one part of the program, such as "journal"."""
+    return structlog.get_logger(part=part)
+
+
+def refuse_fields(
+    _logger: WrappedLogger, _method: str, event: MutableMapping[str, Any]
+) -> MutableMapping[str, Any]:
+    """Drops every field that is not in the table, since it could carry a caller's content."""
+    refused = sorted(name for name in event if name not in ALLOWED)
+    kept = {name: _bounded(value) for name, value in event.items() if name in ALLOWED}
+    if not _EVENT_NAME.match(str(kept.get("event", ""))):
+        kept["event"] = _INVALID_EVENT
+    if refused:
+        kept["refused_fields"] = [name[:MAX_VALUE_CHARS] for name in refused]
+    return kept
+
+
+def _bounded(value: object) -> object:
+    if value is None or isinstance(value, bool | int | float):
+        return value
+    if isinstance(value, list | tuple | set | frozenset):
+        return [str(part)[:MAX_VALUE_CHARS] for part in value]
+    return str(value)[:MAX_VALUE_CHARS]
+
+
+def _name_exception(_logger: WrappedLogger, _method: str, event: EventDict) -> EventDict:
+    """Replaces an exception by its type and place: its message may quote a caller's content."""
+    info = event.pop(_EXCEPTION_FIELD, None)
+    exc = info if isinstance(info, BaseException) else None
+    if info is True:
+        exc = sys.exc_info()[1]
+    if exc is not None:
+        event["error_type"] = type(exc).__name__
+        event["error_at"] = _places(exc.__traceback__)
+    return event
+
+
+def _places(trace: TracebackType | None) -> list[str]:
+    frames = traceback.extract_tb(trace)[-MAX_FRAMES:]
+    return [f"{frame.filename}:{frame.lineno} {frame.name}" for frame in frames]
