--- a/packages/endiveworks/src/endiveworks/telemetry/tests/test_metrics.py
+++ b/packages/endiveworks/src/endiveworks/telemetry/tests/test_metrics.py
@@ -24,7 +24,7 @@
         metrics = Metrics("", "entry-1")
         metrics.record("first_token_ms", -5)
         metrics.record("first_token_ms", 1e30)
-        assert _rows(metrics, "first_token_ms")["", ""].count == 2
+        assert _rows(metrics, "first_token_ms")["", ""].recorded == 2
 
     def test_tenants_are_bounded_and_nothing_is_lost(self) -> None:
         metrics = Metrics("", "entry-1")
@@ -34,7 +34,7 @@
         rows = _rows(metrics, "program_ms")
         tenants = [row for (group, _), row in rows.items() if group == "tenant"]
         assert len(tenants) == metrics_module.MAX_TENANTS + 1
-        assert sum(row.recorded for row in tenants) == rows["", ""].count == 2016
+        assert sum(row.recorded for row in tenants) == rows["", ""].recorded == 2016
 
     def test_snapshot_without_values(self) -> None:
         assert Metrics("", "entry-1").snapshot() == ("entry-1", (), (), ())
