Serve status, programs, metrics and health to operators over HTTP

The server has its own two threads and small limits, so operators reach a process whose callers' server is full. Forms are typed dictionaries in the library, shared with endivectl.

--- /dev/null
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/admin.py
@@ -0,0 +1,117 @@
+"""The HTTP server for operators: status, programs, metrics and health."""
+
+import threading
+from collections.abc import Callable, Iterable
+from typing import NamedTuple
+from urllib.parse import parse_qs
+from wsgiref.types import StartResponse, WSGIApplication, WSGIEnvironment
+
+import msgspec
+from cheroot import wsgi
+from endiveworks.settings.checks import split_address
+from endiveworks.telemetry.status import (
+    HEALTH_PATH,
+    MAX_PROGRAM_ROWS,
+    METRICS_PATH,
+    PROGRAMS_PATH,
+    STATUS_PATH,
+    Sources,
+    encode_metrics,
+)
+
+_THREADS = 2
+_MAX_HEADER_BYTES = 8192
+_MAX_BODY_BYTES = 1024
+_SOCKET_TIMEOUT_S = 5
+
+
+class _Answer(NamedTuple):
+    """An HTTP answer."""
+
+    status: str
+    content_type: str
+    body: bytes
+
+
+class AdminServer(NamedTuple):
+    """A running server: its address as "ip:port" and the function that stops it."""
+
+    address: str
+    stop: Callable[[], None]
+
+
+def serve(address: str, sources: Sources) -> AdminServer:
+    """Starts the server in daemon threads.
+
+    Args:
+        address: The address to listen on, as "ip:port"; port 0 takes a free one.
+        sources: Where the answers come from.
+
+    Raises:
+        OSError: The address can't be bound.
+    """
+    server = wsgi.Server(
+        split_address(address),
+        application(sources),
+        numthreads=_THREADS,
+        max=_THREADS,
+        timeout=_SOCKET_TIMEOUT_S,
+    )
+    server.max_request_header_size = _MAX_HEADER_BYTES
+    server.max_request_body_size = _MAX_BODY_BYTES
+    server.prepare()
+    threading.Thread(target=server.serve, name="admin", daemon=True).start()
+    host, port = server.bind_addr[:2]
+    return AdminServer(f"[{host}]:{port}" if ":" in host else f"{host}:{port}", server.stop)
+
+
+def application(sources: Sources) -> WSGIApplication:
+    """Returns the WSGI application that answers operators."""
+    pages: dict[str, Callable[[str], _Answer]] = {
+        METRICS_PATH: lambda _query: _json(encode_metrics(sources.metrics())),
+        STATUS_PATH: lambda _query: _json(msgspec.json.encode(sources.status())),
+        PROGRAMS_PATH: lambda query: _programs(sources, query),
+        HEALTH_PATH: lambda _query: _health(sources),
+    }
+
+    def answer(environ: WSGIEnvironment, start_response: StartResponse) -> Iterable[bytes]:
+        result = _route(pages, environ)
+        headers = [
+            ("Content-Type", result.content_type),
+            ("Content-Length", str(len(result.body))),
+        ]
+        start_response(result.status, headers)
+        return [result.body]
+
+    return answer
+
+
+def _route(pages: dict[str, Callable[[str], _Answer]], environ: WSGIEnvironment) -> _Answer:
+    page = pages.get(environ["PATH_INFO"])
+    if page is None:
+        return _problem("404 Not Found", "Known paths: " + ", ".join(pages))
+    if environ["REQUEST_METHOD"] not in ("GET", "HEAD"):
+        return _problem("405 Method Not Allowed", "Only GET is allowed.")
+    return page(environ.get("QUERY_STRING", ""))
+
+
+def _programs(sources: Sources, query: str) -> _Answer:
+    text = parse_qs(query).get("limit", [str(MAX_PROGRAM_ROWS)])[0]
+    if not text.isdecimal() or not 1 <= int(text) <= MAX_PROGRAM_ROWS:
+        return _problem("400 Bad Request", f"limit must be between 1 and {MAX_PROGRAM_ROWS}.")
+    return _json(msgspec.json.encode(sources.programs(int(text))))
+
+
+def _health(sources: Sources) -> _Answer:
+    if sources.status()["draining"]:
+        return _Answer("503 Service Unavailable", "text/plain", b"draining\n")
+    return _Answer("200 OK", "text/plain", b"ready\n")
+
+
+def _json(body: bytes) -> _Answer:
+    return _Answer("200 OK", "application/json", body)
+
+
+def _problem(status: str, detail: str) -> _Answer:
+    body = msgspec.json.encode({"title": status[4:], "status": int(status[:3]), "detail": detail})
+    return _Answer(status, "application/problem+json", body)
--- a/packages/endiveworks/src/endiveworks/settings/checks.py
+++ b/packages/endiveworks/src/endiveworks/settings/checks.py
@@ -52,3 +52,9 @@
     """Checks one or more addresses separated by commas."""
     problems = [address(part.strip()) for part in str(value).split(",")]
     return next((problem for problem in problems if problem), None)
+
+
+def split_address(value: str) -> tuple[str, int]:
+    """Returns the IP number and port of a checked address."""
+    host, _, port = value.rpartition(":")
+    return host.strip("[]"), int(port)
--- /dev/null
+++ b/packages/endiveworks/src/endiveworks/telemetry/status.py
@@ -0,0 +1,151 @@
+"""What a process tells operators about itself, in the form that its HTTP address serves."""
+
+from collections.abc import Callable
+from typing import NamedTuple, TypedDict, TypeVar
+
+import msgspec
+from returns.result import Failure as Failed
+from returns.result import Result, Success
+
+from ..errors import Code, Failure
+from .metrics import MetricsSnapshot
+
+METRICS_PATH = "/metrics.json"
+STATUS_PATH = "/status"
+PROGRAMS_PATH = "/programs"
+HEALTH_PATH = "/healthz"
+MAX_PROGRAM_ROWS = 1000
+
+_T = TypeVar("_T")
+
+
+class ProcessStatus(TypedDict):
+    """The state of one process.
+
+    Attributes:
+        host: Name of the process.
+        version: Version of the project it runs.
+        role: "entry" or "upstream".
+        service: Service of the upstream; empty for an entry.
+        region: Region of the failure domain.
+        failure_domain: Failure domain.
+        incarnation: Random id taken at the start.
+        draining: Whether it is leaving and takes no new work.
+        config_version: Version of the bundle in force.
+        partitions: Partitions that it owns.
+        running: Calls under way.
+        queued: Calls that wait.
+        threads: Threads of the process.
+        open_files: Open file descriptors.
+        uptime_s: Seconds since the start.
+    """
+
+    host: str
+    version: str
+    role: str
+    service: str
+    region: str
+    failure_domain: str
+    incarnation: int
+    draining: bool
+    config_version: int
+    partitions: int
+    running: int
+    queued: int
+    threads: int
+    open_files: int
+    uptime_s: float
+
+
+class ProgramRow(TypedDict):
+    """One program under way, without any of its content."""
+
+    program: str
+    tenant: str
+    service: str
+    class_name: str
+    state: str
+    calls: int
+    used_tokens: int
+    budget_tokens: int
+    owner: str
+
+
+class CounterBody(TypedDict):
+    """A counter as served; group is "tenant", "class" or empty for the whole process."""
+
+    name: str
+    group: str
+    label: str
+    value: int
+
+
+class GaugeBody(TypedDict):
+    """A gauge as served."""
+
+    name: str
+    value: float
+
+
+class HistogramBody(TypedDict):
+    """A histogram as served, in the unit that its name ends with."""
+
+    name: str
+    group: str
+    label: str
+    recorded: int
+    mean: float
+    p50: int
+    p95: int
+    p99: int
+    highest: int
+
+
+class MetricsBody(TypedDict):
+    """All metrics of a process as served."""
+
+    host: str
+    counters: list[CounterBody]
+    gauges: list[GaugeBody]
+    histograms: list[HistogramBody]
+
+
+class Sources(NamedTuple):
+    """The functions that an operators' HTTP server reads from; each returns at once."""
+
+    status: Callable[[], ProcessStatus]
+    programs: Callable[[int], list[ProgramRow]]
+    metrics: Callable[[], MetricsSnapshot]
+
+
+def encode_metrics(snapshot: MetricsSnapshot) -> bytes:
+    """Returns the JSON form of a snapshot."""
+    body = {
+        "host": snapshot.host,
+        "counters": [row._asdict() for row in snapshot.counters],
+        "gauges": [row._asdict() for row in snapshot.gauges],
+        "histograms": [row._asdict() for row in snapshot.histograms],
+    }
+    return msgspec.json.encode(body)
+
+
+def decode_metrics(data: bytes, peer: str) -> Result[MetricsBody, Failure]:
+    """Returns the metrics that a peer served, or a Failure with code CORRUPT."""
+    return _decode(data, MetricsBody, peer)
+
+
+def decode_status(data: bytes, peer: str) -> Result[ProcessStatus, Failure]:
+    """Returns the status that a peer served, or a Failure with code CORRUPT."""
+    return _decode(data, ProcessStatus, peer)
+
+
+def decode_programs(data: bytes, peer: str) -> Result[list[ProgramRow], Failure]:
+    """Returns the programs that a peer served, or a Failure with code CORRUPT."""
+    return _decode(data, list[ProgramRow], peer)
+
+
+def _decode(data: bytes, form: type[_T], peer: str) -> Result[_T, Failure]:
+    try:
+        return Success(msgspec.json.decode(data, type=form))
+    except msgspec.DecodeError as exc:
+        return Failed(Failure(Code.CORRUPT, "status.decode", peer, str(exc)))
