--- /dev/null
+++ b/packages/endiveworks/src/endiveworks/client/events.py
@@ -0,0 +1,99 @@
+"""Reads a chat answer from the event stream in which it arrives."""
+
+from collections.abc import Callable, Iterator
+from typing import Any, NamedTuple
+
+import msgspec
+import urllib3
+from returns.result import Failure as Failed
+from returns.result import Result, Success
+
+from ..errors import Code, Failure
+from .transport import bad_status, lost, problem_failure
+
+OnText = Callable[[int, str], None]
+
+_EVENT_END = b"\n\n"
+_DATA = b"data: "
+_ERROR_EVENT = b"event: error"
+_DONE = b"[DONE]"
+
+
+class Answer(NamedTuple):
+    """A whole chat answer.
+
+    Attributes:
+        text: What the model wrote.
+        finish_reason: Why it stopped, as the engine says.
+        prompt_tokens: Tokens of the prompt, the history included.
+        completion_tokens: Tokens of the answer.
+        cached_tokens: Tokens of the prompt that the engine had cached.
+    """
+
+    text: str
+    finish_reason: str
+    prompt_tokens: int
+    completion_tokens: int
+    cached_tokens: int
+
+
+class _Draft:
+    """An answer while it grows."""
+
+    def __init__(self, on_text: OnText | None) -> None:
+        self._on_text = on_text
+        self._parts: list[str] = []
+        self._chars = 0
+        self._finish_reason = ""
+        self._usage: dict[str, Any] = {}
+
+    def take(self, chunk: dict[str, Any]) -> None:
+        """Adds one chunk of the answer."""
+        self._usage = chunk.get("usage") or self._usage
+        for choice in chunk.get("choices", ()):
+            self._finish_reason = choice.get("finish_reason") or self._finish_reason
+            text = choice.get("delta", {}).get("content") or ""
+            if text and self._on_text is not None:
+                self._on_text(self._chars, text)
+            self._parts.append(text)
+            self._chars += len(text)
+
+    def whole(self) -> Answer:
+        """Returns the answer."""
+        details = self._usage.get("prompt_tokens_details") or {}
+        return Answer(
+            "".join(self._parts),
+            self._finish_reason,
+            self._usage.get("prompt_tokens", 0),
+            self._usage.get("completion_tokens", 0),
+            details.get("cached_tokens", 0),
+        )
+
+
+def read_events(
+    answer: urllib3.BaseHTTPResponse, on_text: OnText | None = None
+) -> Result[Answer, Failure]:
+    """Returns the answer once its final event has arrived; a stream without one is lost."""
+    refusal = bad_status(answer)
+    if refusal is not None:
+        return Failed(refusal)
+    draft = _Draft(on_text)
+    for event in _events(answer):
+        data = b"".join(line[len(_DATA) :] for line in event.split(b"\n") if line[:6] == _DATA)
+        if event.startswith(_ERROR_EVENT):
+            return Failed(problem_failure(data, ""))
+        if data == _DONE:
+            return Success(draft.whole())
+        if data:
+            try:
+                draft.take(msgspec.json.decode(data, type=dict))
+            except msgspec.DecodeError as exc:
+                return Failed(Failure(Code.CORRUPT, "client.events", "", str(exc)))
+    return Failed(lost("", "the answer ended before its last event"))
+
+
+def _events(answer: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
+    rest = b""
+    while chunk := answer.read1():
+        *events, rest = (rest + chunk).split(_EVENT_END)
+        yield from events
--- a/packages/endiveworks/src/endiveworks/members/member.py
+++ b/packages/endiveworks/src/endiveworks/members/member.py
@@ -16,6 +16,7 @@
         incarnation: Random id that a process takes at its start.
         has_disk: Whether it keeps journal copies.
         draining: Whether it is leaving and takes no new work.
+        admin: IP number and port of its HTTP server for operators, as "ip:port".
     """
 
     host: str
@@ -27,3 +28,4 @@
     incarnation: int
     has_disk: bool = False
     draining: bool = False
+    admin: str = ""
