--- /dev/null
+++ b/packages/endiveworks/src/endiveworks/calls/executor.py
@@ -0,0 +1,216 @@
+"""Attempts dispatched to one upstream process: each runs at most once, in admitted order."""
+
+import threading
+import time
+from collections import OrderedDict
+from collections.abc import Callable
+from typing import NamedTuple
+
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+from ..errors import Code, Failure
+from .messages import CallKey, Doubt, Job
+from .stream import Ending, Piece, Stream
+
+_KEEP_ENDED_S = 3600.0
+_BUSY_RETRY_S = 1.0
+
+
+class Queue(NamedTuple):
+    """The order in which waiting attempts run.
+
+    Attributes:
+        offer: Adds an attempt at a time, or says why it is refused.
+        take: Removes and returns the attempt to run next; None when none waits.
+        withdraw: Removes a waiting attempt.
+        finished: Is told that an attempt has ended, with its ending.
+        size: Number of waiting attempts.
+    """
+
+    offer: Callable[[Job, float], Failure | None]
+    take: Callable[[float], Job | None]
+    withdraw: Callable[[CallKey], None]
+    finished: Callable[[Job, Ending, float], None]
+    size: Callable[[], int]
+
+
+# Runs an attempt to its end, appending to the stream and stopping once the event is set.
+Run = Callable[[Job, Stream, threading.Event], Ending]
+
+
+class Execution:
+    """One attempt that the executor has accepted."""
+
+    def __init__(self, job: Job) -> None:
+        self.job = job
+        self.stream = Stream()
+        self.cancelled = threading.Event()
+        self.started = False
+        self.ended_at = 0.0
+
+
+class Executor:
+    """Runs attempts on one upstream.
+
+    Every attempt that was accepted or revoked is remembered, so that a repeated message finds its
+    first outcome. Attempts of an older epoch than one seen for their partition are refused, so a
+    previous owner that was paused can't start anything after its successor has asked about it.
+
+    Args:
+        host: Name of this upstream process.
+        incarnation: Random id taken at its start.
+        queue: Order of the waiting attempts.
+        run: Runs one attempt.
+        slots: Returns how many attempts may run at once.
+    """
+
+    def __init__(
+        self, host: str, incarnation: int, queue: Queue, run: Run, slots: Callable[[], int]
+    ) -> None:
+        self.host = host
+        self.incarnation = incarnation
+        self._queue = queue
+        self._run = run
+        self._slots = slots
+        self._lock = threading.Lock()
+        self._idle = threading.Condition(self._lock)
+        self._executions: dict[CallKey, Execution] = {}
+        self._ended: OrderedDict[CallKey, float] = OrderedDict()
+        self._revoked: OrderedDict[CallKey, float] = OrderedDict()
+        self._epochs: dict[int, int] = {}
+        self._running = 0
+        self._draining = False
+
+    def submit(self, job: Job) -> Result[None, Failure]:
+        """Accepts an attempt, or finds it accepted before.
+
+        Returns:
+            Nothing when the attempt waits, runs or has ended here; else a Failure with not_run
+            set, since a refused attempt never runs.
+        """
+        with self._lock:
+            self._forget(time.monotonic())
+            if job.key in self._executions:
+                return Success(None)
+            refusal = self._check(job) or self._queue.offer(job, time.monotonic())
+            if refusal is not None:
+                return Err(refusal)
+            self._executions[job.key] = Execution(job)
+            self._fill()
+        return Success(None)
+
+    def read(self, key: CallKey, offset: int, wait_s: float) -> Result[Piece, Failure]:
+        """Returns bytes of an attempt's answer from an offset on, waiting for news."""
+        with self._lock:
+            execution = self._executions.get(key)
+        if execution is None:
+            detail = f"attempt {key} was not accepted by this incarnation"
+            return Err(Failure(Code.CONFLICT, "calls.read", self.host, detail))
+        return Success(execution.stream.read(offset, wait_s))
+
+    def revoke(self, key: CallKey, incarnation: int, epoch: int) -> Doubt:
+        """Stops an attempt from starting, or says what became of it.
+
+        After REVOKED the attempt has not run and never will. A running attempt that may be
+        repeated is cancelled; one that may not be repeated goes on.
+        """
+        with self._lock:
+            if incarnation != self.incarnation:
+                return Doubt.UNKNOWN
+            self._note_epoch(key, epoch)
+            execution = self._executions.get(key)
+            if execution is None:
+                self._revoked[key] = time.monotonic()
+                return Doubt.REVOKED
+            if execution.ended_at:
+                return Doubt.ENDED
+            if execution.started:
+                return self._interrupt(execution)
+            self._withdraw(execution)
+            return Doubt.REVOKED
+
+    def drain(self, timeout_s: float) -> bool:
+        """Refuses new attempts and waits for the accepted ones; returns whether all ended."""
+        with self._idle:
+            self._draining = True
+            return self._idle.wait_for(lambda: self._running == 0, timeout_s)
+
+    def load(self) -> tuple[int, int]:
+        """Returns how many attempts run and how many wait."""
+        with self._lock:
+            return self._running, self._queue.size()
+
+    @property
+    def draining(self) -> bool:
+        """Whether new attempts are refused because the process is leaving."""
+        return self._draining
+
+    def _check(self, job: Job) -> Failure | None:
+        step = "calls.submit"
+        if job.incarnation != self.incarnation:
+            detail = "the attempt is meant for another incarnation"
+            return Failure(Code.CONFLICT, step, self.host, detail, not_run=True)
+        if not self._note_epoch(job.key, job.epoch):
+            detail = f"epoch {job.epoch} is older than one seen for the partition"
+            return Failure(Code.STALE_EPOCH, step, self.host, detail, not_run=True)
+        if job.key in self._revoked:
+            detail = f"attempt {job.key} was revoked"
+            return Failure(Code.REVOKED, step, self.host, detail, not_run=True)
+        if self._draining:
+            detail = "the upstream process is leaving"
+            return Failure(Code.DRAINING, step, self.host, detail, True, _BUSY_RETRY_S)
+        return None
+
+    def _note_epoch(self, key: CallKey, epoch: int) -> bool:
+        known = self._epochs.get(key.partition, 0)
+        self._epochs[key.partition] = max(known, epoch)
+        return epoch >= known
+
+    def _interrupt(self, execution: Execution) -> Doubt:
+        if not execution.job.at_most_once:
+            execution.cancelled.set()
+        return Doubt.RUNNING
+
+    def _withdraw(self, execution: Execution) -> None:
+        key = execution.job.key
+        self._queue.withdraw(key)
+        self._revoked[key] = time.monotonic()
+        del self._executions[key]
+        failure = Failure(Code.REVOKED, "calls.revoke", self.host, "revoked", not_run=True)
+        execution.stream.finish(Ending(409, "", failure=failure))
+
+    def _fill(self) -> None:
+        while self._running < self._slots():
+            job = self._queue.take(time.monotonic())
+            if job is None:
+                return
+            execution = self._executions[job.key]
+            execution.started = True
+            self._running += 1
+            name = f"call-{job.key}"
+            threading.Thread(target=self._work, args=(execution,), name=name, daemon=True).start()
+
+    def _work(self, execution: Execution) -> None:
+        job = execution.job
+        try:
+            ending = self._run(job, execution.stream, execution.cancelled)
+        except Exception as exc:  # A fault of one attempt must not take a slot forever.
+            failure = Failure(Code.INTERNAL, "calls.run", self.host, repr(exc))
+            ending = Ending(500, "", failure=failure)
+        with self._lock:
+            now = time.monotonic()
+            execution.ended_at = now
+            self._ended[job.key] = now
+            self._running -= 1
+            self._queue.finished(job, ending, now)
+            self._fill()
+            self._idle.notify_all()
+        execution.stream.finish(ending)
+
+    def _forget(self, now: float) -> None:
+        """Drops attempts that ended so long ago that no message about them can be under way."""
+        for memory in (self._ended, self._revoked):
+            while memory and next(iter(memory.values())) < now - _KEEP_ENDED_S:
+                key, _ = memory.popitem(last=False)
+                self._executions.pop(key, None)
--- /dev/null
+++ b/packages/endiveworks/src/endiveworks/engines/chat.py
@@ -0,0 +1,164 @@
+"""Runs a chat completion on an engine and passes its events on as they arrive."""
+
+from collections.abc import Callable, Iterator
+from typing import NamedTuple
+
+import msgspec
+import urllib3
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+from ..calls.stream import Ending
+from ..errors import Code, Failure
+from .chat_format import EVENT_END, Usage, data_of
+
+EVENT_STREAM = "text/event-stream"
+_MAX_RESUMES = 3
+_CONNECT_TIMEOUT_S = 1.0
+_READ_BYTES = 65536
+_ID = b"id: "
+_STEP = "engines.chat"
+
+
+class ChatJob(NamedTuple):
+    """One completion to run.
+
+    Attributes:
+        base_url: URL of the engine.
+        request_id: Id that is equal for the resumptions of one completion.
+        body: Request as JSON, with streaming on.
+        silence_s: Seconds without an event after which the connection is given up.
+        emit: Takes the bytes of each event; returns False to cancel the completion.
+    """
+
+    base_url: str
+    request_id: str
+    body: bytes
+    silence_s: float
+    emit: Callable[[bytes], bool]
+
+
+class _Progress:
+    """How far one completion has come."""
+
+    def __init__(self) -> None:
+        self.last_id = b""
+        self.usage: Usage = {}
+        self.events = 0
+        self.done = False
+        self.cancelled = False
+
+
+def run_chat(http: urllib3.PoolManager, job: ChatJob) -> Ending:
+    """Runs a completion to its end, resuming it when the engine cuts the stream.
+
+    The final event is not emitted: the owner of the program sends it once the answer is stored.
+    """
+    progress = _Progress()
+    failure = Failure(Code.UPSTREAM_FAILED, _STEP, job.base_url, "not attempted")
+    for _ in range(_MAX_RESUMES + 1):
+        outcome = _attempt(http, job, progress)
+        if isinstance(outcome, Success):
+            return outcome.unwrap()
+        failure = outcome.failure()
+        if not progress.last_id:
+            break
+    return Ending(502, EVENT_STREAM, 0, progress.events, 0, failure)
+
+
+def _attempt(
+    http: urllib3.PoolManager, job: ChatJob, progress: _Progress
+) -> Result[Ending, Failure]:
+    headers = {"Content-Type": "application/json", "X-Request-Id": job.request_id}
+    if progress.last_id:
+        headers["Last-Event-ID"] = progress.last_id.decode()
+    try:
+        response = http.request(
+            "POST",
+            f"{job.base_url}/v1/chat/completions",
+            body=job.body,
+            headers=headers,
+            preload_content=False,
+            retries=False,
+            redirect=False,
+            timeout=urllib3.Timeout(connect=_CONNECT_TIMEOUT_S, read=job.silence_s),
+        )
+    except urllib3.exceptions.HTTPError as exc:
+        not_run = isinstance(exc, urllib3.exceptions.NewConnectionError) and not progress.events
+        failure = Failure(Code.UPSTREAM_FAILED, _STEP, job.base_url, str(exc), not_run=not_run)
+        return Err(failure)
+    try:
+        if response.status != 200:
+            return _refused(job, response)
+        return _follow(job, response, progress)
+    except urllib3.exceptions.HTTPError as exc:
+        return Err(Failure(Code.UPSTREAM_FAILED, _STEP, job.base_url, str(exc)))
+    finally:
+        # A connection with an unread rest can't be used again.
+        if progress.done:
+            response.release_conn()
+        else:
+            response.close()
+
+
+def _refused(job: ChatJob, response: urllib3.BaseHTTPResponse) -> Result[Ending, Failure]:
+    body = response.read(_READ_BYTES)
+    if response.status >= 500 or response.status == 429:
+        detail = f"the engine answered {response.status}"
+        return Err(Failure(Code.UPSTREAM_FAILED, _STEP, job.base_url, detail, True, 1.0))
+    job.emit(body)
+    content_type = response.headers.get("Content-Type", "application/json")
+    return Success(Ending(response.status, content_type))
+
+
+def _follow(
+    job: ChatJob, response: urllib3.BaseHTTPResponse, progress: _Progress
+) -> Result[Ending, Failure]:
+    for event in _events(response):
+        _note(event, progress)
+        if progress.done:
+            response.drain_conn()
+            return Success(_whole(progress))
+        if not job.emit(event):
+            failure = Failure(Code.REVOKED, _STEP, job.base_url, "the call was cancelled")
+            return Success(Ending(499, EVENT_STREAM, 0, progress.events, 0, failure))
+    return Err(Failure(Code.UPSTREAM_FAILED, _STEP, job.base_url, "the engine cut the stream"))
+
+
+def _events(response: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
+    pending = b""
+    while True:
+        data = response.read1(_READ_BYTES)
+        if not data:
+            return
+        pending += data
+        *events, pending = pending.split(EVENT_END)
+        for event in events:
+            yield event + EVENT_END
+
+
+def _note(event: bytes, progress: _Progress) -> None:
+    data = data_of(event)
+    if data == b"[DONE]":
+        progress.done = True
+        return
+    progress.events += 1
+    for line in event.split(b"\n"):
+        if line.startswith(_ID):
+            progress.last_id = line[len(_ID) :].strip()
+    # Only the last events carry usage; the search is cheaper than decoding each event.
+    if b'"usage"' in data:
+        chunk = msgspec.json.decode(data)
+        progress.usage = chunk.get("usage") or progress.usage
+
+
+def _whole(progress: _Progress) -> Ending:
+    usage = progress.usage
+    cached = (usage.get("prompt_tokens_details") or {}).get("cached_tokens", 0)
+    return Ending(
+        status=200,
+        content_type=EVENT_STREAM,
+        prompt_tokens=usage.get("prompt_tokens", 0),
+        completion_tokens=usage.get("completion_tokens", progress.events),
+        cached_tokens=cached,
+    )
--- /dev/null
+++ b/packages/endiveworks/src/endiveworks/engines/chat_format.py
@@ -0,0 +1,210 @@
+"""Chat completion messages: requests, event streams and whole answers."""
+
+import time
+from collections.abc import Iterator, Sequence
+from typing import Any, NamedTuple, TypedDict
+
+import msgspec
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+from ..errors import Code, Failure
+
+DONE_EVENT = b"data: [DONE]\n\n"
+EVENT_END = b"\n\n"
+_DATA = b"data: "
+_MESSAGE_OVERHEAD_TOKENS = 16
+_RESERVED_FIELDS = frozenset({"model", "messages", "max_tokens", "stream", "stream_options"})
+_LENGTH_FIELDS = ("max_completion_tokens", "max_tokens")
+
+_RAW_OBJECT = msgspec.json.Decoder(dict[str, msgspec.Raw])
+_RAW_LIST = msgspec.json.Decoder(list[msgspec.Raw])
+
+
+class Usage(TypedDict, total=False):
+    """Token counts as an engine reports them."""
+
+    prompt_tokens: int
+    completion_tokens: int
+    prompt_tokens_details: dict[str, int]
+
+
+class Message(TypedDict, total=False):
+    """A chat message; only the role is looked at."""
+
+    role: str
+
+
+class ChatRequest(NamedTuple):
+    """A caller's chat request.
+
+    Attributes:
+        messages: New messages, each as JSON.
+        options: Other fields to pass to the engine, each as JSON.
+        max_tokens: Largest answer the caller wants; 0 when it names none.
+        stream: Whether the caller wants the answer as events.
+        new_prompt_tokens: Upper bound of the tokens that the new messages and options take.
+    """
+
+    messages: tuple[bytes, ...]
+    options: dict[str, bytes]
+    max_tokens: int
+    stream: bool
+    new_prompt_tokens: int
+
+
+class Counts(NamedTuple):
+    """Token counts of one answer."""
+
+    prompt_tokens: int
+    completion_tokens: int
+    cached_tokens: int
+
+
+def parse_request(body: bytes) -> Result[ChatRequest, Failure]:
+    """Checks a caller's request; a malformed one gives BAD_REQUEST naming the field."""
+    try:
+        fields = _RAW_OBJECT.decode(body)
+        messages = tuple(bytes(raw) for raw in _RAW_LIST.decode(fields.get("messages", b"")))
+        for message in messages:
+            msgspec.json.decode(message, type=Message)["role"]
+        stream = msgspec.json.decode(fields.get("stream", b"false"), type=bool)
+        max_tokens = _length_of(fields)
+    except (msgspec.MsgspecError, KeyError, UnicodeDecodeError) as exc:
+        return Err(_bad(f"the chat request is malformed: {exc}"))
+    if not messages:
+        return Err(_bad("messages is empty"))
+    options = {
+        name: bytes(raw)
+        for name, raw in fields.items()
+        if name not in _RESERVED_FIELDS and name not in _LENGTH_FIELDS
+    }
+    # A token is at least one byte, so the size in bytes bounds the number of tokens.
+    size = sum(len(part) + _MESSAGE_OVERHEAD_TOKENS for part in (*messages, *options.values()))
+    return Success(ChatRequest(messages, options, max_tokens, stream, size))
+
+
+def messages_of(body: bytes) -> list[bytes]:
+    """Returns the messages of a request that has been checked before, each as JSON."""
+    return [bytes(raw) for raw in _RAW_LIST.decode(_RAW_OBJECT.decode(body)["messages"])]
+
+
+def engine_request(
+    model: str, history: Sequence[bytes], req: ChatRequest, max_tokens: int, begun: bytes = b""
+) -> bytes:
+    """Returns the request for an engine.
+
+    Args:
+        model: Model name.
+        history: Messages of the program so far, each as JSON.
+        req: The caller's request.
+        max_tokens: Largest answer, in tokens.
+        begun: Message as JSON with the text already generated, which the engine continues.
+    """
+    messages = [*history, *req.messages]
+    options = dict(req.options)
+    if begun:
+        messages.append(begun)
+        options["continue_final_message"] = b"true"
+        options["add_generation_prompt"] = b"false"
+    fields = {
+        "model": msgspec.json.encode(model),
+        "messages": b"[" + b",".join(messages) + b"]",
+        "max_tokens": str(max_tokens).encode(),
+        "stream": b"true",
+        "stream_options": b'{"include_usage":true}',
+        **options,
+    }
+    return msgspec.json.encode({name: msgspec.Raw(value) for name, value in fields.items()})
+
+
+def data_of(event: bytes) -> bytes:
+    """Returns the data line of one event, or nothing."""
+    for line in event.split(b"\n"):
+        if line.startswith(_DATA):
+            return line[len(_DATA) :]
+    return b""
+
+
+def assemble(events: bytes) -> bytes:
+    """Returns the whole completion, as JSON, that a stream of events amounts to."""
+    merged: dict[str, Any] = {"object": "chat.completion"}
+    message: dict[str, Any] = {"role": "assistant", "content": ""}
+    finish = None
+    for chunk in _chunks(events):
+        for name in ("id", "created", "model", "usage"):
+            if chunk.get(name) is not None:
+                merged[name] = chunk[name]
+        for choice in chunk.get("choices", ()):
+            _merge_delta(message, choice.get("delta", {}))
+            finish = choice.get("finish_reason") or finish
+    merged["choices"] = [{"index": 0, "message": message, "finish_reason": finish}]
+    return msgspec.json.encode(merged)
+
+
+def render(answer: bytes) -> bytes:
+    """Returns a whole completion as a stream of events, ending with the final one."""
+    whole = msgspec.json.decode(answer)
+    choice = whole["choices"][0]
+    base = {
+        "id": whole.get("id", ""),
+        "object": "chat.completion.chunk",
+        "created": whole.get("created", int(time.time())),
+        "model": whole.get("model", ""),
+    }
+    delta = {"index": 0, "delta": choice["message"], "finish_reason": choice["finish_reason"]}
+    events = [{**base, "choices": [delta]}]
+    if "usage" in whole:
+        events.append({**base, "choices": [], "usage": whole["usage"]})
+    encoded = (_DATA + msgspec.json.encode(event) + EVENT_END for event in events)
+    return b"".join(encoded) + DONE_EVENT
+
+
+def answer_message(answer: bytes) -> bytes:
+    """Returns the assistant's message of a whole completion, as JSON."""
+    return msgspec.json.encode(msgspec.json.decode(answer)["choices"][0]["message"])
+
+
+def counts_of(answer: bytes) -> Counts:
+    """Returns the token counts of a whole completion; zero where the engine gave none."""
+    usage = msgspec.json.decode(answer).get("usage") or {}
+    details = usage.get("prompt_tokens_details") or {}
+    return Counts(
+        usage.get("prompt_tokens", 0),
+        usage.get("completion_tokens", 0),
+        details.get("cached_tokens", 0),
+    )
+
+
+def _chunks(events: bytes) -> Iterator[dict[str, Any]]:
+    for event in events.split(EVENT_END):
+        data = data_of(event)
+        if data and data != b"[DONE]":
+            yield msgspec.json.decode(data)
+
+
+def _merge_delta(message: dict[str, Any], delta: dict[str, Any]) -> None:
+    message["content"] = (message["content"] or "") + (delta.get("content") or "")
+    for part in delta.get("tool_calls") or ():
+        calls = message.setdefault("tool_calls", [])
+        index = part.get("index", len(calls))
+        while len(calls) <= index:
+            calls.append({"id": "", "type": "function", "function": {"name": "", "arguments": ""}})
+        calls[index]["id"] += part.get("id") or ""
+        function = part.get("function") or {}
+        for name in ("name", "arguments"):
+            calls[index]["function"][name] += function.get(name) or ""
+
+
+def _length_of(fields: dict[str, msgspec.Raw]) -> int:
+    for name in _LENGTH_FIELDS:
+        if name in fields:
+            value = msgspec.json.decode(fields[name], type=int)
+            if value < 1:
+                raise msgspec.ValidationError(f"{name} is {value}, allowed is 1 or more")
+            return value
+    return 0
+
+
+def _bad(detail: str) -> Failure:
+    return Failure(Code.BAD_REQUEST, "engines.parse", "", detail, not_run=True)
--- /dev/null
+++ b/packages/endiveworks/src/endiveworks/engines/plain.py
@@ -0,0 +1,81 @@
+"""Runs one call on a plain service, saying exactly what is known when it fails."""
+
+from typing import NamedTuple
+
+import urllib3
+
+from ..calls.stream import Ending
+from ..errors import Code, Failure
+
+_CONNECT_TIMEOUT_S = 1.0
+_MAX_ANSWER_BYTES = 16 * 1024 * 1024
+_STEP = "engines.plain"
+
+
+class PlainJob(NamedTuple):
+    """One call to run.
+
+    Attributes:
+        base_url: URL of the service.
+        operation: Name of the operation, the last part of the path.
+        request_id: Id of the call, sent as its idempotency key.
+        body: Request as the caller sent it.
+        at_most_once: Whether the call must not be repeated.
+        timeout_s: Seconds to wait for the answer.
+    """
+
+    base_url: str
+    operation: str
+    request_id: str
+    body: bytes
+    at_most_once: bool
+    timeout_s: float
+
+
+class PlainAnswer(NamedTuple):
+    """The answer's bytes and how it ended."""
+
+    data: bytes
+    ending: Ending
+
+
+def run_plain(job: PlainJob) -> PlainAnswer:
+    """Runs a call once on a fresh connection, without retries or redirects.
+
+    A pooled connection may have gone stale, which would leave in doubt whether the request was
+    received, so each call opens its own.
+    """
+    with urllib3.PoolManager(num_pools=1, maxsize=1) as http:
+        try:
+            response = http.request(
+                "POST",
+                f"{job.base_url}/{job.operation}",
+                body=job.body,
+                headers={
+                    "Content-Type": "application/json",
+                    "Idempotency-Key": job.request_id,
+                    "Connection": "close",
+                },
+                retries=False,
+                redirect=False,
+                preload_content=False,
+                timeout=urllib3.Timeout(connect=_CONNECT_TIMEOUT_S, read=job.timeout_s),
+            )
+            data = response.read(_MAX_ANSWER_BYTES + 1)
+        except (urllib3.exceptions.NewConnectionError, urllib3.exceptions.ConnectTimeoutError):
+            return _failed(job, Code.UNREACHABLE, "no connection was made", not_run=True)
+        except urllib3.exceptions.HTTPError as exc:
+            return _failed(job, _doubt(job), str(exc), not_run=False)
+    if len(data) > _MAX_ANSWER_BYTES:
+        return _failed(job, _doubt(job), f"the answer exceeds {_MAX_ANSWER_BYTES} bytes", False)
+    content_type = response.headers.get("Content-Type", "application/octet-stream")
+    return PlainAnswer(data, Ending(response.status, content_type))
+
+
+def _doubt(job: PlainJob) -> Code:
+    return Code.OUTCOME_UNKNOWN if job.at_most_once else Code.UPSTREAM_FAILED
+
+
+def _failed(job: PlainJob, code: Code, detail: str, not_run: bool) -> PlainAnswer:
+    failure = Failure(code, _STEP, job.base_url, detail, not_run)
+    return PlainAnswer(b"", Ending(502, "application/problem+json", failure=failure))
--- /dev/null
+++ b/packages/endiveworks/src/endiveworks/links/server.py
@@ -0,0 +1,79 @@
+"""Thrift server of a process: a thread for each connection, bounded in number."""
+
+import contextlib
+import socket
+import threading
+from typing import Any, NamedTuple
+
+from thrift.protocol.TBinaryProtocol import TBinaryProtocolAcceleratedFactory
+from thrift.Thrift import TException
+from thrift.transport.TSocket import TSocket
+from thrift.transport.TTransport import TFramedTransport, TTransportException
+
+from ..telemetry.logs import logger
+
+MAX_FRAME_BYTES = 64 * 1024 * 1024
+_BACKLOG_CONNECTIONS = 1024
+_PROTOCOLS = TBinaryProtocolAcceleratedFactory()
+
+
+class Server(NamedTuple):
+    """A running server; address is "ip:port" as bound."""
+
+    address: str
+    listener: socket.socket
+
+
+def serve(processor: Any, address: str, max_connections: int) -> Server:
+    """Starts serving a Thrift processor on an address; port 0 takes a free port.
+
+    Raises:
+        OSError: The address can't be bound.
+    """
+    host, _, port = address.rpartition(":")
+    listener = socket.create_server((host, int(port)), backlog=_BACKLOG_CONNECTIONS)
+    bound_host, bound_port = listener.getsockname()[:2]
+    free = threading.BoundedSemaphore(max_connections)
+    args = (listener, processor, free)
+    threading.Thread(target=_accept, args=args, name="thrift-accept", daemon=True).start()
+    return Server(f"{bound_host}:{bound_port}", listener)
+
+
+def stop(server: Server) -> None:
+    """Stops accepting connections; open ones end with the process."""
+    # Without the shutdown a thread blocked in accept would keep the port open.
+    with contextlib.suppress(OSError):
+        server.listener.shutdown(socket.SHUT_RDWR)
+    server.listener.close()
+
+
+def _accept(listener: socket.socket, processor: Any, free: threading.BoundedSemaphore) -> None:
+    while True:
+        try:
+            conn, _ = listener.accept()
+        except OSError:
+            return
+        if not free.acquire(blocking=False):
+            conn.close()
+            logger("links").warning("connection_refused", reason="too many connections")
+            continue
+        args = (conn, processor, free)
+        threading.Thread(target=_serve_conn, args=args, name="thrift-conn", daemon=True).start()
+
+
+def _serve_conn(conn: socket.socket, processor: Any, free: threading.BoundedSemaphore) -> None:
+    conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    wrapped = TSocket()
+    wrapped.setHandle(conn)
+    transport = TFramedTransport(wrapped)
+    protocol = _PROTOCOLS.getProtocol(transport)
+    try:
+        while True:
+            processor.process(protocol, protocol)
+    except (TTransportException, OSError):
+        pass
+    except (TException, ValueError) as exc:
+        logger("links").warning("connection_dropped", error_type=type(exc).__name__)
+    finally:
+        transport.close()
+        free.release()
--- /dev/null
+++ b/packages/endiveworks/src/endiveworks/programs/decide.py
@@ -0,0 +1,258 @@
+"""Decisions on programs: each gives the records to append, or why it is refused."""
+
+from collections.abc import Mapping
+from typing import NamedTuple
+
+import xxhash
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+from ..config.bundle import Service, TenantTerms
+from ..errors import Code, Failure
+from .records import (
+    CallClaimed,
+    CallEnded,
+    CallReleased,
+    CallStarted,
+    ProgramClosed,
+    ProgramOpened,
+    Record,
+)
+from .state import Call, Partition, Program
+
+_ANY_TENANT = "*"
+
+
+class Open(NamedTuple):
+    """A caller's request to open a program."""
+
+    tenant: str
+    service: str
+    class_name: str
+    parent: str
+    budget_tokens: int
+    request_key: str
+
+
+class Start(NamedTuple):
+    """A caller's request to run a call, with the size of its prompt beyond the history."""
+
+    program: str
+    call: int
+    tenant: str
+    service: str
+    operation: str
+    request_key: str
+    body: bytes
+    new_prompt_tokens: int
+    max_tokens: int
+
+
+class Decision(NamedTuple):
+    """What to append, and the call that the caller is to follow."""
+
+    records: tuple[Record, ...]
+    call: Call | None = None
+
+
+def open_program(
+    partition: Partition, req: Open, program: str, services: Mapping[str, Service]
+) -> Result[Decision, Failure]:
+    """Opens a program under a new id, or finds the one opened under the same idempotency key."""
+    step = "programs.open"
+    if req.request_key and (req.tenant, req.request_key) in partition.opened_keys:
+        return Success(Decision(()))
+    service = services.get(req.service)
+    if service is None:
+        return _refuse(Code.UNKNOWN_SERVICE, step, f"service {req.service!r} does not exist")
+    class_name = req.class_name or service.default_class
+    if class_name not in service.classes:
+        known = ", ".join(sorted(service.classes))
+        return _refuse(Code.BAD_REQUEST, step, f"class {class_name!r} is not one of: {known}")
+    terms = terms_of(service, req.tenant)
+    if terms is None:
+        detail = f"tenant {req.tenant!r} may not use service {req.service!r}"
+        return _refuse(Code.WRONG_TENANT, step, detail)
+    limit = terms.budget_tokens
+    if req.budget_tokens < 0 or req.budget_tokens > limit:
+        detail = f"budget_tokens is {req.budget_tokens}, allowed are 1 to {limit}"
+        return _refuse(Code.BAD_REQUEST, step, detail)
+    if req.parent:
+        refusal = _check_parent(partition, req)
+        if refusal is not None:
+            return Err(refusal)
+    budget = req.budget_tokens or limit
+    opened = ProgramOpened(program, req.tenant, class_name, req.parent, budget, req.request_key)
+    return Success(Decision((opened,)))
+
+
+def start_call(
+    partition: Partition, req: Start, services: Mapping[str, Service]
+) -> Result[Decision, Failure]:
+    """Accepts the next call of a program, or finds the call that the request repeats."""
+    step = "programs.start"
+    found = find_program(partition, req.program, req.tenant, step)
+    if not isinstance(found, Success):
+        return Err(found.failure())
+    program = found.unwrap()
+    digest = digest_of(req)
+    known = program.calls.get(req.call)
+    if known is not None:
+        return _repeat(known, req, digest)
+    refusal = _check_next(program, req)
+    if refusal is not None:
+        return Err(refusal)
+    service = services.get(req.service)
+    if service is None:
+        return _refuse(Code.UNKNOWN_SERVICE, step, f"service {req.service!r} does not exist")
+    if terms_of(service, req.tenant) is None:
+        detail = f"tenant {req.tenant!r} may not use service {req.service!r}"
+        return _refuse(Code.WRONG_TENANT, step, detail)
+    reserved = _reservation(program, service, req)
+    available = _available(partition, req.program)
+    if reserved > available:
+        detail = f"the call may need {reserved} tokens and {available} are left"
+        return _refuse(Code.BUDGET_EXCEEDED, step, detail)
+    started = CallStarted(
+        program=req.program,
+        call=req.call,
+        service=req.service,
+        operation=req.operation,
+        request_key=req.request_key,
+        digest=digest,
+        reserved_tokens=reserved,
+        at_most_once=req.operation in service.at_most_once,
+        body=req.body,
+    )
+    return Success(Decision((started,), Call(started)))
+
+
+def claim_attempt(partition: Partition, claim: CallClaimed) -> Result[Decision, Failure]:
+    """Lets an attempt at a running call be dispatched, if its tokens can be reserved."""
+    call = _running(partition, claim.program, claim.call)
+    if call is None or claim.attempt != partition.programs[claim.program].attempts + 1:
+        detail = f"attempt {claim.attempt} at call {claim.call} of {claim.program} is not next"
+        return _refuse(Code.CONFLICT, "programs.claim", detail)
+    available = _available(partition, claim.program)
+    if claim.reserved_tokens > available:
+        detail = f"another attempt may need {claim.reserved_tokens} tokens, {available} are left"
+        return _refuse(Code.BUDGET_EXCEEDED, "programs.claim", detail)
+    return Success(Decision((claim,), call._replace(claims=(*call.claims, claim))))
+
+
+def end_call(partition: Partition, ended: CallEnded) -> Result[Decision, Failure]:
+    """Gives a running call its final answer; an ended call keeps the one it has."""
+    call = _running(partition, ended.program, ended.call)
+    if call is None:
+        detail = f"call {ended.call} of {ended.program} is not running"
+        return _refuse(Code.CONFLICT, "programs.end", detail)
+    return Success(Decision((ended,), call._replace(ended=ended)))
+
+
+def release_call(partition: Partition, released: CallReleased) -> Result[Decision, Failure]:
+    """Takes back a running call that has no final answer."""
+    if _running(partition, released.program, released.call) is None:
+        detail = f"call {released.call} of {released.program} is not running"
+        return _refuse(Code.CONFLICT, "programs.release", detail)
+    return Success(Decision((released,)))
+
+
+def close_program(
+    partition: Partition, program: str, tenant: str, reason: str
+) -> Result[Decision, Failure]:
+    """Closes a program and its sub-agents' programs; a closed one stays as it is."""
+    known = find_program(partition, program, tenant, "programs.close")
+    if not isinstance(known, Success):
+        return Err(known.failure())
+    found = known.unwrap()
+    family = (other for other in partition.programs.values() if not other.closed)
+    closing = [
+        ProgramClosed(other.opened.program, reason)
+        for other in family
+        if found in partition.limits(other.opened.program)
+    ]
+    return Success(Decision(tuple(closing)))
+
+
+def find_program(
+    partition: Partition, program: str, tenant: str, step: str
+) -> Result[Program, Failure]:
+    """Returns a tenant's program, or UNKNOWN_PROGRAM or WRONG_TENANT at the given step."""
+    found = partition.programs.get(program)
+    if found is None:
+        detail = f"program {program} does not exist"
+        return Err(Failure(Code.UNKNOWN_PROGRAM, step, "", detail, not_run=True))
+    if found.opened.tenant != tenant:
+        detail = "the program belongs to another tenant"
+        return Err(Failure(Code.WRONG_TENANT, step, "", detail, not_run=True))
+    return Success(found)
+
+
+def terms_of(service: Service, tenant: str) -> TenantTerms | None:
+    """Returns what the service grants a tenant, or None when it grants nothing."""
+    return service.tenants.get(tenant, service.tenants.get(_ANY_TENANT))
+
+
+def digest_of(req: Start) -> str:
+    """Returns a hash that is equal for equal requests."""
+    hashed = xxhash.xxh3_128()
+    for part in (req.service, req.operation, req.request_key):
+        hashed.update(part.encode() + b"\0")
+    hashed.update(req.body)
+    return hashed.hexdigest()
+
+
+def _available(partition: Partition, program: str) -> int:
+    return min(limited.budget_tokens for limited in partition.limits(program))
+
+
+def _reservation(program: Program, service: Service, req: Start) -> int:
+    if service.kind != "model":
+        return 0
+    return program.history_tokens + req.new_prompt_tokens + req.max_tokens
+
+
+def _check_parent(partition: Partition, req: Open) -> Failure | None:
+    step = "programs.open"
+    parent = partition.programs.get(req.parent)
+    if parent is None:
+        return Failure(Code.UNKNOWN_PROGRAM, step, "", f"parent {req.parent} does not exist", True)
+    if parent.opened.tenant != req.tenant:
+        detail = "the parent belongs to another tenant"
+        return Failure(Code.WRONG_TENANT, step, "", detail, True)
+    if parent.closed:
+        detail = f"the parent is closed: {parent.closed}"
+        return Failure(Code.PROGRAM_CLOSED, step, "", detail, True)
+    return None
+
+
+def _check_next(program: Program, req: Start) -> Failure | None:
+    step = "programs.start"
+    if program.closed:
+        detail = f"the program is closed: {program.closed}"
+        return Failure(Code.PROGRAM_CLOSED, step, "", detail, True)
+    if req.call != program.next_call:
+        detail = f"call {req.call} was sent, {program.next_call} is next"
+        return Failure(Code.CALL_OUT_OF_ORDER, step, "", detail, True)
+    running = program.running
+    if running is not None:
+        detail = f"call {running.started.call} has not ended"
+        return Failure(Code.CALL_OUT_OF_ORDER, step, "", detail, True)
+    return None
+
+
+def _repeat(known: Call, req: Start, digest: str) -> Result[Decision, Failure]:
+    if known.started.digest != digest:
+        detail = f"call {req.call} was made before with a different request"
+        return _refuse(Code.CALL_MISMATCH, "programs.start", detail)
+    return Success(Decision((), known))
+
+
+def _running(partition: Partition, program: str, number: int) -> Call | None:
+    found = partition.programs.get(program)
+    call = found.calls.get(number) if found is not None else None
+    return call if call is not None and call.ended is None else None
+
+
+def _refuse(code: Code, step: str, detail: str) -> Result[Decision, Failure]:
+    return Err(Failure(code, step, "", detail, not_run=True))
--- /dev/null
+++ b/packages/endiveworks/src/endiveworks/programs/dispatch.py
@@ -0,0 +1,121 @@
+"""Carries an accepted call to its final record, over as many attempts as it takes."""
+
+from returns.result import Success
+
+from ..calls.stream import Ending, Stream
+from ..engines.chat_format import DONE_EVENT, assemble
+from ..errors import Code
+from ..telemetry.logs import logger
+from .attempt import (
+    PROBLEM,
+    Spending,
+    Try,
+    after_try,
+    attempt_call,
+    refusal,
+    settle_previous,
+)
+from .decide import end_call, release_call
+from .partition import commit
+from .plan import Context, Plan, make_plan
+from .records import CHAT, CallEnded, CallReleased, Outcome
+from .state import Call
+
+MAX_ATTEMPTS = 4
+_RETRY_AFTER_S = 1.0
+_NOT_TRIED = Try(Ending(503, PROBLEM), True, False, "")
+
+
+def run_call(ctx: Context, call: Call, stream: Stream) -> None:
+    """Runs an accepted call to its final answer and finishes the stream with it.
+
+    Args:
+        ctx: What the call runs with.
+        call: The call; one with claims was begun by a previous owner.
+        stream: Receives the answer.
+    """
+    outcome = make_plan(ctx, call)
+    if not isinstance(outcome, Success):
+        stream.finish(refusal(outcome.failure()))
+        return
+    plan = outcome.unwrap()
+    spending = Spending(0, call.reserved_tokens)
+    last = _NOT_TRIED
+    if call.claims:
+        last = settle_previous(ctx, plan, call, stream)
+        spending = after_try(spending, last)
+    for _ in range(MAX_ATTEMPTS):
+        if not last.again:
+            break
+        last, spending = attempt_call(ctx, plan, spending, stream)
+        plan = _next_plan(plan, last)
+    if last.ending.failure is None or last.ending.failure.code is Code.OUTCOME_UNKNOWN:
+        _end(ctx, plan, last, spending, stream)
+    else:
+        _give_up(ctx, plan, last, spending, stream)
+
+
+def _next_plan(plan: Plan, last: Try) -> Plan:
+    refused = plan.wanted.refused | {last.upstream}
+    return plan._replace(attempt=plan.attempt + 1, wanted=plan.wanted._replace(refused=refused))
+
+
+def _end(ctx: Context, plan: Plan, last: Try, spending: Spending, stream: Stream) -> None:
+    """Stores the final answer, and only then lets the stream end."""
+    ended = _final_record(plan, last, spending, stream)
+    stored = commit(ctx.ref, lambda partition: end_call(partition, ended))
+    if not isinstance(stored, Success):
+        # Another host may own the partition now and bring the call to its end.
+        stream.finish(refusal(stored.failure()._replace(not_run=False)))
+        return
+    if ended.outcome is Outcome.DONE and ended.status == 200 and plan.started.operation == CHAT:
+        stream.append(DONE_EVENT)
+    stream.finish(last.ending)
+
+
+def _final_record(plan: Plan, last: Try, spending: Spending, stream: Stream) -> CallEnded:
+    ending = last.ending
+    data = stream.read(0, 0.0).data
+    whole_chat = plan.started.operation == CHAT and ending.status == 200
+    spent = ending.prompt_tokens + ending.completion_tokens
+    outcome = Outcome.DONE if ending.status < 400 else Outcome.FAILED
+    if ending.failure is not None:
+        outcome, spent = Outcome.UNKNOWN, spending.reserved_tokens
+    return CallEnded(
+        program=plan.started.program,
+        call=plan.started.call,
+        outcome=outcome,
+        status=ending.status,
+        content_type=ending.content_type,
+        answer=assemble(data) if whole_chat else data,
+        spent_tokens=spending.earlier_tokens + spent,
+        prompt_tokens=ending.prompt_tokens,
+        completion_tokens=ending.completion_tokens,
+        cached_tokens=ending.cached_tokens,
+        upstream=last.upstream,
+    )
+
+
+def _give_up(ctx: Context, plan: Plan, last: Try, spending: Spending, stream: Stream) -> None:
+    """Takes the call back, so that its number may be used again."""
+    failure = last.ending.failure
+    assert failure is not None
+    started = plan.started
+    spent = spending.earlier_tokens + (spending.reserved_tokens if last.ran else 0)
+    released = CallReleased(started.program, started.call, spent)
+    stored = commit(ctx.ref, lambda partition: release_call(partition, released))
+    if not isinstance(stored, Success):
+        stream.finish(refusal(stored.failure()._replace(not_run=False)))
+        return
+    ran = last.ran or spending.earlier_tokens > 0
+    retry_after = _RETRY_AFTER_S if failure.retry_after_s is None else failure.retry_after_s
+    final = failure._replace(not_run=not ran, retry_after_s=retry_after)
+    log = logger("programs")
+    log.warning(
+        "call_given_up",
+        program=started.program,
+        call=started.call,
+        code=final.code,
+        detail=str(final),
+    )
+    stream.finish(refusal(final))
--- /dev/null
+++ b/packages/endiveworks/src/endiveworks/programs/owner.py
@@ -0,0 +1,332 @@
+"""Programs of the partitions that this host owns: manages them and runs their calls."""
+
+import secrets
+import threading
+import time
+from collections import deque
+from collections.abc import Callable
+from typing import NamedTuple, TypedDict, TypeVar
+
+import pykka
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+from ..calls.stream import STORED_GENERATION, Ending, Piece, Stream
+from ..config.bundle import Bundle
+from ..engines.chat import EVENT_STREAM
+from ..engines.chat_format import parse_request, render
+from ..errors import Code, Failure
+from ..journal.api import OpenedLog
+from .attempt import PROBLEM
+from .decide import Decision, Open, Start, close_program, find_program, open_program, start_call
+from .dispatch import run_call
+from .partition import PartitionActor, commit, start_actor, view
+from .plan import Context, Upstreams, answer_limit
+from .records import CHAT, CallEnded, Outcome
+from .state import Call, Partition, Program
+
+T = TypeVar("T")
+_LINGER_S = 30.0
+
+
+class OpenBody(TypedDict, total=False):
+    """Body of a request to open a program."""
+
+    service: str
+    budget_tokens: int
+    parent: str
+    request_key: str
+
+
+class ProgramStatus(TypedDict):
+    """A program as callers see it."""
+
+    id: str
+    tenant: str
+    parent: str
+    next_call: int
+    running: bool
+    budget_tokens: int
+    attained_tokens: int
+    closed: str
+
+
+class CallRequest(NamedTuple):
+    """A call as its caller sent it."""
+
+    program: str
+    call: int
+    tenant: str
+    service: str
+    operation: str
+    request_key: str
+    body: bytes
+
+
+class _Held(NamedTuple):
+    """A partition that this host owns."""
+
+    epoch: int
+    ref: "pykka.ActorRef[PartitionActor]"
+
+
+class Owner:
+    """Holds the partitions of this host and the calls under way in them.
+
+    Args:
+        upstreams: How upstream processes are reached.
+        bundle: Returns the configuration in force.
+    """
+
+    def __init__(self, upstreams: Upstreams, bundle: Callable[[], Bundle]) -> None:
+        self._upstreams = upstreams
+        self._bundle = bundle
+        self._lock = threading.Lock()
+        self._held: dict[int, _Held] = {}
+        self._streams: dict[tuple[str, int], Stream] = {}
+        self._retired: deque[tuple[float, tuple[str, int], Stream]] = deque()
+
+    def adopt(self, partition: int, epoch: int, opened: OpenedLog) -> Result[None, Failure]:
+        """Takes a partition and brings the calls that were under way to their end."""
+        started = start_actor(partition, epoch, opened)
+        if not isinstance(started, Success):
+            return Err(started.failure())
+        held = _Held(epoch, started.unwrap())
+        with self._lock:
+            self._held[partition] = held
+        running = view(held.ref, _running_calls)
+        for call in running.value_or(()):
+            self._run(held, call)
+        return Success(None)
+
+    def give_up(self, partition: int) -> None:
+        """Stops acting on a partition; its appends under way are finished first."""
+        with self._lock:
+            held = self._held.pop(partition, None)
+        if held is not None:
+            held.ref.stop()
+
+    def owned(self) -> tuple[int, ...]:
+        """Returns the partitions that this host owns."""
+        with self._lock:
+            return tuple(self._held)
+
+    def running(self) -> int:
+        """Returns the number of calls under way."""
+        with self._lock:
+            return len(self._streams) - len(self._retired)
+
+    def open(
+        self, partition: int, tenant: str, class_name: str, body: OpenBody
+    ) -> Result[ProgramStatus, Failure]:
+        """Opens a program in a partition of this host."""
+        held = self._find(partition)
+        if not isinstance(held, Success):
+            return Err(held.failure())
+        program = f"{partition:04x}-{secrets.token_hex(12)}"
+        req = Open(
+            tenant=tenant,
+            service=body.get("service", ""),
+            class_name=class_name,
+            parent=body.get("parent", ""),
+            budget_tokens=body.get("budget_tokens", 0),
+            request_key=body.get("request_key", ""),
+        )
+        services = self._bundle().services
+        ref = held.unwrap().ref
+        decided = commit(ref, lambda state: open_program(state, req, program, services))
+        if not isinstance(decided, Success):
+            return Err(decided.failure())
+
+        def look(state: Partition) -> ProgramStatus:
+            known = state.opened_keys.get((tenant, req.request_key), program)
+            return _status(state, state.programs[known])
+
+        return view(ref, look)
+
+    def status(self, program: str, tenant: str) -> Result[ProgramStatus, Failure]:
+        """Returns a program's status."""
+        return self._look(program, tenant, _status)
+
+    def history(self, program: str, tenant: str) -> Result[bytes, Failure]:
+        """Returns a program's messages as a JSON list."""
+        return self._look(program, tenant, _history)
+
+    def close(self, program: str, tenant: str) -> Result[ProgramStatus, Failure]:
+        """Closes a program and those of its sub-agents."""
+        held = self._find_for(program)
+        if not isinstance(held, Success):
+            return Err(held.failure())
+        ref = held.unwrap().ref
+        decided = commit(ref, lambda state: close_program(state, program, tenant, "by its caller"))
+        if not isinstance(decided, Success):
+            return Err(decided.failure())
+        return self.status(program, tenant)
+
+    def submit(self, req: CallRequest) -> Result[None, Failure]:
+        """Accepts a call, or finds it accepted before; its answer is then read."""
+        start = self._start_of(req)
+        held = self._find_for(req.program)
+        if not isinstance(start, Success):
+            return Err(start.failure())
+        if not isinstance(held, Success):
+            return Err(held.failure())
+        services = self._bundle().services
+        decided = commit(
+            held.unwrap().ref, lambda state: start_call(state, start.unwrap(), services)
+        )
+        if not isinstance(decided, Success):
+            return Err(decided.failure())
+        self._attach(held.unwrap(), decided.unwrap())
+        return Success(None)
+
+    def read(self, program: str, number: int, offset: int, wait_s: float) -> Result[Piece, Failure]:
+        """Returns bytes of a call's answer from an offset on, waiting for news."""
+        with self._lock:
+            stream = self._streams.get((program, number))
+        if stream is not None:
+            return Success(stream.read(offset, wait_s))
+        held = self._find_for(program)
+        if not isinstance(held, Success):
+            return Err(held.failure())
+        found = view(held.unwrap().ref, lambda state: _ended_call(state, program, number))
+        if not isinstance(found, Success):
+            return Err(found.failure())
+        ended = found.unwrap()
+        if ended is None:
+            detail = f"call {number} of {program} is not running"
+            return Err(Failure(Code.CONFLICT, "programs.read", "", detail, retry_after_s=0.0))
+        return Success(stored_stream(ended).read(offset, 0.0))
+
+    def _attach(self, held: _Held, decision: Decision) -> None:
+        call = decision.call
+        assert call is not None
+        if call.ended is None and decision.records:
+            self._run(held, call)
+
+    def _run(self, held: _Held, call: Call) -> None:
+        key = (call.started.program, call.started.call)
+        stream = Stream()
+        ctx = Context(held.ref, held.epoch, self._upstreams, self._bundle)
+        with self._lock:
+            self._streams[key] = stream
+
+        def work() -> None:
+            try:
+                run_call(ctx, call, stream)
+            finally:
+                failure = Failure(Code.INTERNAL, "programs.run", "", "the call failed here")
+                stream.finish(Ending(500, PROBLEM, failure=failure))
+                self._retire(key, stream)
+
+        threading.Thread(target=work, name=f"run-{key[0]}-{key[1]}", daemon=True).start()
+
+    def _retire(self, key: tuple[str, int], stream: Stream) -> None:
+        """Keeps a finished stream for readers under way, and drops older ones."""
+        now = time.monotonic()
+        with self._lock:
+            self._retired.append((now, key, stream))
+            while self._retired[0][0] < now - _LINGER_S:
+                _, old_key, old = self._retired.popleft()
+                if self._streams.get(old_key) is old:
+                    del self._streams[old_key]
+
+    def _start_of(self, req: CallRequest) -> Result[Start, Failure]:
+        new_tokens = max_tokens = 0
+        if req.operation == CHAT:
+            parsed = parse_request(req.body)
+            if not isinstance(parsed, Success):
+                return Err(parsed.failure())
+            new_tokens = parsed.unwrap().new_prompt_tokens
+            service = self._bundle().services.get(req.service)
+            asked = parsed.unwrap().max_tokens
+            max_tokens = answer_limit(service, asked) if service is not None else 0
+        return Success(Start(*req, new_prompt_tokens=new_tokens, max_tokens=max_tokens))
+
+    def _look(
+        self, program: str, tenant: str, pick: Callable[[Partition, Program], T]
+    ) -> Result[T, Failure]:
+        held = self._find_for(program)
+        if not isinstance(held, Success):
+            return Err(held.failure())
+
+        def look(state: Partition) -> Result[T, Failure]:
+            found = find_program(state, program, tenant, "programs.look")
+            return found.map(lambda known: pick(state, known))
+
+        return view(held.unwrap().ref, look).bind(lambda outcome: outcome)
+
+    def _find_for(self, program: str) -> Result[_Held, Failure]:
+        partition = partition_of(program)
+        if partition is None:
+            detail = f"program {program!r} does not exist"
+            return Err(Failure(Code.UNKNOWN_PROGRAM, "programs.find", "", detail, not_run=True))
+        return self._find(partition)
+
+    def _find(self, partition: int) -> Result[_Held, Failure]:
+        with self._lock:
+            held = self._held.get(partition)
+        if held is None:
+            detail = f"partition {partition:04x} is not owned by this host"
+            return Err(Failure(Code.NOT_OWNER, "programs.find", "", detail, retry_after_s=0.0))
+        return Success(held)
+
+
+def partition_of(program: str) -> int | None:
+    """Returns the partition of a program id; None when the id is malformed."""
+    digits, dash, _ = program.partition("-")
+    try:
+        return int(digits, 16) if dash and len(digits) == 4 else None
+    except ValueError:
+        return None
+
+
+def stored_stream(ended: CallEnded) -> Stream:
+    """Returns a finished stream with the answer of a call that ended."""
+    stream = Stream()
+    failure = None
+    if ended.outcome is Outcome.UNKNOWN:
+        detail = "the call may have run; it is not repeated"
+        failure = Failure(Code.OUTCOME_UNKNOWN, "programs.read", ended.upstream, detail)
+    whole_chat = ended.content_type == EVENT_STREAM and ended.status == 200
+    stream.append(render(ended.answer) if whole_chat else ended.answer, STORED_GENERATION)
+    stream.finish(
+        Ending(
+            ended.status,
+            ended.content_type,
+            ended.prompt_tokens,
+            ended.completion_tokens,
+            ended.cached_tokens,
+            failure,
+        )
+    )
+    return stream
+
+
+def _running_calls(state: Partition) -> tuple[Call, ...]:
+    programs = state.programs.values()
+    return tuple(program.running for program in programs if program.running is not None)
+
+
+def _ended_call(state: Partition, program: str, number: int) -> CallEnded | None:
+    found = state.programs.get(program)
+    call = found.calls.get(number) if found is not None else None
+    return call.ended if call is not None else None
+
+
+def _status(state: Partition, program: Program) -> ProgramStatus:
+    opened = program.opened
+    return ProgramStatus(
+        id=opened.program,
+        tenant=opened.tenant,
+        parent=opened.parent,
+        next_call=program.next_call,
+        running=program.running is not None,
+        budget_tokens=min(limited.budget_tokens for limited in state.limits(opened.program)),
+        attained_tokens=program.attained_tokens,
+        closed=program.closed,
+    )
+
+
+def _history(state: Partition, program: Program) -> bytes:
+    return b"[" + b",".join(program.messages) + b"]"
--- /dev/null
+++ b/packages/endiveworks/src/endiveworks/programs/records.py
@@ -0,0 +1,158 @@
+"""Records of a partition's log and their encoding."""
+
+import enum
+from typing import NamedTuple
+
+import msgspec
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+from ..errors import Code, Failure
+
+# Operation of a call that a model engine runs.
+CHAT = "chat"
+
+
+class Outcome(enum.StrEnum):
+    """How a call ended."""
+
+    DONE = "done"
+    FAILED = "failed"
+    UNKNOWN = "unknown"
+
+
+class ProgramOpened(NamedTuple):
+    """A program starts; a sub-agent's program names its parent and draws on its budget."""
+
+    program: str
+    tenant: str
+    class_name: str
+    parent: str
+    budget_tokens: int
+    request_key: str
+
+
+class CallStarted(NamedTuple):
+    """A call is accepted and its tokens are reserved.
+
+    Attributes:
+        program: Program of the call.
+        call: Number of the call within the program, from 1.
+        service: Service that runs it.
+        operation: Operation of a plain service; "chat" for a model.
+        request_key: Idempotency key of the caller; empty when none was given.
+        digest: Hash of the request, to tell a repeat from a different request.
+        reserved_tokens: Tokens taken from the budget until the call ends.
+        at_most_once: Whether the call must not be repeated.
+        body: The request as the caller sent it.
+    """
+
+    program: str
+    call: int
+    service: str
+    operation: str
+    request_key: str
+    digest: str
+    reserved_tokens: int
+    at_most_once: bool
+    body: bytes
+
+
+class CallClaimed(NamedTuple):
+    """An attempt at a call is about to be dispatched to one incarnation of an upstream process.
+
+    Attributes:
+        program: Program of the call.
+        call: Number of the call.
+        attempt: Number of the attempt within the program, from 1, never used again.
+        upstream: Host of the upstream process.
+        incarnation: Incarnation of the upstream process.
+        reserved_tokens: Tokens reserved beyond those of the earlier attempts.
+        continues: Whether the attempt continues an answer that an earlier one began.
+    """
+
+    program: str
+    call: int
+    attempt: int
+    upstream: str
+    incarnation: int
+    reserved_tokens: int
+    continues: bool
+
+
+class CallReleased(NamedTuple):
+    """A call without a final answer is taken back; its number may be used again."""
+
+    program: str
+    call: int
+    spent_tokens: int
+
+
+class CallEnded(NamedTuple):
+    """A call has its final answer.
+
+    Attributes:
+        program: Program of the call.
+        call: Number of the call.
+        outcome: How it ended.
+        status: HTTP status of the answer.
+        content_type: Media type of the answer.
+        answer: The answer; for a chat the whole completion as JSON.
+        spent_tokens: Tokens to charge to the budget, over all attempts.
+        prompt_tokens: Tokens of the prompt, from the engine.
+        completion_tokens: Tokens generated, from the engine.
+        cached_tokens: Prompt tokens that the engine found in its cache.
+        upstream: Host of the upstream process that ran it.
+    """
+
+    program: str
+    call: int
+    outcome: Outcome
+    status: int
+    content_type: str
+    answer: bytes
+    spent_tokens: int
+    prompt_tokens: int
+    completion_tokens: int
+    cached_tokens: int
+    upstream: str
+
+
+class ProgramClosed(NamedTuple):
+    """A program takes no more calls."""
+
+    program: str
+    reason: str
+
+
+Record = ProgramOpened | CallStarted | CallClaimed | CallReleased | CallEnded | ProgramClosed
+
+# The position of a type is part of the format on disk: append, never reorder.
+_TYPES: tuple[type, ...] = (
+    ProgramOpened,
+    CallStarted,
+    CallClaimed,
+    CallReleased,
+    CallEnded,
+    ProgramClosed,
+)
+_TAGS = {record_type: tag for tag, record_type in enumerate(_TYPES)}
+_ENCODER = msgspec.msgpack.Encoder()
+_ENVELOPE = msgspec.msgpack.Decoder(tuple[int, msgspec.Raw])
+_DECODERS: tuple[msgspec.msgpack.Decoder[Record], ...] = tuple(
+    msgspec.msgpack.Decoder(record_type) for record_type in _TYPES
+)
+
+
+def encode(record: Record) -> bytes:
+    """Returns the stored form of a record."""
+    return _ENCODER.encode((_TAGS[type(record)], record))
+
+
+def decode(data: bytes) -> Result[Record, Failure]:
+    """Returns the record that the bytes hold, or CORRUPT."""
+    try:
+        tag, body = _ENVELOPE.decode(data)
+        return Success(_DECODERS[tag].decode(body))
+    except (msgspec.DecodeError, IndexError) as exc:
+        return Err(Failure(Code.CORRUPT, "programs.decode", "", str(exc)))
--- a/packages/endiveworks/src/endiveworks/wire/endiveworks.thrift
+++ b/packages/endiveworks/src/endiveworks/wire/endiveworks.thrift
@@ -41,11 +41,13 @@
 }
 
 // Bytes of an answer from offset on. ending is set once data reaches the end of the answer.
+// Answers of one call with equal generations have equal bytes; 0 stands for no bytes yet.
 struct Chunk {
   1: i64 offset
   2: binary data
   3: optional Ending ending
   4: optional Fault fault
+  5: i32 generation
 }
 
 struct NodeStatus {
@@ -156,7 +158,7 @@
 service Executor extends Node {
   SubmitReply submit(1: Origin origin, 2: Dispatch req)
   Chunk read(1: Origin origin, 2: CallKey key, 3: i64 offset, 4: i32 wait_ms)
-  RevokeReply revoke(1: Origin origin, 2: CallKey key, 3: i64 incarnation)
+  RevokeReply revoke(1: Origin origin, 2: CallKey key, 3: i64 incarnation, 4: i64 epoch)
   void renew(1: Origin origin, 2: list<Hold> holds)
   void release(1: Origin origin, 2: string program, 3: i64 epoch)
 }
--- a/packages/endiveworks/src/endiveworks/wire/gen/Executor.py
+++ b/packages/endiveworks/src/endiveworks/wire/gen/Executor.py
@@ -40,12 +40,13 @@
         """
         pass
 
-    def revoke(self, origin, key, incarnation):
+    def revoke(self, origin, key, incarnation, epoch):
         """
         Parameters:
          - origin
          - key
          - incarnation
+         - epoch
 
         """
         pass
@@ -146,23 +147,25 @@
             return result.success
         raise TApplicationException(TApplicationException.MISSING_RESULT, "read failed: unknown result")
 
-    def revoke(self, origin, key, incarnation):
+    def revoke(self, origin, key, incarnation, epoch):
         """
         Parameters:
          - origin
          - key
          - incarnation
+         - epoch
 
         """
-        self.send_revoke(origin, key, incarnation)
+        self.send_revoke(origin, key, incarnation, epoch)
         return self.recv_revoke()
 
-    def send_revoke(self, origin, key, incarnation):
+    def send_revoke(self, origin, key, incarnation, epoch):
         self._oprot.writeMessageBegin('revoke', TMessageType.CALL, self._seqid)
         args = revoke_args()
         args.origin = origin
         args.key = key
         args.incarnation = incarnation
+        args.epoch = epoch
         args.write(self._oprot)
         self._oprot.writeMessageEnd()
         self._oprot.trans.flush()
@@ -331,7 +334,7 @@
         iprot.readMessageEnd()
         result = revoke_result()
         try:
-            result.success = self._handler.revoke(args.origin, args.key, args.incarnation)
+            result.success = self._handler.revoke(args.origin, args.key, args.incarnation, args.epoch)
             msg_type = TMessageType.REPLY
         except TTransport.TTransportException:
             raise
@@ -703,14 +706,16 @@
      - origin
      - key
      - incarnation
+     - epoch
 
     """
 
 
-    def __init__(self, origin=None, key=None, incarnation=None,):
+    def __init__(self, origin=None, key=None, incarnation=None, epoch=None,):
         self.origin = origin
         self.key = key
         self.incarnation = incarnation
+        self.epoch = epoch
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -738,6 +743,11 @@
                     self.incarnation = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.epoch = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -760,6 +770,10 @@
             oprot.writeFieldBegin('incarnation', TType.I64, 3)
             oprot.writeI64(self.incarnation)
             oprot.writeFieldEnd()
+        if self.epoch is not None:
+            oprot.writeFieldBegin('epoch', TType.I64, 4)
+            oprot.writeI64(self.epoch)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -782,6 +796,7 @@
     (1, TType.STRUCT, 'origin', [Origin, None], None, ),  # 1
     (2, TType.STRUCT, 'key', [CallKey, None], None, ),  # 2
     (3, TType.I64, 'incarnation', None, None, ),  # 3
+    (4, TType.I64, 'epoch', None, None, ),  # 4
 )
 
 
--- a/packages/endiveworks/src/endiveworks/wire/gen/ttypes.py
+++ b/packages/endiveworks/src/endiveworks/wire/gen/ttypes.py
@@ -406,15 +406,17 @@
      - data
      - ending
      - fault
+     - generation
 
     """
 
 
-    def __init__(self, offset=None, data=None, ending=None, fault=None,):
+    def __init__(self, offset=None, data=None, ending=None, fault=None, generation=None,):
         self.offset = offset
         self.data = data
         self.ending = ending
         self.fault = fault
+        self.generation = generation
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -447,6 +449,11 @@
                     self.fault.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.generation = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -473,6 +480,10 @@
             oprot.writeFieldBegin('fault', TType.STRUCT, 4)
             self.fault.write(oprot)
             oprot.writeFieldEnd()
+        if self.generation is not None:
+            oprot.writeFieldBegin('generation', TType.I32, 5)
+            oprot.writeI32(self.generation)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1579,6 +1590,7 @@
     (2, TType.STRING, 'data', 'BINARY', None, ),  # 2
     (3, TType.STRUCT, 'ending', [Ending, None], None, ),  # 3
     (4, TType.STRUCT, 'fault', [Fault, None], None, ),  # 4
+    (5, TType.I32, 'generation', None, None, ),  # 5
 )
 all_structs.append(NodeStatus)
 NodeStatus.thrift_spec = (
