--- /dev/null
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/executor_service.py
@@ -0,0 +1,97 @@
+"""Thrift service of the process beside an upstream."""
+
+from collections.abc import Callable
+
+from endiveworks.calls.executor import Executor
+from endiveworks.calls.messages import CallKey, Job
+from endiveworks.wire.faults import to_fault
+from endiveworks.wire.gen import ttypes
+from endiveworks.wire.streams import to_chunk
+from returns.result import Success
+
+from .identity import Identity
+from .node_service import NodeService
+
+MAX_WAIT_MS = 5000
+
+
+class ExecutorService(NodeService):
+    """Handles the messages of owners.
+
+    Args:
+        identity: This process.
+        executor: Runs the attempts.
+        heard: Is told of each sender, whose configuration may be newer.
+        bundle: Returns the encoded bundle in force.
+    """
+
+    def __init__(
+        self,
+        identity: Identity,
+        executor: Executor,
+        heard: Callable[[ttypes.Origin], None],
+        bundle: Callable[[], bytes],
+    ) -> None:
+        super().__init__(identity, "upstream", heard, bundle)
+        self._executor = executor
+
+    def load(self) -> tuple[int, int]:
+        """Returns how many attempts run and how many wait."""
+        return self._executor.load()
+
+    def leaving(self) -> bool:
+        """Returns whether the process takes no new attempts."""
+        return self._executor.draining
+
+    def submit(self, origin: ttypes.Origin, req: ttypes.Dispatch) -> ttypes.SubmitReply:
+        """Accepts an attempt."""
+        self.heard(origin)
+        outcome = self._executor.submit(_job(req))
+        fault = None if isinstance(outcome, Success) else to_fault(outcome.failure())
+        return ttypes.SubmitReply(req.key, self._executor.incarnation, fault)
+
+    def read(
+        self, origin: ttypes.Origin, key: ttypes.CallKey, offset: int, wait_ms: int
+    ) -> ttypes.Chunk:
+        """Returns bytes of an attempt's answer."""
+        wait_s = min(wait_ms, MAX_WAIT_MS) / 1000
+        outcome = self._executor.read(_key(key), offset, wait_s)
+        if isinstance(outcome, Success):
+            return to_chunk(outcome.unwrap())
+        return ttypes.Chunk(offset, b"", fault=to_fault(outcome.failure()))
+
+    def revoke(
+        self, origin: ttypes.Origin, key: ttypes.CallKey, incarnation: int, epoch: int
+    ) -> ttypes.RevokeReply:
+        """Settles an attempt in doubt."""
+        self.heard(origin)
+        doubt = self._executor.revoke(_key(key), incarnation, epoch)
+        return ttypes.RevokeReply(doubt.value, self._executor.incarnation)
+
+    def renew(self, origin: ttypes.Origin, holds: list[ttypes.Hold]) -> None:
+        """Keeps engine memory for programs."""
+
+    def release(self, origin: ttypes.Origin, program: str, epoch: int) -> None:
+        """Frees the engine memory of a program."""
+
+
+def _key(key: ttypes.CallKey) -> CallKey:
+    return CallKey(key.program, key.call, key.attempt)
+
+
+def _job(req: ttypes.Dispatch) -> Job:
+    return Job(
+        key=_key(req.key),
+        epoch=req.epoch,
+        incarnation=req.incarnation,
+        tenant=req.tenant,
+        service=req.service_name,
+        operation=req.operation,
+        class_name=req.class_name,
+        at_most_once=req.at_most_once,
+        attained_tokens=req.attained_tokens,
+        deadline_s=req.deadline_ms / 1000,
+        prompt_tokens=req.prompt_tokens,
+        max_tokens=req.max_tokens,
+        body=req.body,
+    )
--- /dev/null
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/http_request.py
@@ -0,0 +1,122 @@
+"""Checked requests of callers and the answers to them."""
+
+from collections.abc import Iterable
+from http import HTTPStatus
+from typing import Any, NamedTuple
+
+from endiveworks.errors import Code, Failure
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+from .problems import problem
+
+TENANT = "HTTP_ENDIVE_TENANT"
+PROGRAM = "HTTP_ENDIVE_PROGRAM"
+CALL = "HTTP_ENDIVE_CALL"
+REQUEST_KEY = "HTTP_IDEMPOTENCY_KEY"
+_MAX_NAME_CHARS = 256
+_MAX_CALL_NUMBER = 1_000_000
+_STEP = "http.request"
+
+
+class Request(NamedTuple):
+    """A request of a caller.
+
+    Attributes:
+        method: HTTP method.
+        path: Path without the query.
+        tenant: Tenant of the caller.
+        environ: The WSGI environment, for headers that only some requests have.
+        body: Body as received.
+    """
+
+    method: str
+    path: str
+    tenant: str
+    environ: dict[str, Any]
+    body: bytes
+
+
+class Answer(NamedTuple):
+    """An answer; the body may be produced while it is sent."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: Iterable[bytes]
+
+
+def json_answer(body: bytes, status: HTTPStatus = HTTPStatus.OK) -> Answer:
+    """Returns a complete JSON answer."""
+    headers = (("Content-Type", "application/json"), ("Content-Length", str(len(body))))
+    return Answer(status, headers, (body,))
+
+
+def problem_answer(failure: Failure) -> Answer:
+    """Returns the error answer for a failure."""
+    found = problem(failure)
+    headers = (*found.headers, ("Content-Length", str(len(found.body))))
+    return Answer(found.status, headers, (found.body,))
+
+
+def read_request(environ: dict[str, Any], max_body_bytes: int) -> Result[Request, Failure]:
+    """Reads and checks what all requests have in common."""
+    tenant = environ.get(TENANT, "")
+    if not is_name(tenant):
+        return Err(bad("the header Endive-Tenant is missing or malformed"))
+    body = _read_body(environ, max_body_bytes)
+    if not isinstance(body, Success):
+        return Err(body.failure())
+    method, path = environ["REQUEST_METHOD"], environ.get("PATH_INFO", "")
+    return Success(Request(method, path, tenant, environ, body.unwrap()))
+
+
+def call_number(environ: dict[str, Any]) -> Result[int, Failure]:
+    """Returns the number in the header Endive-Call."""
+    text = environ.get(CALL, "")
+    if text.isascii() and text.isdigit() and len(text) < 8 and 1 <= int(text) <= _MAX_CALL_NUMBER:
+        return Success(int(text))
+    return Err(bad("the header Endive-Call is missing or not a number from 1"))
+
+
+def request_key(environ: dict[str, Any]) -> Result[str, Failure]:
+    """Returns the idempotency key, empty when the caller gave none."""
+    key = environ.get(REQUEST_KEY, "")
+    if key and not is_name(key):
+        return Err(bad("the header Idempotency-Key is malformed"))
+    return Success(key)
+
+
+def is_name(text: str) -> bool:
+    """Whether a text is printable ASCII without commas, of a reasonable length.
+
+    A comma appears when a header was sent twice.
+    """
+    printable = text.isascii() and text.isprintable() and "," not in text
+    return printable and 0 < len(text) <= _MAX_NAME_CHARS
+
+
+def bad(detail: str) -> Failure:
+    """Returns the failure for a malformed request."""
+    return Failure(Code.BAD_REQUEST, _STEP, "", detail, not_run=True)
+
+
+def _read_body(environ: dict[str, Any], max_body_bytes: int) -> Result[bytes, Failure]:
+    length = environ.get("CONTENT_LENGTH") or ""
+    if length and (not length.isdigit() or int(length) > max_body_bytes):
+        return Err(_too_large(max_body_bytes))
+    if not length and environ.get("HTTP_TRANSFER_ENCODING", "").lower() != "chunked":
+        return Success(b"")
+    try:
+        body = environ["wsgi.input"].read(int(length) if length else max_body_bytes + 1)
+    except (OSError, ValueError) as exc:
+        return Err(bad(f"the body could not be read: {type(exc).__name__}"))
+    if len(body) > max_body_bytes:
+        return Err(_too_large(max_body_bytes))
+    if length and len(body) < int(length):
+        return Err(bad("the body is shorter than Content-Length"))
+    return Success(body)
+
+
+def _too_large(max_body_bytes: int) -> Failure:
+    detail = f"the body may have at most {max_body_bytes} bytes"
+    return Failure(Code.BODY_TOO_LARGE, _STEP, "", detail, not_run=True)
--- /dev/null
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/node_service.py
@@ -0,0 +1,52 @@
+"""Thrift methods that every process answers: liveness and configuration."""
+
+from collections.abc import Callable
+
+from endiveworks.wire.gen import ttypes
+
+from .identity import Identity
+
+
+class NodeService:
+    """Handles the messages common to all roles.
+
+    Args:
+        identity: This process.
+        role: "entry" or "upstream".
+        heard: Is told of each sender, whose configuration may be newer.
+        bundle: Returns the encoded bundle in force.
+    """
+
+    def __init__(
+        self,
+        identity: Identity,
+        role: str,
+        heard: Callable[[ttypes.Origin], None],
+        bundle: Callable[[], bytes],
+    ) -> None:
+        self.identity = identity
+        self.heard = heard
+        self._role = role
+        self._bundle = bundle
+
+    def load(self) -> tuple[int, int]:
+        """Returns how many calls run here and how many wait."""
+        return 0, 0
+
+    def leaving(self) -> bool:
+        """Returns whether the process takes no new work."""
+        return False
+
+    def ping(self, origin: ttypes.Origin) -> ttypes.NodeStatus:
+        """Answers a heartbeat."""
+        self.heard(origin)
+        running, queued = self.load()
+        return ttypes.NodeStatus(
+            self.identity.origin(), self._role, self.leaving(), running, queued
+        )
+
+    def config(self, origin: ttypes.Origin, newer_than: int) -> ttypes.ConfigReply:
+        """Returns the bundle in force if it is newer than the caller's."""
+        version = self.identity.config_version()
+        bundle = self._bundle() if version > newer_than else b""
+        return ttypes.ConfigReply(version, bundle)
--- /dev/null
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/owner_service.py
@@ -0,0 +1,82 @@
+"""Thrift service of an entry: commands and calls forwarded by other entries."""
+
+from collections.abc import Callable
+
+from endiveworks.programs.owner import CallRequest, Owner
+from endiveworks.wire.faults import to_fault
+from endiveworks.wire.gen import ttypes
+from endiveworks.wire.streams import to_chunk
+from returns.result import Success
+
+from .executor_service import MAX_WAIT_MS
+from .identity import Identity
+from .node import Command, manage
+from .node_service import NodeService
+
+
+class OwnerService(NodeService):
+    """Handles the messages of other entries.
+
+    Args:
+        identity: This process.
+        owner: Programs of this host.
+        heard: Is told of each sender, whose configuration may be newer.
+        bundle: Returns the encoded bundle in force.
+        leaving: Returns whether the process takes no new work.
+    """
+
+    def __init__(
+        self,
+        identity: Identity,
+        owner: Owner,
+        heard: Callable[[ttypes.Origin], None],
+        bundle: Callable[[], bytes],
+        leaving: Callable[[], bool],
+    ) -> None:
+        super().__init__(identity, "entry", heard, bundle)
+        self._owner = owner
+        self._leaving = leaving
+
+    def load(self) -> tuple[int, int]:
+        """Returns how many calls this host's programs have under way."""
+        return self._owner.running(), 0
+
+    def leaving(self) -> bool:
+        """Returns whether the process takes no new work."""
+        return self._leaving()
+
+    def manage(self, origin: ttypes.Origin, req: ttypes.ManageRequest) -> ttypes.ManageReply:
+        """Runs a command on a program."""
+        self.heard(origin)
+        command = Command(req.action, req.program, req.tenant, req.body)
+        outcome = manage(self._owner, command)
+        if isinstance(outcome, Success):
+            return ttypes.ManageReply(outcome.unwrap())
+        return ttypes.ManageReply(b"", to_fault(outcome.failure()))
+
+    def submit(self, origin: ttypes.Origin, req: ttypes.CallRequest) -> ttypes.SubmitReply:
+        """Accepts a call."""
+        self.heard(origin)
+        call = CallRequest(
+            program=req.program,
+            call=req.call,
+            tenant=req.tenant,
+            service=req.service_name,
+            operation=req.operation,
+            request_key=req.idempotency_key,
+            body=req.body,
+        )
+        outcome = self._owner.submit(call)
+        fault = None if isinstance(outcome, Success) else to_fault(outcome.failure())
+        key = ttypes.CallKey(req.program, req.call, 0)
+        return ttypes.SubmitReply(key, self.identity.incarnation, fault)
+
+    def read(
+        self, origin: ttypes.Origin, key: ttypes.CallKey, offset: int, wait_ms: int
+    ) -> ttypes.Chunk:
+        """Returns bytes of a call's answer."""
+        wait_s = min(wait_ms, MAX_WAIT_MS) / 1000
+        outcome = self._owner.read(key.program, key.call, offset, wait_s)
+        if isinstance(outcome, Success):
+            return to_chunk(outcome.unwrap())
+        return ttypes.Chunk(offset, b"", fault=to_fault(outcome.failure()))
--- /dev/null
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/upstream_links.py
@@ -0,0 +1,103 @@
+"""How owners reach the processes beside upstreams."""
+
+from collections.abc import Callable, Mapping
+
+from endiveworks.calls.messages import CallKey, Doubt, Job
+from endiveworks.calls.stream import Piece
+from endiveworks.errors import Code, Failure
+from endiveworks.links.client import Peers
+from endiveworks.members.member import Member
+from endiveworks.programs.plan import Upstreams
+from endiveworks.wire.faults import from_fault
+from endiveworks.wire.gen import ttypes
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+from .identity import Identity
+from .node import ANSWER_TIMEOUT_S, read_reply
+
+_SILENCE_MARGIN_S = 2.0
+
+
+def upstream_links(
+    identity: Identity,
+    peers: Peers,
+    members: Callable[[], Mapping[str, Member]],
+    choose: Callable[..., Result[Member, Failure]],
+    done: Callable[..., None],
+) -> Upstreams:
+    """Returns the functions that owners call.
+
+    Args:
+        identity: This process.
+        peers: Connections to processes beside upstreams.
+        members: Returns the live processes by host.
+        choose: Chooses the upstream process for a call.
+        done: Is told that an attempt has ended.
+    """
+
+    def submit(member: Member, job: Job) -> Result[None, Failure]:
+        req = _dispatch(job)
+        answered = peers.call(
+            member.address,
+            "upstream.submit",
+            ANSWER_TIMEOUT_S,
+            lambda client: client.submit(identity.origin(), req),
+        )
+        return answered.bind(_accepted)
+
+    def read(host: str, key: CallKey, offset: int, wait_s: float) -> Result[Piece, Failure]:
+        member = members().get(host)
+        if member is None:
+            return Err(_gone(host, "upstream.read"))
+        answered = peers.call(
+            member.address,
+            "upstream.read",
+            wait_s + _SILENCE_MARGIN_S,
+            lambda client: client.read(
+                identity.origin(), ttypes.CallKey(*key), offset, int(wait_s * 1000)
+            ),
+        )
+        return answered.bind(read_reply)
+
+    def revoke(host: str, key: CallKey, incarnation: int, epoch: int) -> Result[Doubt, Failure]:
+        member = members().get(host)
+        if member is None:
+            return Err(_gone(host, "upstream.revoke"))
+        answered = peers.call(
+            member.address,
+            "upstream.revoke",
+            ANSWER_TIMEOUT_S,
+            lambda client: client.revoke(
+                identity.origin(), ttypes.CallKey(*key), incarnation, epoch
+            ),
+        )
+        return answered.map(lambda reply: Doubt(reply.state))
+
+    return Upstreams(choose, submit, read, revoke, done)
+
+
+def _accepted(reply: ttypes.SubmitReply) -> Result[None, Failure]:
+    return Success(None) if reply.fault is None else Err(from_fault(reply.fault))
+
+
+def _dispatch(job: Job) -> ttypes.Dispatch:
+    return ttypes.Dispatch(
+        key=ttypes.CallKey(*job.key),
+        epoch=job.epoch,
+        incarnation=job.incarnation,
+        tenant=job.tenant,
+        service_name=job.service,
+        operation=job.operation,
+        class_name=job.class_name,
+        at_most_once=job.at_most_once,
+        attained_tokens=job.attained_tokens,
+        deadline_ms=int(job.deadline_s * 1000),
+        prompt_tokens=job.prompt_tokens,
+        max_tokens=job.max_tokens,
+        body=job.body,
+    )
+
+
+def _gone(host: str, step: str) -> Failure:
+    return Failure(Code.UNREACHABLE, step, host, "the host is not in the deployment")
--- a/packages/endiveworks/src/endiveworks/programs/owner.py
+++ b/packages/endiveworks/src/endiveworks/programs/owner.py
@@ -29,10 +29,11 @@
 _LINGER_S = 30.0
 
 
-class OpenBody(TypedDict, total=False):
-    """Body of a request to open a program."""
+class OpenRequest(TypedDict):
+    """A request to open a program; class_name and parent may be empty, budget_tokens 0."""
 
     service: str
+    class_name: str
     budget_tokens: int
     parent: str
     request_key: str
@@ -117,7 +118,7 @@
             return len(self._streams) - len(self._retired)
 
     def open(
-        self, partition: int, tenant: str, class_name: str, body: OpenBody
+        self, partition: int, tenant: str, body: OpenRequest
     ) -> Result[ProgramStatus, Failure]:
         """Opens a program in a partition of this host."""
         held = self._find(partition)
@@ -126,11 +127,11 @@
         program = f"{partition:04x}-{secrets.token_hex(12)}"
         req = Open(
             tenant=tenant,
-            service=body.get("service", ""),
-            class_name=class_name,
-            parent=body.get("parent", ""),
-            budget_tokens=body.get("budget_tokens", 0),
-            request_key=body.get("request_key", ""),
+            service=body["service"],
+            class_name=body["class_name"],
+            parent=body["parent"],
+            budget_tokens=body["budget_tokens"],
+            request_key=body["request_key"],
         )
         services = self._bundle().services
         ref = held.unwrap().ref
