--- a/packages/endiveworks/src/endiveworks/journal/api.py
+++ b/packages/endiveworks/src/endiveworks/journal/api.py
@@ -8,6 +8,8 @@
 
 from ..errors import Failure
 
+AppendFuture = Future[Result[int, Failure]]
+
 
 class Log(NamedTuple):
     """An open log at one epoch.
@@ -17,17 +19,28 @@
             last one once every copy has it on disk, or with a Failure. After a Failure the log
             takes no more records: its holder has lost the partition or its copies.
         close: Finishes queued appends and releases the files.
+        snapshot: Stores records that stand for every record up to an index, then lets those go.
+            The future completes with the index of the snapshot's end. Records appended meanwhile
+            are kept.
+        snapshot_due: Tells whether so much has been appended since the last snapshot that
+            another one would shorten the next opening.
     """
 
-    append: Callable[[Sequence[bytes]], "Future[Result[int, Failure]]"]
+    append: Callable[[Sequence[bytes]], AppendFuture]
     close: Callable[[], None]
+    snapshot: Callable[[int, Iterable[bytes]], AppendFuture]
+    snapshot_due: Callable[[], bool]
 
 
 class OpenedLog(NamedTuple):
-    """A log and the records it already holds, oldest first."""
+    """A log, the records it already holds, and the index up to which they stand.
+
+    The records are read while they are iterated over; records of a snapshot come first.
+    """
 
     log: Log
     records: Iterable[bytes]
+    last_index: int = 0
 
 
 # Opens the log of a partition for writing at an epoch, after sealing lower epochs.
