--- a/packages/endiveworks/src/endiveworks/journal/copy_state.py
+++ b/packages/endiveworks/src/endiveworks/journal/copy_state.py
@@ -103,14 +103,14 @@
         return None
     if frame.kind is Kind.HEAD:
         generation, last_index = unpack_head(frame.body)
-        return Head(frame.epoch, generation, frame.index, last_index)
+        return Head(frame.epoch, generation, frame.position, last_index)
     if head is None:
         raise ValueError(f"frame {frame.kind.name} of partition {frame.partition} has no head")
     if frame.kind is Kind.SEAL:
         return head._replace(epoch=frame.epoch)
     if frame.kind is Kind.TRIM:
-        return head._replace(first_index=frame.index)
-    return head._replace(last_index=max(head.last_index, frame.index))
+        return head._replace(first_index=frame.position)
+    return head._replace(last_index=max(head.last_index, frame.position))
 
 
 def _seal(head: Head, req: Seal) -> tuple[Frame, ...]:
--- a/packages/endiveworks/src/endiveworks/journal/entries.py
+++ b/packages/endiveworks/src/endiveworks/journal/entries.py
@@ -21,7 +21,7 @@
 class Entry(NamedTuple):
     """An entry of a log with its index."""
 
-    index: int
+    position: int
     data: bytes
 
 
@@ -62,7 +62,7 @@
     """Yields the records that a log stands for, those of a snapshot first.
 
     Raises:
-        DamagedLogError: An entry could not be read, or the snapshot for removed records is not there.
+        DamagedLogError: An entry, or the snapshot for removed ones, could not be read.
     """
     covers = first_index - 1
     if covers > 0:
@@ -77,10 +77,10 @@
     for entry in _entries(read, first_index, last_index):
         kind = entry.data[:1]
         if kind == _BEGIN:
-            begin = entry.index
+            begin = entry.position
             (covers,) = _INDEX.unpack(entry.data[1:])
         elif kind == _END and begin and covers >= first_index - 1:
-            return Span(begin, entry.index, covers)
+            return Span(begin, entry.position, covers)
     detail = f"no snapshot for the records below {first_index}"
     raise DamagedLogError(Failure(Code.CORRUPT, "journal.replay", "", detail, not_run=True))
 
--- a/packages/endiveworks/src/endiveworks/journal/frames.py
+++ b/packages/endiveworks/src/endiveworks/journal/frames.py
@@ -33,14 +33,14 @@
         kind: What the frame records.
         partition: Number of the partition.
         epoch: Epoch of the owner that asked for it.
-        index: Index of the record, or first index held for HEAD and TRIM.
+        position: Index of the record, or first index held for HEAD and TRIM.
         body: The record, or the rest of the state for HEAD.
     """
 
     kind: Kind
     partition: int
     epoch: int
-    index: int
+    position: int
     body: bytes = b""
 
 
@@ -61,7 +61,7 @@
 
 def encode(frame: Frame, batch_start: int) -> bytes:
     """Returns the bytes of a frame in a batch whose first frame lies at batch_start."""
-    tags = _TAGS.pack(frame.kind, frame.partition, frame.epoch, frame.index, batch_start)
+    tags = _TAGS.pack(frame.kind, frame.partition, frame.epoch, frame.position, batch_start)
     payload = tags + frame.body
     return _PREFIX.pack(MAGIC, len(payload), xxhash.xxh64_intdigest(payload)) + payload
 
--- a/packages/endiveworks/src/endiveworks/journal/index.py
+++ b/packages/endiveworks/src/endiveworks/journal/index.py
@@ -78,11 +78,11 @@
         self.copies[frame.partition] = CopyIndex(head)
 
     def _put(self, copy: CopyIndex, frame: Frame, place: Place) -> None:
-        at = frame.index - copy.head.first_index
+        at = frame.position - copy.head.first_index
         if at < 0:
             return
         if at > len(copy.places):
-            raise ValueError(f"partition {frame.partition} has no record {frame.index - 1}")
+            raise ValueError(f"partition {frame.partition} has no record {frame.position - 1}")
         if at == len(copy.places):
             copy.places.append(_MISSING)
             copy.sizes.append(0)
--- a/packages/endiveworks/src/endiveworks/journal/store.py
+++ b/packages/endiveworks/src/endiveworks/journal/store.py
@@ -93,11 +93,11 @@
 def _functions(folder: str, shared: Shared, writer: Writer, lock: int) -> Store:
     def head(partition: int) -> Head | None:
         with shared.lock:
-            return shared.index.head(partition)
+            return shared.catalog.head(partition)
 
     def partitions() -> tuple[int, ...]:
         with shared.lock:
-            return tuple(shared.index.copies)
+            return tuple(shared.catalog.copies)
 
     def fetch(partition: int, first_index: int, max_bytes: int) -> Result[Fetched, Failure]:
         with shared.lock:
@@ -133,14 +133,14 @@
         return Err(_corrupt(shared, str(exc)))
     except OSError as exc:
         return Err(Failure(Code.STORAGE, _OPEN_STEP, str(shared.data_dir), str(exc), not_run=True))
-    for partition, index in shared.index.missing():
+    for partition, index in shared.catalog.missing():
         return Err(_corrupt(shared, f"record {index} of partition {partition} is missing"))
     return Success(None)
 
 
 def _recover_segment(shared: Shared, number: int, is_last: bool) -> Result[int, Failure]:
     def take(found: Placed) -> None:
-        shared.index.apply(found.frame, Place(number, found.offset, found.size))
+        shared.catalog.apply(found.frame, Place(number, found.offset, found.size))
 
     shared.handles[number] = segments.open_existing(shared.data_dir, number)
     return segments.replay(shared.data_dir, number, is_last, take)
@@ -153,18 +153,18 @@
 def _fetch(
     shared: Shared, partition: int, first_index: int, max_bytes: int
 ) -> Result[Fetched, Failure]:
-    head = shared.index.head(partition)
+    head = shared.catalog.head(partition)
     if head is None or first_index < head.first_index:
         detail = f"partition {partition}: record {first_index} is not kept here"
         return Err(Failure(Code.CONFLICT, _FETCH_STEP, "", detail, not_run=True))
     records: list[bytes] = []
     room = max_bytes
     for index in range(first_index, head.last_index + 1):
-        place = shared.index.find(partition, index)
+        place = shared.catalog.find(partition, index)
         if place is None or (records and place.size > room):
             break
         found = decode(os.pread(shared.handles[place.segment], place.size, place.offset))
-        if found is None or (found.frame.partition, found.frame.index) != (partition, index):
+        if found is None or (found.frame.partition, found.frame.position) != (partition, index):
             return Err(_corrupt(shared, f"record {index} of partition {partition} is damaged"))
         records.append(found.frame.body)
         room -= place.size
--- a/packages/endiveworks/src/endiveworks/journal/writer.py
+++ b/packages/endiveworks/src/endiveworks/journal/writer.py
@@ -27,7 +27,7 @@
     """What the writer and the readers of a host share, guarded by the lock."""
 
     data_dir: Path
-    index: Index
+    catalog: Index
     handles: dict[int, int]
     lock: threading.RLock
 
@@ -56,7 +56,7 @@
         self.data += encoded
         self.placed.append((frame, place))
         if frame.kind is Kind.RECORD:
-            self.records[frame.partition, frame.index] = frame.body
+            self.records[frame.partition, frame.position] = frame.body
 
 
 _GONE = Head(0, 0, 1, 0)
@@ -137,7 +137,7 @@
     def _prepare(self, batch: _Batch, req: Request) -> Result[Head, Failure]:
         if self._broken is not None:
             return Err(self._broken)
-        head = batch.heads.get(req.partition, self._shared.index.head(req.partition))
+        head = batch.heads.get(req.partition, self._shared.catalog.head(req.partition))
         decided = decide(head, req, lambda index: self._held(batch, req.partition, index))
         if not isinstance(decided, Success):
             return Err(decided.failure())
@@ -151,7 +151,7 @@
         waiting = batch.records.get((partition, index))
         if waiting is not None:
             return waiting
-        place = self._shared.index.find(partition, index)
+        place = self._shared.catalog.find(partition, index)
         if place is None:
             return b""
         data = os.pread(self._shared.handles[place.segment], place.size, place.offset)
@@ -169,7 +169,7 @@
             return self._broken
         with self._shared.lock:
             for frame, place in batch.placed:
-                self._shared.index.apply(frame, place)
+                self._shared.catalog.apply(frame, place)
         self._end += len(batch.data)
         return None
 
@@ -190,7 +190,7 @@
     def _rotate(self) -> None:
         number = self._segment + 1
         batch = _Batch(number, 0)
-        for partition, copy in self._shared.index.copies.items():
+        for partition, copy in self._shared.catalog.copies.items():
             head = copy.head
             body = pack_head(head.generation, head.last_index)
             batch.add(Frame(Kind.HEAD, partition, head.epoch, head.first_index, body))
