Bound what callers can do to an HTTP server, and refuse with problem details

cheroot takes a thread for each new connection before its first byte, gives a slow caller a new timeout with each byte, lets the last of two equal headers win, reads Endive_Tenant as Endive-Tenant, answers its own refusals in plain text, logs exceptions' texts, and ends the whole server when closing a connection raises. Now idle connections wait in the selector, a request has one deadline, headers are strict, refusals carry a stable code, logs give types and places, and errors at closing stay with their connection. Functions registered for the end of an answer run after its last byte was handed to the system, which a stop has to wait for. The operators' server uses the same limits.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/admin.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/admin.py
@@ -1,14 +1,11 @@
 """The HTTP server for operators: status, programs, metrics and health."""
 
-import threading
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 from urllib.parse import parse_qs
 from wsgiref.types import StartResponse, WSGIApplication, WSGIEnvironment
 
 import msgspec
-from cheroot import wsgi
-from endiveworks.settings.checks import split_address
 from endiveworks.telemetry.status import (
     HEALTH_PATH,
     MAX_PROGRAM_ROWS,
@@ -19,10 +16,17 @@
     encode_metrics,
 )
 
-_THREADS = 2
-_MAX_HEADER_BYTES = 8192
-_MAX_BODY_BYTES = 1024
-_SOCKET_TIMEOUT_S = 5
+from . import http_server
+from .http_server import HttpServer, ServerLimits
+
+_LIMITS = ServerLimits(
+    threads=2,
+    connections=32,
+    header_bytes=8192,
+    body_bytes=1024,
+    request_s=5.0,
+    silence_s=10,
+)
 
 
 class _Answer(NamedTuple):
@@ -33,14 +37,7 @@
     body: bytes
 
 
-class AdminServer(NamedTuple):
-    """A running server: its address as "ip:port" and the function that stops it."""
-
-    address: str
-    stop: Callable[[], None]
-
-
-def serve(address: str, sources: Sources) -> AdminServer:
+def serve(address: str, sources: Sources) -> HttpServer:
     """Starts the server in daemon threads.
 
     Args:
@@ -50,19 +47,7 @@
     Raises:
         OSError: The address can't be bound.
     """
-    server = wsgi.Server(
-        split_address(address),
-        application(sources),
-        numthreads=_THREADS,
-        max=_THREADS,
-        timeout=_SOCKET_TIMEOUT_S,
-    )
-    server.max_request_header_size = _MAX_HEADER_BYTES
-    server.max_request_body_size = _MAX_BODY_BYTES
-    server.prepare()
-    threading.Thread(target=server.serve, name="admin", daemon=True).start()
-    host, port = server.bind_addr[:2]
-    return AdminServer(f"[{host}]:{port}" if ":" in host else f"{host}:{port}", server.stop)
+    return http_server.serve(address, application(sources), _LIMITS, "admin")
 
 
 def application(sources: Sources) -> WSGIApplication:
--- /dev/null
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/tests/test_http_server.py
@@ -0,0 +1,166 @@
+import socket
+import threading
+import time
+from collections.abc import Callable, Iterable, Iterator
+from typing import Any
+
+import msgspec
+import pytest
+from endiveworks_daemon.http_protocol import AFTER_SENT
+from endiveworks_daemon.http_server import HttpServer, ServerLimits, serve
+
+_LIMITS = ServerLimits(
+    threads=2, connections=4, header_bytes=2000, body_bytes=1000, request_s=0.5, silence_s=30
+)
+_HEAD = b"POST / HTTP/1.1\r\nHost: x\r\n"
+
+
+class _App:
+    """Answers with the length of the body, and notes when answers have been sent."""
+
+    def __init__(self) -> None:
+        self.sent = threading.Event()
+        self.fail: Exception | None = None
+
+    def __call__(self, environ: dict[str, Any], start: Callable[..., Any]) -> Iterable[bytes]:
+        environ[AFTER_SENT](self.sent.set)
+        body = environ["wsgi.input"].read(int(environ.get("CONTENT_LENGTH", 0)))
+        start("200 OK", [("Content-Type", "text/plain")])
+        yield str(len(body)).encode()
+        if self.fail is not None:
+            raise self.fail
+
+
+@pytest.fixture
+def app() -> _App:
+    return _App()
+
+
+@pytest.fixture
+def server(app: _App) -> Iterator[HttpServer]:
+    server = serve("127.0.0.1:0", app, _LIMITS, "test")
+    yield server
+    server.stop()
+
+
+def _connect(server: HttpServer) -> socket.socket:
+    host, _, port = server.address.rpartition(":")
+    conn = socket.create_connection((host, int(port)))
+    conn.settimeout(20)
+    return conn
+
+
+def _read_all(conn: socket.socket) -> bytes:
+    return b"".join(iter(lambda: conn.recv(65536), b""))
+
+
+def _exchange(server: HttpServer, data: bytes) -> bytes:
+    with _connect(server) as conn:
+        conn.sendall(data)
+        return _read_all(conn)
+
+
+def _problem(answer: bytes) -> tuple[int, str]:
+    head, _, body = answer.partition(b"\r\n\r\n")
+    assert b"application/problem+json" in head
+    return int(head.split()[1]), msgspec.json.decode(body)["code"]
+
+
+class TestRequests:
+    def test_good_request(self, server: HttpServer, app: _App) -> None:
+        data = _HEAD + b"Connection: close\r\nContent-Length: 3\r\n\r\nabc"
+        answer = _exchange(server, data)
+        assert answer.startswith(b"HTTP/1.1 200") and answer.endswith(b"1\r\n3\r\n0\r\n\r\n")
+        assert app.sent.wait(20)
+
+    @pytest.mark.parametrize(
+        "lines",
+        [
+            b"Endive-Tenant: a\r\nEndive-Tenant: b\r\n",
+            b"Endive_Tenant: a\r\n",
+            b"Endive-Tenant : a\r\n",
+            b": a\r\n",
+            b"no colon\r\n",
+            b"Content-Length: -1\r\n",
+            b"Content-Length: 1_0\r\n",
+            b"Content-Length: 99999999999999999999\r\n",
+            b"Content-Length: 1\r\nContent-Length: 1\r\n",
+            b"Content-Length: 1\r\nTransfer-Encoding: chunked\r\n",
+            b"A: b\r\n c\r\n",
+            b"A: b\n",
+        ],
+    )
+    def test_malformed_headers(self, server: HttpServer, lines: bytes) -> None:
+        assert _problem(_exchange(server, _HEAD + lines + b"\r\n")) == (400, "bad_request")
+
+    @pytest.mark.parametrize(
+        "line", [b"POST\r\n\r\n", b"post / HTTP/1.1\r\n\r\n", b"\x16\x03\x01\x02\r\n\r\n"]
+    )
+    def test_malformed_request_line(self, server: HttpServer, line: bytes) -> None:
+        assert _problem(_exchange(server, line)) == (400, "bad_request")
+
+    def test_headers_too_large(self, server: HttpServer) -> None:
+        answer = _exchange(server, _HEAD + b"A: " + b"x" * 100_000)
+        assert _problem(answer) == (431, "headers_too_large")
+
+    def test_body_too_large(self, server: HttpServer) -> None:
+        answer = _exchange(server, _HEAD + b"Content-Length: 5000\r\n\r\n" + b"x" * 5000)
+        assert _problem(answer) == (413, "body_too_large")
+
+
+class TestSlowCallers:
+    def test_headers_byte_by_byte_time_out(self, server: HttpServer) -> None:
+        with _connect(server) as conn:
+            stop = threading.Event()
+
+            def drip() -> None:
+                for byte in _HEAD * 100:
+                    if stop.wait(0.02):
+                        return
+                    try:
+                        conn.sendall(bytes([byte]))
+                    except OSError:
+                        return
+
+            thread = threading.Thread(target=drip)
+            thread.start()
+            answer = _read_all(conn)
+            stop.set()
+            thread.join()
+        assert _problem(answer) == (408, "request_timeout")
+
+    def test_idle_connections_take_no_thread(self, server: HttpServer) -> None:
+        idle = [_connect(server) for _ in range(_LIMITS.connections - 1)]
+        data = _HEAD + b"Connection: close\r\n\r\n"
+        assert _exchange(server, data).startswith(b"HTTP/1.1 200")
+        for conn in idle:
+            conn.close()
+
+    def test_connections_are_bounded(self, server: HttpServer) -> None:
+        idle = [_connect(server) for _ in range(_LIMITS.connections)]
+        with _connect(server) as one_more:
+            assert _problem(_read_all(one_more)) == (503, "overloaded")
+        for conn in idle:
+            conn.close()
+        while server.connections():
+            time.sleep(0.01)
+
+
+class TestFailures:
+    def test_a_failing_answer_is_cut_and_the_server_goes_on(
+        self, server: HttpServer, app: _App
+    ) -> None:
+        app.fail = ValueError("prompt text")
+        answer = _exchange(server, _HEAD + b"\r\n")
+        assert not answer.endswith(b"0\r\n\r\n")
+        assert app.sent.wait(20)
+        app.fail = None
+        data = _HEAD + b"Connection: close\r\n\r\n"
+        assert _exchange(server, data).endswith(b"0\r\n\r\n")
+
+    def test_vanished_caller(self, server: HttpServer, app: _App) -> None:
+        with _connect(server) as conn:
+            conn.sendall(_HEAD + b"Content-Length: 10\r\n\r\nabc")
+        assert app.sent.wait(20)
+        while server.connections():
+            time.sleep(0.01)
--- a/packages/endiveworks/src/endiveworks/errors.py
+++ b/packages/endiveworks/src/endiveworks/errors.py
@@ -9,6 +9,8 @@
 
     BAD_REQUEST = "bad_request"
     BODY_TOO_LARGE = "body_too_large"
+    HEADERS_TOO_LARGE = "headers_too_large"
+    REQUEST_TIMEOUT = "request_timeout"
     UNKNOWN_PROGRAM = "unknown_program"
     UNKNOWN_SERVICE = "unknown_service"
     WRONG_TENANT = "wrong_tenant"
