--- /dev/null
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/main.py
@@ -0,0 +1,57 @@
+"""Starts a process of the deployment in the role that its settings give."""
+
+import os
+import signal
+import sys
+import threading
+from collections.abc import Callable
+from types import FrameType
+
+from endiveworks.settings.flags import Values, load
+from endiveworks.telemetry import logs
+
+from .entry import start_entry
+from .options import daemon_flags
+from .upstream import start_upstream
+
+EXIT_DRAINED = 0
+EXIT_CUT_OFF = 1
+
+
+def run() -> None:
+    """Runs until SIGTERM or SIGINT, then stops without cutting off work."""
+    cfg = load(daemon_flags(), sys.argv[1:], os.environ)
+    logs.configure(cfg.text("host"), cfg.text("log_level"), sys.stderr)
+    stop = _start(cfg)
+    received = _wait_for_signal()
+    log = logs.logger("daemon")
+    log.info("stopping", signal=received)
+    drained = stop()
+    log.info("stopped", state="drained" if drained else "cut off")
+    sys.stderr.flush()
+    # Threads that wait on peers or upstreams must not keep a stopped process alive.
+    os._exit(EXIT_DRAINED if drained else EXIT_CUT_OFF)
+
+
+def _start(cfg: Values) -> Callable[[], bool]:
+    if cfg.text("role") == "entry":
+        return start_entry(cfg)
+    return start_upstream(cfg)
+
+
+def _wait_for_signal() -> str:
+    received: list[str] = []
+    wake = threading.Event()
+
+    def note(number: int, frame: FrameType | None) -> None:
+        received.append(signal.Signals(number).name)
+        wake.set()
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, note)
+    wake.wait()
+    return received[0]
+
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/options.py
@@ -0,0 +1,67 @@
+"""The settings of endiveworksd."""
+
+from endiveworks.settings.checks import (
+    address,
+    addresses,
+    at_least,
+    between,
+    not_empty,
+    optional_address,
+)
+from endiveworks.settings.flags import Flags
+
+ROLES = ("entry", "upstream")
+LOG_LEVELS = ("debug", "info", "warning", "error")
+
+
+def daemon_flags() -> Flags:
+    """Returns the settings of the daemon, all with their checks."""
+    flags = Flags("endiveworksd")
+    flags.define_choice("role", "", ROLES, "What this process is.")
+    flags.define_string("host", "", "Name of this process, unique in the deployment.", not_empty)
+    flags.define_string("region", "", "Region of the failure domain.", not_empty)
+    flags.define_string("failure_domain", "", "Failure domain of this host.", not_empty)
+    flags.define_string("kv", "127.0.0.1:2379", "Address of the key-value service.", address)
+    flags.define_string("listen", "127.0.0.1:0", "Address for the other processes.", address)
+    flags.define_string("admin", "127.0.0.1:0", "Address for operators.", address)
+    flags.define_string("statsd", "", "Address of statsd; empty sends nothing.", optional_address)
+    flags.define_choice("log_level", "info", LOG_LEVELS, "Lowest level logged.")
+    flags.define_string(
+        "seeds", "", "Addresses of peers to start from in an outage.", _optional_addresses
+    )
+    flags.define_float("lease_s", 10.0, "Time to live of the host's lease.", between(1.0, 600.0))
+    flags.define_float("drain_s", 600.0, "Longest wait for work to end at a stop.", at_least(0.0))
+    flags.define_integer(
+        "max_connections", 4096, "Connections of other processes.", between(16, 65536)
+    )
+    _define_entry(flags)
+    _define_upstream(flags)
+    return flags
+
+
+def _define_entry(flags: Flags) -> None:
+    flags.define_string("http", "127.0.0.1:0", "Entry: address for callers.", address)
+    flags.define_string("data_dir", "", "Entry: folder for journals; empty keeps none.")
+    flags.define_integer("max_open", 256, "Entry: requests answered at once.", between(1, 4096))
+    flags.define_integer(
+        "max_body_bytes", 4 * 1024 * 1024, "Entry: largest request body.", between(1024, 2**30)
+    )
+    flags.define_float(
+        "patience_s", 20.0, "Entry: wait for a partition's next owner.", between(0.1, 600.0)
+    )
+
+
+def _define_upstream(flags: Flags) -> None:
+    flags.define_string("service", "", "Upstream: name of the service.")
+    flags.define_string("upstream_url", "", "Upstream: URL of the engine or plain service.")
+    flags.define_integer("max_waiting", 1000, "Upstream: calls that may wait.", between(1, 10**6))
+    flags.define_float(
+        "silence_s",
+        30.0,
+        "Upstream: seconds without an event before a stream is given up.",
+        between(0.1, 3600.0),
+    )
+
+
+def _optional_addresses(value: object) -> str | None:
+    return addresses(value) if value else None
--- /dev/null
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/upstream.py
@@ -0,0 +1,63 @@
+"""The process beside one upstream."""
+
+from collections.abc import Callable
+
+from endiveworks.calls.executor import Executor
+from endiveworks.calls.fifo import fifo_queue
+from endiveworks.config.bundle import Service
+from endiveworks.links import server
+from endiveworks.members.member import Member
+from endiveworks.settings.flags import Values
+from endiveworks.telemetry.logs import logger
+from endiveworks.wire.gen import Executor as ExecutorThrift
+
+from .deployment import Deployment, join
+from .executor_service import ExecutorService
+from .upstream_run import runner
+
+_SLOTS_BEFORE_CONFIG = 1
+
+
+def start_upstream(cfg: Values) -> Callable[[], bool]:
+    """Starts the process and returns the function that stops it."""
+    deployment = join(cfg)
+    identity = deployment.identity
+    executor = Executor(
+        host=identity.host,
+        incarnation=identity.incarnation,
+        queue=fifo_queue(identity.host, cfg.integer("max_waiting")),
+        run=runner(cfg.text("upstream_url"), cfg.number("silence_s")),
+        slots=lambda: _slots(deployment, cfg.text("service")),
+    )
+    service = ExecutorService(identity, executor, deployment.heard, deployment.encoded_bundle)
+    listening = server.serve(
+        ExecutorThrift.Processor(service), cfg.text("listen"), cfg.integer("max_connections")
+    )
+    deployment.announce(_member(cfg, deployment, listening.address))
+    logger("daemon").info("listening", thrift=listening.address)
+
+    def stop() -> bool:
+        deployment.leave()
+        drained = executor.drain(cfg.number("drain_s"))
+        deployment.forget()
+        return drained
+
+    return stop
+
+
+def _slots(deployment: Deployment, name: str) -> int:
+    service: Service | None = deployment.bundle().services.get(name)
+    return service.slots if service is not None else _SLOTS_BEFORE_CONFIG
+
+
+def _member(cfg: Values, deployment: Deployment, address: str) -> Member:
+    identity = deployment.identity
+    return Member(
+        host=identity.host,
+        address=address,
+        role="upstream",
+        service=cfg.text("service"),
+        region=identity.region,
+        failure_domain=identity.failure_domain,
+        incarnation=identity.incarnation,
+    )
--- /dev/null
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/upstream_run.py
@@ -0,0 +1,51 @@
+"""Runs one attempt on the upstream of this process."""
+
+import threading
+
+import urllib3
+from endiveworks.calls.executor import Run
+from endiveworks.calls.messages import Job
+from endiveworks.calls.stream import Ending, Stream
+from endiveworks.engines.chat import ChatJob, run_chat
+from endiveworks.engines.plain import PlainJob, run_plain
+from endiveworks.programs.records import CHAT
+
+_MAX_ENGINE_CONNECTIONS = 256
+
+
+def runner(upstream_url: str, silence_s: float) -> Run:
+    """Returns the function that runs attempts.
+
+    Args:
+        upstream_url: URL of the engine or plain service.
+        silence_s: Seconds without an event after which a stream is given up.
+    """
+    http = urllib3.PoolManager(num_pools=1, maxsize=_MAX_ENGINE_CONNECTIONS)
+
+    def run(job: Job, stream: Stream, cancelled: threading.Event) -> Ending:
+        if job.operation == CHAT:
+            return _run_chat(job, stream, cancelled)
+        return _run_plain(job, stream)
+
+    def _run_chat(job: Job, stream: Stream, cancelled: threading.Event) -> Ending:
+        def emit(event: bytes) -> bool:
+            stream.append(event)
+            return not cancelled.is_set()
+
+        return run_chat(http, ChatJob(upstream_url, str(job.key), job.body, silence_s, emit))
+
+    def _run_plain(job: Job, stream: Stream) -> Ending:
+        answer = run_plain(
+            PlainJob(
+                base_url=upstream_url,
+                operation=job.operation,
+                request_id=str(job.key),
+                body=job.body,
+                at_most_once=job.at_most_once,
+                timeout_s=job.deadline_s,
+            )
+        )
+        stream.append(answer.data)
+        return answer.ending
+
+    return run
--- /dev/null
+++ b/packages/endiveworks-standins/src/endiveworks_standins/fleet.py
@@ -0,0 +1,200 @@
+"""A local deployment of real processes, for tests, the quick start and benchmarks."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Mapping, Sequence
+from pathlib import Path
+from typing import Any, NamedTuple
+
+_START_TIMEOUT_S = 30.0
+_STOP_TIMEOUT_S = 30.0
+_POLL_S = 0.02
+
+
+class Place(NamedTuple):
+    """Where a process runs."""
+
+    region: str
+    failure_domain: str
+
+
+class Proc:
+    """One process, with the JSON lines it has logged.
+
+    Attributes:
+        name: Name given to the process.
+        popen: The running process.
+        events: Events logged so far, oldest first.
+    """
+
+    def __init__(self, name: str, args: Sequence[str], env: Mapping[str, str]) -> None:
+        self.name = name
+        self.args = tuple(args)
+        self.events: list[dict[str, Any]] = []
+        self._changed = threading.Condition()
+        self.popen = subprocess.Popen(
+            args, stderr=subprocess.PIPE, stdout=subprocess.DEVNULL, env=dict(env), text=True
+        )
+        threading.Thread(target=self._read, name=f"log-{name}", daemon=True).start()
+
+    def wait_event(self, event: str, timeout_s: float = _START_TIMEOUT_S) -> dict[str, Any]:
+        """Returns the first event of a name, waiting for it.
+
+        Raises:
+            TimeoutError: The process ended or did not log the event in time.
+        """
+
+        def found() -> dict[str, Any] | None:
+            return next((line for line in self.events if line.get("event") == event), None)
+
+        with self._changed:
+            self._changed.wait_for(lambda: found() or self.popen.poll() is not None, timeout_s)
+            line = found()
+        if line is None:
+            tail = self.events[-5:]
+            raise TimeoutError(f"{self.name} did not log {event!r}; last events: {tail}")
+        return line
+
+    def kill(self) -> None:
+        """Ends the process at once, as a lost host would."""
+        self.popen.kill()
+        self.popen.wait()
+
+    def freeze(self) -> None:
+        """Stops the process from running until it is thawed."""
+        self.popen.send_signal(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        """Lets a frozen process go on."""
+        self.popen.send_signal(signal.SIGCONT)
+
+    def terminate(self) -> int:
+        """Asks the process to stop and returns its exit status."""
+        self.popen.terminate()
+        return self.popen.wait(_STOP_TIMEOUT_S)
+
+    def _read(self) -> None:
+        assert self.popen.stderr is not None
+        for line in self.popen.stderr:
+            try:
+                event = json.loads(line)
+            except ValueError:
+                event = {"event": "output", "text": line.rstrip()}
+            with self._changed:
+                self.events.append(event)
+                self._changed.notify_all()
+        with self._changed:
+            self._changed.notify_all()
+
+
+class Fleet:
+    """Processes of one deployment; ends all of them when closed.
+
+    Args:
+        folder: Folder for data, logs and service files.
+    """
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.procs: dict[str, Proc] = {}
+        self.kv_address = ""
+        self._env = {k: v for k, v in os.environ.items() if not k.startswith("ENDIVEWORKS_")}
+
+    def __enter__(self) -> "Fleet":
+        """Returns the deployment itself."""
+        return self
+
+    def __exit__(self, *exc: object) -> None:
+        """Ends all processes."""
+        self.close()
+
+    def start(self, name: str, args: Sequence[str]) -> Proc:
+        """Starts a process under a name, in place of an earlier one of that name."""
+        proc = Proc(name, args, self._env)
+        self.procs[name] = proc
+        return proc
+
+    def start_standin(self, name: str, module: str, *flags: str) -> str:
+        """Starts a stand-in and returns its address."""
+        args = [sys.executable, "-m", f"endiveworks_standins.{module}", "--port=0", *flags]
+        return str(self.start(name, args).wait_event("listening")["address"])
+
+    def start_kv(self) -> None:
+        """Starts the stand-in of the key-value service."""
+        self.kv_address = self.start_standin("kv", "kv")
+
+    def start_engine(self, name: str, *flags: str) -> str:
+        """Starts a stand-in of a model engine and returns its address."""
+        return self.start_standin(name, "engine", f"--log_file={self.log_file(name)}", *flags)
+
+    def start_plain(self, name: str) -> str:
+        """Starts a stand-in of a plain service and returns its address."""
+        return self.start_standin(name, "plain", f"--log_file={self.log_file(name)}")
+
+    def start_entry(self, name: str, place: Place, *flags: str, disk: bool = True) -> str:
+        """Starts an entry and returns its address for callers."""
+        data = [f"--data_dir={self.folder / 'data' / name}"] if disk else []
+        proc = self._start_daemon(name, "entry", place, *data, *flags)
+        return str(proc.wait_event("listening")["http"])
+
+    def start_upstream(
+        self, name: str, place: Place, service: str, address: str, *flags: str
+    ) -> None:
+        """Starts the process beside an upstream."""
+        url = f"http://{address}"
+        extra = (f"--service={service}", f"--upstream_url={url}", *flags)
+        self._start_daemon(name, "upstream", place, *extra).wait_event("listening")
+
+    def publish(self, services: Path) -> None:
+        """Publishes a folder of service files with the operator's command."""
+        args = [sys.executable, "-m", "endiveworks_ctl.main", "publish", str(services)]
+        subprocess.run([*args, f"--kv={self.kv_address}"], check=True, env=self._env)
+
+    def log_file(self, name: str) -> Path:
+        """Returns the file in which a stand-in logs what it executed."""
+        return self.folder / f"{name}.jsonl"
+
+    def executed(self, name: str) -> list[dict[str, Any]]:
+        """Returns what a stand-in has executed so far."""
+        path = self.log_file(name)
+        lines = path.read_text().splitlines() if path.exists() else []
+        return [json.loads(line) for line in lines]
+
+    def close(self) -> None:
+        """Ends all processes that are still running."""
+        for proc in self.procs.values():
+            if proc.popen.poll() is None:
+                proc.thaw()
+                proc.kill()
+
+    def _start_daemon(self, name: str, role: str, place: Place, *flags: str) -> Proc:
+        args = [
+            sys.executable,
+            "-m",
+            "endiveworks_daemon.main",
+            f"--role={role}",
+            f"--host={name}",
+            f"--region={place.region}",
+            f"--failure_domain={place.failure_domain}",
+            f"--kv={self.kv_address}",
+            *flags,
+        ]
+        return self.start(name, args)
+
+
+def wait_until(condition: Any, timeout_s: float = _START_TIMEOUT_S) -> None:
+    """Waits until a function returns something true.
+
+    Raises:
+        TimeoutError: It did not within the time.
+    """
+    deadline = time.monotonic() + timeout_s
+    while not condition():
+        if time.monotonic() > deadline:
+            raise TimeoutError("the condition did not come about")
+        time.sleep(_POLL_S)
--- /dev/null
+++ b/packages/endiveworks-standins/src/endiveworks_standins/plain.py
@@ -0,0 +1,89 @@
+"""A plain service that logs every call it executes.
+
+Run as `python -m endiveworks_standins.plain --port=0 --log_file=FILE`. Any operation answers with
+a receipt that carries a number counted up with each execution.
+"""
+
+import argparse
+import itertools
+import json
+import sys
+import threading
+import time
+from collections.abc import Callable, Iterable
+from pathlib import Path
+from typing import Any, TextIO, TypedDict
+
+from cheroot import wsgi
+
+_THREADS = 64
+_FAULTS_PATH = "/standin/faults"
+_JSON = [("Content-Type", "application/json")]
+
+
+class Faults(TypedDict, total=False):
+    """Faults in force.
+
+    Attributes:
+        delay_ms: Time between the execution and the answer.
+        lose_answers: Whether connections are closed after the execution, without an answer.
+        status: Status of every answer; 0 for success.
+    """
+
+    delay_ms: int
+    lose_answers: bool
+    status: int
+
+
+class PlainService:
+    """Executes calls and writes each to the log before it is answered."""
+
+    def __init__(self, log: TextIO) -> None:
+        self._log = log
+        self._lock = threading.Lock()
+        self._numbers = itertools.count(1)
+        self.faults: Faults = {}
+
+    def execute(self, operation: str, key: str, body: bytes) -> bytes:
+        """Executes a call and returns its receipt."""
+        with self._lock:
+            number = next(self._numbers)
+            entry = {"n": number, "operation": operation, "key": key, "body": body.decode()}
+            self._log.write(json.dumps(entry) + "\n")
+            self._log.flush()
+        return json.dumps({"receipt": number, "operation": operation}).encode()
+
+    def app(self, environ: dict[str, Any], start_response: Callable[..., Any]) -> Iterable[bytes]:
+        """Answers a request; the last part of the path is the operation."""
+        body = environ["wsgi.input"].read(int(environ.get("CONTENT_LENGTH") or 0))
+        path = environ["PATH_INFO"]
+        if path == _FAULTS_PATH:
+            self.faults = json.loads(body)
+            start_response("200 OK", _JSON)
+            return [b"{}"]
+        receipt = self.execute(path.strip("/"), environ.get("HTTP_IDEMPOTENCY_KEY", ""), body)
+        time.sleep(self.faults.get("delay_ms", 0) / 1000)
+        if self.faults.get("lose_answers"):
+            raise ConnectionAbortedError("the answer is lost by a fault in force")
+        status = self.faults.get("status", 0)
+        start_response(f"{status} Fault" if status else "200 OK", _JSON)
+        return [receipt]
+
+
+def main() -> None:
+    """Serves until the process is ended."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--port", type=int, default=0)
+    parser.add_argument("--log_file", type=Path, required=True)
+    args = parser.parse_args()
+    with args.log_file.open("a") as log:
+        service = PlainService(log)
+        httpd = wsgi.Server(("127.0.0.1", args.port), service.app, numthreads=_THREADS)
+        httpd.prepare()
+        address = f"127.0.0.1:{httpd.bind_addr[1]}"
+        print(json.dumps({"event": "listening", "address": address}), file=sys.stderr, flush=True)
+        httpd.serve()
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/endiveworks/src/endiveworks/calls/executor.py
+++ b/packages/endiveworks/src/endiveworks/calls/executor.py
@@ -48,6 +48,7 @@
         self.cancelled = threading.Event()
         self.started = False
         self.ended_at = 0.0
+        self.delivered = False
 
 
 class Executor:
@@ -107,7 +108,12 @@
         if execution is None:
             detail = f"attempt {key} was not accepted by this incarnation"
             return Err(Failure(Code.CONFLICT, "calls.read", self.host, detail))
-        return Success(execution.stream.read(offset, wait_s))
+        piece = execution.stream.read(offset, wait_s)
+        if piece.ending is not None:
+            with self._idle:
+                execution.delivered = True
+                self._idle.notify_all()
+        return Success(piece)
 
     def revoke(self, key: CallKey, incarnation: int, epoch: int) -> Doubt:
         """Stops an attempt from starting, or says what became of it.
@@ -131,10 +137,14 @@
             return Doubt.REVOKED
 
     def drain(self, timeout_s: float) -> bool:
-        """Refuses new attempts and waits for the accepted ones; returns whether all ended."""
+        """Refuses new attempts and waits until the answers to the accepted ones were read.
+
+        Returns:
+            Whether all were read.
+        """
         with self._idle:
             self._draining = True
-            return self._idle.wait_for(lambda: self._running == 0, timeout_s)
+            return self._idle.wait_for(self._all_delivered, timeout_s)
 
     def load(self) -> tuple[int, int]:
         """Returns how many attempts run and how many wait."""
@@ -146,6 +156,9 @@
         """Whether new attempts are refused because the process is leaving."""
         return self._draining
 
+    def _all_delivered(self) -> bool:
+        return all(execution.delivered for execution in self._executions.values())
+
     def _check(self, job: Job) -> Failure | None:
         step = "calls.submit"
         if job.incarnation != self.incarnation:
--- /dev/null
+++ b/packages/endiveworks/src/endiveworks/calls/tests/test_executor.py
@@ -0,0 +1,123 @@
+import threading
+
+from endiveworks.calls.executor import Executor
+from endiveworks.calls.fifo import fifo_queue
+from endiveworks.calls.messages import CallKey, Doubt, Job
+from endiveworks.calls.stream import Ending, Stream
+from endiveworks.errors import Code
+
+KEY = CallKey("0001-a", 1, 1)
+JOB = Job(KEY, 3, 7, "t", "shop", "order", "front", True, 0, 10.0, 0, 0, b"{}")
+DONE = Ending(200, "application/json")
+
+
+class Bench:
+    """An executor whose attempts end when the test says so."""
+
+    def __init__(self, slots: int = 1) -> None:
+        self.runs: list[CallKey] = []
+        self.go_on = threading.Event()
+        self.started = threading.Semaphore(0)
+        queue = fifo_queue("u", 2)
+        self.executor = Executor("u", 7, queue, self.run, lambda: slots)
+
+    def run(self, job: Job, stream: Stream, cancelled: threading.Event) -> Ending:
+        self.runs.append(job.key)
+        self.started.release()
+        self.go_on.wait(10)
+        stream.append(b"whole")
+        return DONE
+
+    def finish(self, key: CallKey) -> bytes:
+        self.go_on.set()
+        data = b""
+        while True:
+            piece = self.executor.read(key, len(data), 10.0).unwrap()
+            data += piece.data
+            if piece.ending is not None:
+                return data
+
+
+class TestSubmit:
+    def test_a_repeat_runs_once(self) -> None:
+        bench = Bench()
+        bench.executor.submit(JOB).unwrap()
+        bench.executor.submit(JOB).unwrap()
+        assert bench.finish(KEY) == b"whole"
+        bench.executor.submit(JOB).unwrap()
+        assert bench.runs == [KEY]
+
+    def test_another_incarnation_is_refused(self) -> None:
+        failure = Bench().executor.submit(JOB._replace(incarnation=8)).failure()
+        assert failure.code is Code.CONFLICT and failure.not_run
+
+    def test_an_older_epoch_is_refused_once_a_newer_one_was_seen(self) -> None:
+        bench = Bench()
+        bench.executor.revoke(CallKey("0001-b", 1, 1), 7, 4)
+        failure = bench.executor.submit(JOB).failure()
+        assert failure.code is Code.STALE_EPOCH and failure.not_run
+        assert bench.runs == []
+
+    def test_a_full_queue_refuses(self) -> None:
+        bench = Bench()
+        for attempt in range(1, 4):
+            job = JOB._replace(key=KEY._replace(attempt=attempt))
+            bench.executor.submit(job).unwrap()
+            if attempt == 1:
+                bench.started.acquire()
+        job = JOB._replace(key=KEY._replace(attempt=4))
+        failure = bench.executor.submit(job).failure()
+        assert failure.code is Code.OVERLOADED and failure.retry_after_s is not None
+        bench.go_on.set()
+
+    def test_a_fault_in_an_attempt_frees_its_slot(self) -> None:
+        def run(job: Job, stream: Stream, cancelled: threading.Event) -> Ending:
+            raise ValueError("fault")
+
+        executor = Executor("u", 7, fifo_queue("u", 2), run, lambda: 1)
+        for attempt in (1, 2):
+            key = KEY._replace(attempt=attempt)
+            executor.submit(JOB._replace(key=key)).unwrap()
+            ending = executor.read(key, 0, 10.0).unwrap().ending
+            assert ending is not None and ending.failure is not None
+            assert ending.failure.code is Code.INTERNAL
+
+
+class TestRevoke:
+    def test_an_attempt_not_seen_never_runs_afterwards(self) -> None:
+        bench = Bench()
+        assert bench.executor.revoke(KEY, 7, 3) is Doubt.REVOKED
+        assert bench.executor.submit(JOB).failure().code is Code.REVOKED
+        assert bench.runs == []
+
+    def test_a_waiting_attempt_is_withdrawn(self) -> None:
+        bench = Bench()
+        first = JOB._replace(key=KEY._replace(attempt=9))
+        bench.executor.submit(first).unwrap()
+        bench.started.acquire()
+        bench.executor.submit(JOB).unwrap()
+        assert bench.executor.revoke(KEY, 7, 3) is Doubt.REVOKED
+        bench.finish(first.key)
+        assert bench.runs == [first.key]
+
+    def test_a_running_attempt_goes_on(self) -> None:
+        bench = Bench()
+        bench.executor.submit(JOB).unwrap()
+        bench.started.acquire()
+        assert bench.executor.revoke(KEY, 7, 3) is Doubt.RUNNING
+        assert bench.finish(KEY) == b"whole"
+        assert bench.executor.revoke(KEY, 7, 3) is Doubt.ENDED
+
+    def test_another_incarnation_knows_nothing(self) -> None:
+        assert Bench().executor.revoke(KEY, 8, 3) is Doubt.UNKNOWN
+
+
+class TestDrain:
+    def test_refuses_new_attempts_and_ends_the_accepted_ones(self) -> None:
+        bench = Bench()
+        bench.executor.submit(JOB).unwrap()
+        assert not bench.executor.drain(0.0)
+        bench.finish(KEY)
+        assert bench.executor.drain(10.0)
+        failure = bench.executor.submit(JOB._replace(key=KEY._replace(attempt=2))).failure()
+        assert failure.code is Code.DRAINING and failure.not_run
--- a/packages/endiveworks/src/endiveworks/programs/attempt.py
+++ b/packages/endiveworks/src/endiveworks/programs/attempt.py
@@ -12,8 +12,7 @@
 from .decide import claim_attempt
 from .partition import commit
 from .plan import Context, Plan, attempt_tokens, make_job
-from .records import CallClaimed
-from .state import Call
+from .records import Call, CallClaimed
 
 PROBLEM = "application/problem+json"
 _READ_WAIT_S = 1.0
@@ -62,7 +61,9 @@
     claim = _claim(plan, member, extra, stream)
     claimed = commit(ctx.ref, lambda partition: claim_attempt(partition, claim))
     if not isinstance(claimed, Success):
-        return Try(refusal(claimed.failure()), False, False, ""), spending
+        ending = refusal(claimed.failure())
+        ctx.upstreams.done(member.host, plan.wanted, ending)
+        return Try(ending, False, False, ""), spending
     result = _dispatch(ctx, plan, member, make_job(ctx, plan, member, stream), stream)
     ctx.upstreams.done(member.host, plan.wanted, result.ending)
     spending = spending._replace(reserved_tokens=spending.reserved_tokens + extra)
--- a/packages/endiveworks/src/endiveworks/programs/decide.py
+++ b/packages/endiveworks/src/endiveworks/programs/decide.py
@@ -10,6 +10,7 @@
 from ..config.bundle import Service, TenantTerms
 from ..errors import Code, Failure
 from .records import (
+    Call,
     CallClaimed,
     CallEnded,
     CallReleased,
@@ -18,7 +19,7 @@
     ProgramOpened,
     Record,
 )
-from .state import Call, Partition, Program
+from .state import Partition, Program
 
 _ANY_TENANT = "*"
 
@@ -32,6 +33,7 @@
     parent: str
     budget_tokens: int
     request_key: str
+    at_s: float
 
 
 class Start(NamedTuple):
@@ -82,7 +84,9 @@
         if refusal is not None:
             return Err(refusal)
     budget = req.budget_tokens or limit
-    opened = ProgramOpened(program, req.tenant, class_name, req.parent, budget, req.request_key)
+    opened = ProgramOpened(
+        program, req.tenant, class_name, req.parent, budget, req.request_key, req.at_s
+    )
     return Success(Decision((opened,)))
 
 
@@ -158,7 +162,7 @@
 
 
 def close_program(
-    partition: Partition, program: str, tenant: str, reason: str
+    partition: Partition, program: str, tenant: str, reason: str, at_s: float
 ) -> Result[Decision, Failure]:
     """Closes a program and its sub-agents' programs; a closed one stays as it is."""
     known = find_program(partition, program, tenant, "programs.close")
@@ -167,7 +171,7 @@
     found = known.unwrap()
     family = (other for other in partition.programs.values() if not other.closed)
     closing = [
-        ProgramClosed(other.opened.program, reason)
+        ProgramClosed(other.opened.program, reason, at_s)
         for other in family
         if found in partition.limits(other.opened.program)
     ]
@@ -221,7 +225,7 @@
         detail = "the parent belongs to another tenant"
         return Failure(Code.WRONG_TENANT, step, "", detail, True)
     if parent.closed:
-        detail = f"the parent is closed: {parent.closed}"
+        detail = f"the parent is closed: {parent.closed.reason}"
         return Failure(Code.PROGRAM_CLOSED, step, "", detail, True)
     return None
 
@@ -229,7 +233,7 @@
 def _check_next(program: Program, req: Start) -> Failure | None:
     step = "programs.start"
     if program.closed:
-        detail = f"the program is closed: {program.closed}"
+        detail = f"the program is closed: {program.closed.reason}"
         return Failure(Code.PROGRAM_CLOSED, step, "", detail, True)
     if req.call != program.next_call:
         detail = f"call {req.call} was sent, {program.next_call} is next"
--- a/packages/endiveworks/src/endiveworks/programs/dispatch.py
+++ b/packages/endiveworks/src/endiveworks/programs/dispatch.py
@@ -1,5 +1,7 @@
 """Carries an accepted call to its final record, over as many attempts as it takes."""
 
+import time
+
 from returns.result import Success
 
 from ..calls.stream import Ending, Stream
@@ -18,8 +20,7 @@
 from .decide import end_call, release_call
 from .partition import commit
 from .plan import Context, Plan, make_plan
-from .records import CHAT, CallEnded, CallReleased, Outcome
-from .state import Call
+from .records import CHAT, Call, CallEnded, CallReleased, Outcome
 
 MAX_ATTEMPTS = 4
 _RETRY_AFTER_S = 1.0
@@ -93,6 +94,7 @@
         completion_tokens=ending.completion_tokens,
         cached_tokens=ending.cached_tokens,
         upstream=last.upstream,
+        at_s=time.time(),
     )
 
 
--- a/packages/endiveworks/src/endiveworks/programs/owner.py
+++ b/packages/endiveworks/src/endiveworks/programs/owner.py
@@ -22,8 +22,8 @@
 from .dispatch import run_call
 from .partition import PartitionActor, commit, start_actor, view
 from .plan import Context, Upstreams, answer_limit
-from .records import CHAT, CallEnded, Outcome
-from .state import Call, Partition, Program
+from .records import CHAT, Call, CallEnded, Outcome
+from .state import Partition, Program
 
 T = TypeVar("T")
 _LINGER_S = 30.0
@@ -132,6 +132,7 @@
             parent=body["parent"],
             budget_tokens=body["budget_tokens"],
             request_key=body["request_key"],
+            at_s=time.time(),
         )
         services = self._bundle().services
         ref = held.unwrap().ref
@@ -159,7 +160,9 @@
         if not isinstance(held, Success):
             return Err(held.failure())
         ref = held.unwrap().ref
-        decided = commit(ref, lambda state: close_program(state, program, tenant, "by its caller"))
+        decided = commit(
+            ref, lambda state: close_program(state, program, tenant, "by its caller", time.time())
+        )
         if not isinstance(decided, Success):
             return Err(decided.failure())
         return self.status(program, tenant)
@@ -325,7 +328,7 @@
         running=program.running is not None,
         budget_tokens=min(limited.budget_tokens for limited in state.limits(opened.program)),
         attained_tokens=program.attained_tokens,
-        closed=program.closed,
+        closed=program.closed.reason if program.closed is not None else "",
     )
 
 
--- a/packages/endiveworks/src/endiveworks/programs/plan.py
+++ b/packages/endiveworks/src/endiveworks/programs/plan.py
@@ -15,8 +15,8 @@
 from ..errors import Code, Failure
 from ..members.member import Member
 from .partition import PartitionActor, view
-from .records import CHAT, CallStarted
-from .state import Call, Partition
+from .records import CHAT, Call, CallStarted
+from .state import Partition
 
 
 class Wanted(NamedTuple):
--- a/packages/endiveworks/src/endiveworks/programs/records.py
+++ b/packages/endiveworks/src/endiveworks/programs/records.py
@@ -22,7 +22,10 @@
 
 
 class ProgramOpened(NamedTuple):
-    """A program starts; a sub-agent's program names its parent and draws on its budget."""
+    """A program starts; a sub-agent's program names its parent and draws on its budget.
+
+    Times named at_s are in seconds since the epoch.
+    """
 
     program: str
     tenant: str
@@ -30,6 +33,7 @@
     parent: str
     budget_tokens: int
     request_key: str
+    at_s: float
 
 
 class CallStarted(NamedTuple):
@@ -103,6 +107,7 @@
         completion_tokens: Tokens generated, from the engine.
         cached_tokens: Prompt tokens that the engine found in its cache.
         upstream: Host of the upstream process that ran it.
+        at_s: When it ended.
     """
 
     program: str
@@ -116,6 +121,7 @@
     completion_tokens: int
     cached_tokens: int
     upstream: str
+    at_s: float
 
 
 class ProgramClosed(NamedTuple):
@@ -123,9 +129,57 @@
 
     program: str
     reason: str
+    at_s: float
+
+
+class Call(NamedTuple):
+    """One call of a program; ended is None while it runs."""
+
+    started: CallStarted
+    claims: tuple[CallClaimed, ...] = ()
+    ended: CallEnded | None = None
+
+    @property
+    def reserved_tokens(self) -> int:
+        """Tokens reserved by all attempts."""
+        return self.started.reserved_tokens + sum(claim.reserved_tokens for claim in self.claims)
 
 
-Record = ProgramOpened | CallStarted | CallClaimed | CallReleased | CallEnded | ProgramClosed
+class ProgramKept(NamedTuple):
+    """The whole state of a program, in place of the records that led to it.
+
+    Attributes:
+        opened: The record that opened it.
+        calls: Its calls, the first first; requests of ended chats are left out.
+        closed: The record that closed it; None while it takes calls.
+        messages: Its history, each message as JSON.
+        budget_tokens: Tokens that may still be reserved.
+        attained_tokens: Tokens that its calls have used.
+        history_tokens: Tokens of the history.
+        attempts: Number of attempts dispatched.
+        last_upstream: Host that ran the last chat.
+    """
+
+    opened: ProgramOpened
+    calls: tuple[Call, ...]
+    closed: ProgramClosed | None
+    messages: tuple[bytes, ...]
+    budget_tokens: int
+    attained_tokens: int
+    history_tokens: int
+    attempts: int
+    last_upstream: str
+
+
+Record = (
+    ProgramOpened
+    | CallStarted
+    | CallClaimed
+    | CallReleased
+    | CallEnded
+    | ProgramClosed
+    | ProgramKept
+)
 
 # The position of a type is part of the format on disk: append, never reorder.
 _TYPES: tuple[type, ...] = (
@@ -135,6 +189,7 @@
     CallReleased,
     CallEnded,
     ProgramClosed,
+    ProgramKept,
 )
 _TAGS = {record_type: tag for tag, record_type in enumerate(_TYPES)}
 _ENCODER = msgspec.msgpack.Encoder()
--- a/packages/endiveworks/src/endiveworks/programs/state.py
+++ b/packages/endiveworks/src/endiveworks/programs/state.py
@@ -1,42 +1,29 @@
 """State of the programs of one partition, built from its records."""
 
-from typing import NamedTuple
-
 from ..engines.chat_format import answer_message, messages_of
 from .records import (
     CHAT,
+    Call,
     CallClaimed,
     CallEnded,
     CallReleased,
     CallStarted,
     Outcome,
     ProgramClosed,
+    ProgramKept,
     ProgramOpened,
     Record,
 )
 
 
-class Call(NamedTuple):
-    """One call of a program; ended is None while it runs."""
-
-    started: CallStarted
-    claims: tuple[CallClaimed, ...] = ()
-    ended: CallEnded | None = None
-
-    @property
-    def reserved_tokens(self) -> int:
-        """Tokens reserved by all attempts."""
-        return self.started.reserved_tokens + sum(claim.reserved_tokens for claim in self.claims)
-
-
 class Program:
     """One program: its calls in order and its budget.
 
     Attributes:
         opened: The record that opened it.
         calls: Calls by number, from 1 without gaps.
-        closed: Why it takes no more calls; empty while it does.
-        budget_tokens: Tokens that may still be reserved; children draw on their root's.
+        closed: The record that closed it; None while it takes calls.
+        budget_tokens: Tokens that may still be reserved; sub-agents draw on those of their parent.
         attained_tokens: Tokens that all its calls have used.
         history_tokens: Tokens of the history as the engine last counted them.
         messages: The history: each message as JSON, oldest first.
@@ -47,7 +34,7 @@
     def __init__(self, opened: ProgramOpened) -> None:
         self.opened = opened
         self.calls: dict[int, Call] = {}
-        self.closed = ""
+        self.closed: ProgramClosed | None = None
         self.budget_tokens = opened.budget_tokens
         self.attained_tokens = 0
         self.history_tokens = 0
@@ -66,6 +53,12 @@
         last = self.calls.get(len(self.calls))
         return last if last is not None and last.ended is None else None
 
+    @property
+    def active_at_s(self) -> float:
+        """When it last did something, in seconds since the epoch."""
+        ended = [call.ended.at_s for call in self.calls.values() if call.ended is not None]
+        return max((self.opened.at_s, *ended[-1:]))
+
 
 class Partition:
     """All programs of one partition.
@@ -79,18 +72,11 @@
         self.programs: dict[str, Program] = {}
         self.opened_keys: dict[tuple[str, str], str] = {}
 
-    def root(self, program: str) -> Program:
-        """Returns the program whose budget the given program draws on."""
-        found = self.programs[program]
-        while found.opened.parent:
-            found = self.programs[found.opened.parent]
-        return found
-
     def limits(self, program: str) -> tuple[Program, ...]:
         """Returns the program and its ancestors, each of which limits its spending."""
         found = self.programs[program]
         chain = [found]
-        while found.opened.parent:
+        while found.opened.parent in self.programs:
             found = self.programs[found.opened.parent]
             chain.append(found)
         return tuple(chain)
@@ -100,7 +86,7 @@
     """Changes the partition as one record says; records come in the order of the log."""
     match record:
         case ProgramOpened():
-            _open(partition, record)
+            _open(partition, Program(record))
         case CallStarted():
             _start(partition, record)
         case CallClaimed():
@@ -111,12 +97,28 @@
             _end(partition, record)
         case ProgramClosed():
             _close(partition, record)
+        case ProgramKept():
+            _open(partition, _restored(record))
+
+
+def snapshot(partition: Partition, closed_before_s: float) -> list[Record]:
+    """Returns records that rebuild the partition, and forgets programs closed long ago.
+
+    Args:
+        partition: The state.
+        closed_before_s: Programs closed before this time, in seconds since the epoch, go.
+    """
+    for name, program in list(partition.programs.items()):
+        if program.closed is not None and program.closed.at_s < closed_before_s:
+            _forget(partition, name)
+    return [_kept(program) for program in partition.programs.values()]
 
 
-def _open(partition: Partition, record: ProgramOpened) -> None:
-    partition.programs[record.program] = Program(record)
-    if record.request_key:
-        partition.opened_keys[record.tenant, record.request_key] = record.program
+def _open(partition: Partition, program: Program) -> None:
+    opened = program.opened
+    partition.programs[opened.program] = program
+    if opened.request_key:
+        partition.opened_keys[opened.tenant, opened.request_key] = opened.program
 
 
 def _start(partition: Partition, record: CallStarted) -> None:
@@ -140,23 +142,57 @@
 def _end(partition: Partition, record: CallEnded) -> None:
     program = partition.programs[record.program]
     call = program.calls[record.call]
-    program.calls[record.call] = call._replace(ended=record)
     _charge(partition, record.program, record.spent_tokens - call.reserved_tokens)
     used = record.prompt_tokens + record.completion_tokens
     program.attained_tokens += used
-    if record.outcome is Outcome.DONE and call.started.operation == CHAT:
+    started = call.started
+    if record.outcome is Outcome.DONE and started.operation == CHAT and program.closed is None:
         program.history_tokens = used
-        program.messages += messages_of(call.started.body)
+        program.messages += messages_of(started.body)
         program.messages.append(answer_message(record.answer))
         program.last_upstream = record.upstream
+    # The history holds the messages, and the digest tells a repeat from another request.
+    program.calls[record.call] = Call(started._replace(body=b""), (), record)
 
 
 def _close(partition: Partition, record: ProgramClosed) -> None:
     program = partition.programs[record.program]
-    program.closed = record.reason
+    program.closed = record
     program.messages = []
 
 
+def _forget(partition: Partition, name: str) -> None:
+    opened = partition.programs.pop(name).opened
+    partition.opened_keys.pop((opened.tenant, opened.request_key), None)
+
+
+def _kept(program: Program) -> ProgramKept:
+    return ProgramKept(
+        opened=program.opened,
+        calls=tuple(program.calls.values()),
+        closed=program.closed,
+        messages=tuple(program.messages),
+        budget_tokens=program.budget_tokens,
+        attained_tokens=program.attained_tokens,
+        history_tokens=program.history_tokens,
+        attempts=program.attempts,
+        last_upstream=program.last_upstream,
+    )
+
+
+def _restored(record: ProgramKept) -> Program:
+    program = Program(record.opened)
+    program.calls = {call.started.call: call for call in record.calls}
+    program.closed = record.closed
+    program.messages = list(record.messages)
+    program.budget_tokens = record.budget_tokens
+    program.attained_tokens = record.attained_tokens
+    program.history_tokens = record.history_tokens
+    program.attempts = record.attempts
+    program.last_upstream = record.last_upstream
+    return program
+
+
 def _charge(partition: Partition, program: str, tokens: int) -> None:
     for limited in partition.limits(program):
         limited.budget_tokens -= tokens
