--- a/packages/endiveworks/src/endiveworks/journal/store.py
+++ b/packages/endiveworks/src/endiveworks/journal/store.py
@@ -12,12 +12,13 @@
 
 from ..errors import Code, Failure
 from . import segments
+from .compaction import Shared
 from .copy_state import Head, Request
 from .frames import Placed, decode
 from .identity import claim
 from .index import Index, Place
 from .segments import Files
-from .writer import SEGMENT_BYTES, Shared, Writer
+from .writer import SEGMENT_BYTES, Writer
 
 _OPEN_STEP = "journal.open"
 _FETCH_STEP = "journal.fetch"
--- a/packages/endiveworks/src/endiveworks/journal/writer.py
+++ b/packages/endiveworks/src/endiveworks/journal/writer.py
@@ -3,62 +3,27 @@
 import os
 import queue
 import threading
+from collections.abc import Iterator
 from concurrent.futures import Future
-from pathlib import Path
-from typing import NamedTuple
 
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
 from ..errors import Code, Failure
 from . import segments
-from .copy_state import Append, Head, Request, advance, decide
-from .frames import Frame, Kind, decode, encode, pack_head
-from .index import Index, Place
+from .batch import Batch, Job, size_of
+from .compaction import Shared, live_frames, remove, segment_to_free
+from .copy_state import Head, Request, advance, decide
+from .frames import Frame, Kind, decode, pack_head
 from .segments import Files
 
 SEGMENT_BYTES = 64 * 1024 * 1024
 MAX_BATCH_BYTES = 4 * 1024 * 1024
+COMPACTION_STEP_BYTES = 1024 * 1024
 
 _STEP = "journal.write"
 
 
-class Shared(NamedTuple):
-    """What the writer and the readers of a host share, guarded by the lock."""
-
-    data_dir: Path
-    catalog: Index
-    handles: dict[int, int]
-    lock: threading.RLock
-
-
-class _Job(NamedTuple):
-    req: Request
-    fut: "Future[Result[Head, Failure]]"
-
-
-class _Batch:
-    """Requests that are written together, with the state that they lead to."""
-
-    def __init__(self, segment: int, start: int) -> None:
-        self.segment = segment
-        self.start = start
-        self.data = bytearray()
-        self.placed: list[tuple[Frame, Place]] = []
-        self.heads: dict[int, Head | None] = {}
-        self.records: dict[tuple[int, int], bytes] = {}
-        self.outcomes: list[tuple[_Job, Result[Head, Failure]]] = []
-
-    def add(self, frame: Frame) -> None:
-        """Adds a frame to the bytes to write."""
-        encoded = encode(frame, self.start)
-        place = Place(self.segment, self.start + len(self.data), len(encoded))
-        self.data += encoded
-        self.placed.append((frame, place))
-        if frame.kind is Kind.RECORD:
-            self.records[frame.partition, frame.position] = frame.body
-
-
 _GONE = Head(0, 0, 1, 0)
 
 
@@ -69,12 +34,14 @@
         self._shared = shared
         self._files = files
         self._segment_bytes = segment_bytes
-        self._jobs: queue.SimpleQueue[_Job | None] = queue.SimpleQueue()
+        self._jobs: queue.SimpleQueue[Job | None] = queue.SimpleQueue()
         self._thread = threading.Thread(target=self._run, name="journal-writer", daemon=True)
         self._segment = max(shared.handles, default=0)
         self._end = 0
         self._broken: Failure | None = None
         self._stopped = False
+        self._moving: Iterator[Frame] | None = None
+        self._can_compact = True
         self._submit_lock = threading.Lock()
 
     def start(self) -> None:
@@ -87,7 +54,7 @@
         fut: Future[Result[Head, Failure]] = Future()
         with self._submit_lock:
             if not self._stopped:
-                self._jobs.put(_Job(req, fut))
+                self._jobs.put(Job(req, fut))
                 return fut
         fut.set_result(Err(self._failure("the journal is closed", not_run=True)))
         return fut
@@ -105,16 +72,17 @@
             jobs, ended = self._take()
             if jobs:
                 self._commit(jobs)
+                self._compact_if_due()
             if ended:
                 return
 
-    def _take(self) -> tuple[list[_Job], bool]:
-        jobs: list[_Job] = []
+    def _take(self) -> tuple[list[Job], bool]:
+        jobs: list[Job] = []
         size = 0
         job = self._jobs.get()
         while job is not None:
             jobs.append(job)
-            size += _size(job.req)
+            size += size_of(job.req)
             if size >= MAX_BATCH_BYTES:
                 return jobs, False
             try:
@@ -123,8 +91,8 @@
                 return jobs, False
         return jobs, True
 
-    def _commit(self, jobs: list[_Job]) -> None:
-        batch = _Batch(self._segment, self._end)
+    def _commit(self, jobs: list[Job]) -> None:
+        batch = Batch(self._segment, self._end)
         for job in jobs:
             batch.outcomes.append((job, self._prepare(batch, job.req)))
         failure = self._write(batch) if batch.data else None
@@ -134,7 +102,7 @@
         if self._end >= self._segment_bytes and self._broken is None:
             self._rotate_if_possible()
 
-    def _prepare(self, batch: _Batch, req: Request) -> Result[Head, Failure]:
+    def _prepare(self, batch: Batch, req: Request) -> Result[Head, Failure]:
         if self._broken is not None:
             return Err(self._broken)
         head = batch.heads.get(req.partition, self._shared.catalog.head(req.partition))
@@ -147,7 +115,7 @@
         batch.heads[req.partition] = head
         return Success(head or _GONE)
 
-    def _held(self, batch: _Batch, partition: int, index: int) -> bytes:
+    def _held(self, batch: Batch, partition: int, index: int) -> bytes:
         waiting = batch.records.get((partition, index))
         if waiting is not None:
             return waiting
@@ -158,7 +126,7 @@
         found = decode(data)
         return found.frame.body if found else b""
 
-    def _write(self, batch: _Batch) -> Failure | None:
+    def _write(self, batch: Batch) -> Failure | None:
         handle = self._shared.handles[self._segment]
         try:
             segments.write_all(self._files, handle, self._end, bytes(batch.data))
@@ -181,6 +149,33 @@
             return self._broken
         return self._failure(str(cause), not_run=True)
 
+    def _compact_if_due(self) -> None:
+        if not self._can_compact or self._broken is not None:
+            return
+        try:
+            number = segment_to_free(self._shared, self._segment, self._segment_bytes)
+            if number is not None:
+                self._compact(number)
+        except OSError:
+            self._moving = None  # Tried again after a later batch.
+
+    def _compact(self, number: int) -> None:
+        if self._moving is None:
+            self._moving = live_frames(self._shared, number)
+        batch = Batch(self._segment, self._end)
+        for frame in self._moving:
+            batch.add(frame)
+            if len(batch.data) >= COMPACTION_STEP_BYTES:
+                break
+        if batch.data and self._write(batch) is not None:
+            self._moving = None
+        if self._shared.catalog.live_bytes.get(number, 0) == 0:
+            self._moving = None
+            remove(self._shared, number)
+        elif not batch.data:
+            # A record of the segment is damaged. The file stays, and reading reports the damage.
+            self._can_compact = False
+
     def _rotate_if_possible(self) -> None:
         try:
             self._rotate()
@@ -189,7 +184,7 @@
 
     def _rotate(self) -> None:
         number = self._segment + 1
-        batch = _Batch(number, 0)
+        batch = Batch(number, 0)
         for partition, copy in self._shared.catalog.copies.items():
             head = copy.head
             body = pack_head(head.generation, head.last_index)
@@ -208,7 +203,3 @@
 
     def _failure(self, detail: str, not_run: bool) -> Failure:
         return Failure(Code.STORAGE, _STEP, str(self._shared.data_dir), detail, not_run)
-
-
-def _size(req: Request) -> int:
-    return sum(map(len, req.records)) if isinstance(req, Append) else 0
