--- a/packages/endiveworks/src/endiveworks/programs/partition.py
+++ b/packages/endiveworks/src/endiveworks/programs/partition.py
@@ -1,5 +1,6 @@
 """Actor that holds one owned partition: decides, appends, applies."""
 
+import time
 from collections.abc import Callable, Sequence
 from concurrent.futures import Future
 from typing import Any, NamedTuple, TypeVar
@@ -10,14 +11,16 @@
 
 from ..errors import Code, Failure
 from ..journal.api import Log, OpenedLog
+from ..journal.entries import DamagedLogError
 from .decide import Decision
 from .records import Record, decode, encode
-from .state import Partition, apply
+from .state import Partition, apply, snapshot
 
 T = TypeVar("T")
 Decide = Callable[[Partition], Result[Decision, Failure]]
 Durable = Future[Result[int, Failure]]
 APPEND_TIMEOUT_S = 30.0
+_KEEP_CLOSED_S = 600.0
 
 
 class Commit(NamedTuple):
@@ -96,6 +99,15 @@
         self._last = self._log.append([encode(record) for record in records])
         for record in records:
             apply(self._state, record)
+        if self._log.snapshot_due():
+            self._snapshot()
+
+    def _snapshot(self) -> None:
+        # A snapshot stands for all records up to an index, so the last append must have one.
+        stored = self._last.result(timeout=APPEND_TIMEOUT_S)
+        if isinstance(stored, Success):
+            kept = snapshot(self._state, time.time() - _KEEP_CLOSED_S)
+            self._log.snapshot(stored.unwrap(), [encode(record) for record in kept])
 
     def _lost(self) -> Failure | None:
         if not self._last.done():
@@ -113,11 +125,14 @@
 ) -> Result[pykka.ActorRef[PartitionActor], Failure]:
     """Rebuilds a partition from its log and starts its actor."""
     state = Partition()
-    for data in opened.records:
-        outcome = decode(data)
-        if not isinstance(outcome, Success):
-            return Err(outcome.failure())
-        apply(state, outcome.unwrap())
+    try:
+        for data in opened.records:
+            outcome = decode(data)
+            if not isinstance(outcome, Success):
+                return Err(outcome.failure())
+            apply(state, outcome.unwrap())
+    except DamagedLogError as exc:
+        return Err(exc.failure)
     return Success(PartitionActor.start(partition, epoch, opened.log, state))
 
 
