Serve operators in both roles, and record latency, queue wait and wasted cache

Program latency, first token, call time, queue wait and wasted cache tokens are recorded for each tenant and class as calls pass: the owner's and the queue's functions are wrapped, so the decisions stay free of metrics. The entry uses the bounded HTTP server; an answer counts as open until its last byte was handed to the system, and a stop waits until no request has come in for a moment, where it used to end between an answer's last chunk and the mark of its end. New settings bound callers' connections, header size and the time of a request, and the limit of open files is raised at the start to what they need, or the start is refused. Edits outside the daemon: the owner tells of closed programs and lists open ones.

--- /dev/null
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/callers.py
@@ -0,0 +1,29 @@
+"""The HTTP server for callers."""
+
+from collections.abc import Callable, Iterable
+
+from endiveworks.settings.flags import Values
+
+from . import http_server
+from .http_server import HttpServer, ServerLimits
+
+_SPARE_THREADS = 16
+
+
+def serve_callers(cfg: Values, app: Callable[..., Iterable[bytes]]) -> HttpServer:
+    """Starts the server.
+
+    It has more threads than requests that are answered at once, so that it can also refuse.
+
+    Raises:
+        OSError: The address can't be bound.
+    """
+    limits = ServerLimits(
+        threads=cfg.integer("max_open") + _SPARE_THREADS,
+        connections=cfg.integer("max_callers"),
+        header_bytes=cfg.integer("max_header_bytes"),
+        body_bytes=cfg.integer("max_body_bytes"),
+        request_s=cfg.number("request_s"),
+        silence_s=cfg.integer("caller_silence_s"),
+    )
+    return http_server.serve(cfg.text("http"), app, limits, "http")
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/entry.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/entry.py
@@ -1,36 +1,35 @@
 """An entry: the callers' HTTP interface and the owner of programs."""
 
 import random
-import threading
 from collections.abc import Callable
 from pathlib import Path
 
-from cheroot import wsgi
 from endiveworks.errors import Code, Failure
 from endiveworks.journal.file_log import open_journal
 from endiveworks.links import server
 from endiveworks.links.client import Peers
 from endiveworks.members.member import Member
 from endiveworks.programs.owner import Owner
-from endiveworks.settings.checks import split_address
 from endiveworks.settings.flags import Values
 from endiveworks.telemetry.logs import logger
+from endiveworks.telemetry.metrics import Metrics
 from endiveworks.wire.gen import Executor as ExecutorThrift
 from endiveworks.wire.gen import Owner as OwnerThrift
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
+from .callers import serve_callers
 from .choice import Sends
 from .deployment import Deployment, join
 from .forward import Owners
 from .http_app import Gate, Limits, make_app
+from .metering import counted_app, measured_upstreams, program_observer
 from .node import Node, local_node, remote_node
+from .operators import Work, program_rows, serve_operators
 from .owner_service import OwnerService
 from .upstream_links import upstream_links
 
-_SPARE_THREADS = 16
-_MAX_HEADER_BYTES = 16 * 1024
-_CALLER_TIMEOUT_S = 30
+_SETTLE_S = 5.0
 _PARTITIONS = 16
 _FIRST_EPOCH = 1
 _RETRY_S = 0.5
@@ -47,7 +46,9 @@
         lambda wanted: sends.choose(wanted, deployment.members()),
         sends.done,
     )
-    owner = Owner(links, deployment.bundle)
+    metrics = Metrics(cfg.text("statsd"), cfg.text("host"))
+    measured = measured_upstreams(links, metrics)
+    owner = Owner(measured, deployment.bundle, program_observer(metrics))
     gate = Gate(cfg.integer("max_open"))
     service = OwnerService(
         deployment.identity,
@@ -60,15 +61,26 @@
         OwnerThrift.Processor(service), cfg.text("listen"), cfg.integer("max_connections")
     )
     owners = _owners(cfg, deployment, owner)
-    http = _serve_http(cfg, owners, gate)
-    deployment.announce(_member(cfg, deployment, listening.address))
+    limits = Limits(cfg.integer("max_body_bytes"), cfg.integer("max_open"))
+    http = serve_callers(cfg, counted_app(make_app(owners, gate, limits), metrics))
+    operators = serve_operators(
+        cfg,
+        deployment,
+        metrics,
+        lambda: Work(owner.running(), 0, len(owner.owned())),
+        lambda limit: program_rows(owner, deployment.identity.host, limit),
+    )
+    deployment.announce(_member(cfg, deployment, listening.address, operators.address))
     _adopt_all(cfg, deployment, owner)
-    logger("daemon").info("listening", thrift=listening.address, http=http)
+    logger("daemon").info(
+        "listening", thrift=listening.address, http=http.address, admin=operators.address
+    )
 
     def stop() -> bool:
         deployment.leave()
         gate.close()
         drained = gate.wait_empty(cfg.number("drain_s"))
+        http.settle(_SETTLE_S)
         deployment.forget()
         return drained
 
@@ -111,23 +123,7 @@
         owner.adopt(partition, _FIRST_EPOCH, opened).unwrap()
 
 
-def _serve_http(cfg: Values, owners: Owners, gate: Gate) -> str:
-    limits = Limits(cfg.integer("max_body_bytes"), cfg.integer("max_open"))
-    httpd = wsgi.Server(
-        split_address(cfg.text("http")),
-        make_app(owners, gate, limits),
-        numthreads=limits.max_open + _SPARE_THREADS,
-        timeout=_CALLER_TIMEOUT_S,
-    )
-    httpd.max_request_header_size = _MAX_HEADER_BYTES
-    httpd.max_request_body_size = limits.max_body_bytes + 1
-    httpd.prepare()
-    threading.Thread(target=httpd.serve, name="http", daemon=True).start()
-    host, port = httpd.bind_addr[:2]
-    return f"{host}:{port}"
-
-
-def _member(cfg: Values, deployment: Deployment, address: str) -> Member:
+def _member(cfg: Values, deployment: Deployment, address: str, admin: str) -> Member:
     identity = deployment.identity
     return Member(
         host=identity.host,
@@ -138,4 +134,5 @@
         failure_domain=identity.failure_domain,
         incarnation=identity.incarnation,
         has_disk=bool(cfg.text("data_dir")),
+        admin=admin,
     )
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/http_app.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/http_app.py
@@ -2,7 +2,7 @@
 
 import re
 import threading
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable
 from http import HTTPStatus
 from typing import Annotated, Any, NamedTuple, Required, TypedDict
 
@@ -15,6 +15,7 @@
 
 from . import forward, http_calls
 from .forward import Owners
+from .http_protocol import AFTER_SENT
 from .http_request import (
     Answer,
     Request,
@@ -32,6 +33,7 @@
 _CHAT = re.compile(r"/v1/chat/completions")
 _PLAIN = re.compile(r"/v1/services/([^/]{1,128})/([^/]{1,128})")
 _BUSY_RETRY_S = 1.0
+_CLOSE = ("Connection", "close")
 
 Handler = Callable[..., Answer]
 
@@ -111,33 +113,15 @@
         refusal = gate.enter()
         if refusal is not None:
             answer = problem_answer(refusal)
-            return _start(answer, start_response)
-        try:
-            answer = _answer(owners, environ, limits)
-            body = _start(answer, start_response)
-        except BaseException:
-            gate.leave()
-            raise
-        return _Body(iter(body), gate.leave)
+            # A caller that keeps its connection would come back to this host.
+            return _start(answer._replace(headers=(*answer.headers, _CLOSE)), start_response)
+        # The answer counts as open until its last byte is sent, so that a stop waits for it.
+        environ[AFTER_SENT](gate.leave)
+        return _start(_answer(owners, environ, limits), start_response)
 
     return app
 
 
-class _Body:
-    """Iterates over an answer's body and runs a function once it has been sent or given up."""
-
-    def __init__(self, chunks: Iterator[bytes], done: Callable[[], None]) -> None:
-        self._chunks = chunks
-        self._done = done
-
-    def __iter__(self) -> Iterator[bytes]:
-        return self._chunks
-
-    def close(self) -> None:
-        """Is called by the server in every case."""
-        self._done()
-
-
 def _start(answer: Answer, start_response: Callable[..., Any]) -> Iterable[bytes]:
     phrase = HTTPStatus(answer.status).phrase if answer.status in _STATUSES else "Status"
     start_response(f"{int(answer.status)} {phrase}", list(answer.headers))
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/http_request.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/http_request.py
@@ -4,6 +4,7 @@
 from http import HTTPStatus
 from typing import Any, NamedTuple
 
+from cheroot.errors import MaxSizeExceeded
 from endiveworks.errors import Code, Failure
 from returns.result import Failure as Err
 from returns.result import Result, Success
@@ -108,7 +109,15 @@
         return Success(b"")
     try:
         body = environ["wsgi.input"].read(int(length) if length else max_body_bytes + 1)
+    except TimeoutError:
+        detail = "the body did not arrive in time"
+        return Err(Failure(Code.REQUEST_TIMEOUT, _STEP, "", detail, not_run=True))
+    except MaxSizeExceeded:
+        return Err(_too_large(max_body_bytes))
     except (OSError, ValueError) as exc:
+        # cheroot reports a chunk beyond the limit as an error without a number.
+        if isinstance(exc, OSError) and exc.errno is None:
+            return Err(_too_large(max_body_bytes))
         return Err(bad(f"the body could not be read: {type(exc).__name__}"))
     if len(body) > max_body_bytes:
         return Err(_too_large(max_body_bytes))
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/main.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/main.py
@@ -7,11 +7,12 @@
 from collections.abc import Callable
 from types import FrameType
 
-from endiveworks.settings.flags import Values, load
+from endiveworks.settings.flags import EXIT_USAGE, Values, load
 from endiveworks.telemetry import logs
 
 from .entry import start_entry
-from .options import daemon_flags
+from .files import raise_file_limit
+from .options import daemon_flags, role_problems
 from .upstream import start_upstream
 
 EXIT_DRAINED = 0
@@ -21,6 +22,12 @@
 def run() -> None:
     """Runs until SIGTERM or SIGINT, then stops without cutting off work."""
     cfg = load(daemon_flags(), sys.argv[1:], os.environ)
+    problems = role_problems(cfg)
+    file_problem = raise_file_limit(cfg)
+    for problem in (*problems, *([file_problem] if file_problem else [])):
+        print(f"endiveworksd: {problem}", file=sys.stderr)
+    if problems or file_problem:
+        raise SystemExit(EXIT_USAGE)
     logs.configure(cfg.text("host"), cfg.text("log_level"), sys.stderr)
     stop = _start(cfg)
     received = _wait_for_signal()
--- /dev/null
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/operators.py
@@ -0,0 +1,91 @@
+"""What a process of the deployment shows to operators."""
+
+import os
+import threading
+import time
+from collections.abc import Callable
+from typing import NamedTuple
+
+import endiveworks
+from endiveworks.programs.owner import Owner, ProgramStatus
+from endiveworks.settings.flags import Values
+from endiveworks.telemetry.metrics import Metrics
+from endiveworks.telemetry.status import ProcessStatus, ProgramRow, Sources
+
+from . import admin
+from .deployment import Deployment
+from .http_server import HttpServer
+
+_FILES = "/proc/self/fd"
+
+
+class Work(NamedTuple):
+    """The work of a process at one time.
+
+    Attributes:
+        running: Calls under way.
+        queued: Calls that wait.
+        partitions: Partitions that it owns.
+    """
+
+    running: int
+    queued: int
+    partitions: int
+
+
+def program_rows(owner: Owner, host: str, limit: int) -> list[ProgramRow]:
+    """Returns up to a number of programs that this host owns, the open ones."""
+    return [_row(status, host) for status in owner.list_open(limit)]
+
+
+def serve_operators(
+    cfg: Values,
+    deployment: Deployment,
+    metrics: Metrics,
+    work: Callable[[], Work],
+    programs: Callable[[int], list[ProgramRow]],
+) -> HttpServer:
+    """Starts the operators' HTTP server.
+
+    Raises:
+        OSError: The address can't be bound.
+    """
+    started_at = time.monotonic()
+
+    def status() -> ProcessStatus:
+        found = work()
+        metrics.gauge("running_calls", found.running)
+        metrics.gauge("queued_calls", found.queued)
+        identity = deployment.identity
+        return ProcessStatus(
+            host=identity.host,
+            version=endiveworks.__version__,
+            role=cfg.text("role"),
+            service=cfg.text("service"),
+            region=identity.region,
+            failure_domain=identity.failure_domain,
+            incarnation=identity.incarnation,
+            draining=deployment.leaving,
+            config_version=identity.config_version(),
+            partitions=found.partitions,
+            running=found.running,
+            queued=found.queued,
+            threads=threading.active_count(),
+            open_files=len(os.listdir(_FILES)),
+            uptime_s=round(time.monotonic() - started_at, 1),
+        )
+
+    return admin.serve(cfg.text("admin"), Sources(status, programs, metrics.snapshot))
+
+
+def _row(status: ProgramStatus, host: str) -> ProgramRow:
+    return ProgramRow(
+        program=status["id"],
+        tenant=status["tenant"],
+        parent=status["parent"],
+        state="running" if status["running"] else "paused",
+        calls=status["next_call"] - 1,
+        used_tokens=status["attained_tokens"],
+        left_tokens=status["budget_tokens"],
+        owner=host,
+    )
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/options.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/options.py
@@ -8,7 +8,7 @@
     not_empty,
     optional_address,
 )
-from endiveworks.settings.flags import Flags
+from endiveworks.settings.flags import Flags, Values
 
 ROLES = ("entry", "upstream")
 LOG_LEVELS = ("debug", "info", "warning", "error")
@@ -39,6 +39,23 @@
     return flags
 
 
+def role_problems(cfg: Values) -> tuple[str, ...]:
+    """Returns an error sentence for each setting that the role needs and that is not there."""
+    if cfg.text("role") != "upstream":
+        return ()
+    problems = []
+    if not cfg.text("service"):
+        problems.append("--service (or ENDIVEWORKS_SERVICE): a value is required for an upstream.")
+    url = cfg.text("upstream_url")
+    host = url.removeprefix("http://").partition("/")[0]
+    if not url.startswith("http://") or address(host) is not None:
+        problems.append(
+            f"--upstream_url (or ENDIVEWORKS_UPSTREAM_URL): {url!r} is not a URL with an IP number "
+            "and port, such as http://127.0.0.1:8000."
+        )
+    return tuple(problems)
+
+
 def _define_entry(flags: Flags) -> None:
     flags.define_string("http", "127.0.0.1:0", "Entry: address for callers.", address)
     flags.define_string("data_dir", "", "Entry: folder for journals; empty keeps none.")
@@ -46,6 +63,21 @@
     flags.define_integer(
         "max_body_bytes", 4 * 1024 * 1024, "Entry: largest request body.", between(1024, 2**30)
     )
+    flags.define_integer(
+        "max_callers", 2048, "Entry: open connections of callers.", between(16, 65536)
+    )
+    flags.define_integer(
+        "max_header_bytes", 16384, "Entry: largest request headers.", between(1024, 2**20)
+    )
+    flags.define_float(
+        "request_s", 10.0, "Entry: time in which a request must arrive whole.", between(0.1, 600.0)
+    )
+    flags.define_integer(
+        "caller_silence_s",
+        30,
+        "Entry: time after which an idle connection, or one whose caller does not read, is closed.",
+        between(1, 3600),
+    )
     flags.define_float(
         "patience_s", 20.0, "Entry: wait for a partition's next owner.", between(0.1, 600.0)
     )
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/upstream.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/upstream.py
@@ -9,10 +9,13 @@
 from endiveworks.members.member import Member
 from endiveworks.settings.flags import Values
 from endiveworks.telemetry.logs import logger
+from endiveworks.telemetry.metrics import Metrics
 from endiveworks.wire.gen import Executor as ExecutorThrift
 
 from .deployment import Deployment, join
 from .executor_service import ExecutorService
+from .metering import measured_queue
+from .operators import Work, serve_operators
 from .upstream_run import runner
 
 _SLOTS_BEFORE_CONFIG = 1
@@ -22,10 +25,11 @@
     """Starts the process and returns the function that stops it."""
     deployment = join(cfg)
     identity = deployment.identity
+    metrics = Metrics(cfg.text("statsd"), cfg.text("host"))
     executor = Executor(
         host=identity.host,
         incarnation=identity.incarnation,
-        queue=fifo_queue(identity.host, cfg.integer("max_waiting")),
+        queue=measured_queue(fifo_queue(identity.host, cfg.integer("max_waiting")), metrics),
         run=runner(cfg.text("upstream_url"), cfg.number("silence_s")),
         slots=lambda: _slots(deployment, cfg.text("service")),
     )
@@ -33,8 +37,11 @@
     listening = server.serve(
         ExecutorThrift.Processor(service), cfg.text("listen"), cfg.integer("max_connections")
     )
-    deployment.announce(_member(cfg, deployment, listening.address))
-    logger("daemon").info("listening", thrift=listening.address)
+    operators = serve_operators(
+        cfg, deployment, metrics, lambda: Work(*executor.load(), 0), lambda limit: []
+    )
+    deployment.announce(_member(cfg, deployment, listening.address, operators.address))
+    logger("daemon").info("listening", thrift=listening.address, admin=operators.address)
 
     def stop() -> bool:
         deployment.leave()
@@ -50,7 +57,7 @@
     return service.slots if service is not None else _SLOTS_BEFORE_CONFIG
 
 
-def _member(cfg: Values, deployment: Deployment, address: str) -> Member:
+def _member(cfg: Values, deployment: Deployment, address: str, admin: str) -> Member:
     identity = deployment.identity
     return Member(
         host=identity.host,
@@ -60,4 +67,5 @@
         region=identity.region,
         failure_domain=identity.failure_domain,
         incarnation=identity.incarnation,
+        admin=admin,
     )
--- a/packages/endiveworks/src/endiveworks/programs/owner.py
+++ b/packages/endiveworks/src/endiveworks/programs/owner.py
@@ -1,5 +1,6 @@
 """Programs of the partitions that this host owns: manages them and runs their calls."""
 
+import itertools
 import secrets
 import threading
 import time
@@ -22,7 +23,7 @@
 from .dispatch import run_call
 from .partition import PartitionActor, commit, start_actor, view
 from .plan import Context, Upstreams, answer_limit
-from .records import CHAT, Call, CallEnded, Outcome
+from .records import CHAT, Call, CallEnded, Outcome, ProgramClosed, ProgramOpened
 from .state import Partition, Program
 
 T = TypeVar("T")
@@ -77,11 +78,18 @@
     Args:
         upstreams: How upstream processes are reached.
         bundle: Returns the configuration in force.
+        on_closed: Is told of each program that a caller closes.
     """
 
-    def __init__(self, upstreams: Upstreams, bundle: Callable[[], Bundle]) -> None:
+    def __init__(
+        self,
+        upstreams: Upstreams,
+        bundle: Callable[[], Bundle],
+        on_closed: Callable[[ProgramOpened, ProgramClosed], None] = lambda opened, closed: None,
+    ) -> None:
         self._upstreams = upstreams
         self._bundle = bundle
+        self._on_closed = on_closed
         self._lock = threading.Lock()
         self._held: dict[int, _Held] = {}
         self._streams: dict[tuple[str, int], Stream] = {}
@@ -165,8 +173,25 @@
         )
         if not isinstance(decided, Success):
             return Err(decided.failure())
+        self._tell_closed(held.unwrap(), decided.unwrap())
         return self.status(program, tenant)
 
+    def list_open(self, limit: int) -> list[ProgramStatus]:
+        """Returns up to a number of the programs that take calls, in no order."""
+
+        def look(state: Partition) -> list[ProgramStatus]:
+            found = (known for known in state.programs.values() if known.closed is None)
+            return [_status(state, program) for program in itertools.islice(found, limit)]
+
+        rows: list[ProgramStatus] = []
+        with self._lock:
+            held = tuple(self._held.values())
+        for partition in held:
+            if len(rows) >= limit:
+                break
+            rows += view(partition.ref, look).value_or([])
+        return rows[:limit]
+
     def submit(self, req: CallRequest) -> Result[None, Failure]:
         """Accepts a call, or finds it accepted before; its answer is then read."""
         start = self._start_of(req)
@@ -202,6 +227,15 @@
             return Err(Failure(Code.CONFLICT, "programs.read", "", detail, retry_after_s=0.0))
         return Success(stored_stream(ended).read(offset, 0.0))
 
+    def _tell_closed(self, held: _Held, decision: Decision) -> None:
+        records = [record for record in decision.records if isinstance(record, ProgramClosed)]
+
+        def look(state: Partition) -> list[ProgramOpened]:
+            return [state.programs[record.program].opened for record in records]
+
+        for opened, record in zip(view(held.ref, look).value_or([]), records, strict=False):
+            self._on_closed(opened, record)
+
     def _attach(self, held: _Held, decision: Decision) -> None:
         call = decision.call
         assert call is not None
--- a/packages/endiveworks/src/endiveworks/telemetry/status.py
+++ b/packages/endiveworks/src/endiveworks/telemetry/status.py
@@ -62,12 +62,11 @@
 
     program: str
     tenant: str
-    service: str
-    class_name: str
+    parent: str
     state: str
     calls: int
     used_tokens: int
-    budget_tokens: int
+    left_tokens: int
     owner: str
 
 
