--- a/packages/endiveworks/src/endiveworks/calls/executor.py
+++ b/packages/endiveworks/src/endiveworks/calls/executor.py
@@ -13,7 +13,9 @@
 from .messages import CallKey, Doubt, Job
 from .stream import Ending, Piece, Stream
 
-_KEEP_ENDED_S = 3600.0
+# A message about an attempt may be delayed, so its key outlives its answer.
+_KEEP_KEY_S = 3600.0
+_KEEP_ANSWER_S = 300.0
 _BUSY_RETRY_S = 1.0
 
 
@@ -50,6 +52,14 @@
         self.ended_at = 0.0
         self.delivered = False
 
+    def drop_answer(self) -> None:
+        """Frees the answer of an attempt that ended long ago."""
+        failure = Failure(Code.UPSTREAM_FAILED, "calls.read", "", "the answer is no longer kept")
+        self.job = self.job._replace(body=b"")
+        self.stream = Stream()
+        self.stream.finish(Ending(410, "", failure=failure))
+        self.delivered = True
+
 
 class Executor:
     """Runs attempts on one upstream.
@@ -78,6 +88,7 @@
         self._idle = threading.Condition(self._lock)
         self._executions: dict[CallKey, Execution] = {}
         self._ended: OrderedDict[CallKey, float] = OrderedDict()
+        self._answered: OrderedDict[CallKey, float] = OrderedDict()
         self._revoked: OrderedDict[CallKey, float] = OrderedDict()
         self._epochs: dict[int, int] = {}
         self._running = 0
@@ -215,6 +226,8 @@
             now = time.monotonic()
             execution.ended_at = now
             self._ended[job.key] = now
+            if not job.at_most_once:
+                self._answered[job.key] = now
             self._running -= 1
             self._queue.finished(job, ending, now)
             self._fill()
@@ -222,8 +235,17 @@
         execution.stream.finish(ending)
 
     def _forget(self, now: float) -> None:
-        """Drops attempts that ended so long ago that no message about them can be under way."""
+        """Drops answers, and later keys, that no message under way can be about."""
+        for key in _older(self._answered, now - _KEEP_ANSWER_S):
+            self._executions[key].drop_answer()
         for memory in (self._ended, self._revoked):
-            while memory and next(iter(memory.values())) < now - _KEEP_ENDED_S:
-                key, _ = memory.popitem(last=False)
+            for key in _older(memory, now - _KEEP_KEY_S):
                 self._executions.pop(key, None)
+
+
+def _older(times: OrderedDict[CallKey, float], before: float) -> list[CallKey]:
+    """Removes and returns the keys whose time is before a time."""
+    found = []
+    while times and next(iter(times.values())) < before:
+        found.append(times.popitem(last=False)[0])
+    return found
--- a/packages/endiveworks/src/endiveworks/programs/attempt.py
+++ b/packages/endiveworks/src/endiveworks/programs/attempt.py
@@ -53,6 +53,9 @@
     ctx: Context, plan: Plan, spending: Spending, stream: Stream
 ) -> tuple[Try, Spending]:
     """Claims, dispatches and follows the next attempt."""
+    if ctx.cancelled():
+        failure = Failure(Code.PROGRAM_CLOSED, "programs.attempt", "", "the program was closed")
+        return Try(refusal(failure), False, False, ""), spending
     choice = ctx.upstreams.choose(plan.wanted)
     if not isinstance(choice, Success):
         return Try(refusal(choice.failure()), False, False, ""), spending
@@ -102,13 +105,13 @@
 
 
 def _dispatch(ctx: Context, plan: Plan, member: Member, job: Job, stream: Stream) -> Try:
+    claim = _claim(plan, member, 0, stream)
     sent = ctx.upstreams.submit(member, job)
     if isinstance(sent, Success):
-        return _follow(ctx, plan, member.host, job.key, stream)
+        return _follow(ctx, plan, claim, job.key, stream)
     failure = sent.failure()
     if failure.not_run:
         return Try(refusal(failure), True, False, member.host)
-    claim = _claim(plan, member, 0, stream)
     return _settle(ctx, plan, claim, job.key, stream)
 
 
@@ -119,7 +122,7 @@
     unknown, and stays so.
     """
     if not plan.started.at_most_once:
-        followed = _follow(ctx, plan, claim.upstream, key, stream)
+        followed = _follow(ctx, plan, claim, key, stream)
         if followed.ending.failure is None or not followed.again:
             return followed
     outcome = _revoke(ctx, claim, key)
@@ -135,7 +138,7 @@
             failure = Failure(Code.UPSTREAM_FAILED, "programs.settle", claim.upstream, detail)
             return _lost(plan, claim.upstream, failure)
     if plan.started.at_most_once:
-        return _follow(ctx, plan, claim.upstream, key, stream)
+        return _follow(ctx, plan, claim, key, stream)
     failure = Failure(Code.UPSTREAM_FAILED, "programs.settle", claim.upstream, "it was cancelled")
     return _lost(plan, claim.upstream, failure)
 
@@ -159,11 +162,16 @@
     return Try(ending, not plan.started.at_most_once, True, host)
 
 
-def _follow(ctx: Context, plan: Plan, host: str, key: CallKey, stream: Stream) -> Try:
+def _follow(ctx: Context, plan: Plan, claim: CallClaimed, key: CallKey, stream: Stream) -> Try:
     """Passes an attempt's answer on until it ends or its upstream process is lost."""
-    offset = 0
-    failures = 0
+    host = claim.upstream
+    offset = failures = 0
+    cancelled = False
     while True:
+        if not cancelled and ctx.cancelled():
+            # A call that must not be repeated goes on; the others end soon after.
+            ctx.upstreams.revoke(host, key, claim.incarnation, ctx.epoch)
+            cancelled = True
         outcome = ctx.upstreams.read(host, key, offset, _READ_WAIT_S)
         if isinstance(outcome, Success):
             failures = 0
--- a/packages/endiveworks/src/endiveworks/programs/owner.py
+++ b/packages/endiveworks/src/endiveworks/programs/owner.py
@@ -85,6 +85,7 @@
         self._lock = threading.Lock()
         self._held: dict[int, _Held] = {}
         self._streams: dict[tuple[str, int], Stream] = {}
+        self._cancels: dict[str, threading.Event] = {}
         self._retired: deque[tuple[float, tuple[str, int], Stream]] = deque()
 
     def adopt(self, partition: int, epoch: int, opened: OpenedLog) -> Result[None, Failure]:
@@ -165,6 +166,8 @@
         )
         if not isinstance(decided, Success):
             return Err(decided.failure())
+        for record in decided.unwrap().records:
+            self._cancel(record.program)
         return self.status(program, tenant)
 
     def submit(self, req: CallRequest) -> Result[None, Failure]:
@@ -211,9 +214,11 @@
     def _run(self, held: _Held, call: Call) -> None:
         key = (call.started.program, call.started.call)
         stream = Stream()
-        ctx = Context(held.ref, held.epoch, self._upstreams, self._bundle)
+        cancelled = threading.Event()
+        ctx = Context(held.ref, held.epoch, self._upstreams, self._bundle, cancelled.is_set)
         with self._lock:
             self._streams[key] = stream
+            self._cancels[key[0]] = cancelled
 
         def work() -> None:
             try:
@@ -225,10 +230,17 @@
 
         threading.Thread(target=work, name=f"run-{key[0]}-{key[1]}", daemon=True).start()
 
+    def _cancel(self, program: str) -> None:
+        with self._lock:
+            cancelled = self._cancels.get(program)
+        if cancelled is not None:
+            cancelled.set()
+
     def _retire(self, key: tuple[str, int], stream: Stream) -> None:
         """Keeps a finished stream for readers under way, and drops older ones."""
         now = time.monotonic()
         with self._lock:
+            self._cancels.pop(key[0], None)
             self._retired.append((now, key, stream))
             while self._retired[0][0] < now - _LINGER_S:
                 _, old_key, old = self._retired.popleft()
--- a/packages/endiveworks/src/endiveworks/programs/plan.py
+++ b/packages/endiveworks/src/endiveworks/programs/plan.py
@@ -66,12 +66,21 @@
 
 
 class Context(NamedTuple):
-    """What a call runs with: its partition, the upstreams and the configuration in force."""
+    """What a call runs with.
+
+    Attributes:
+        ref: Actor of its partition.
+        epoch: Epoch of this host's ownership of the partition.
+        upstreams: How upstream processes are reached.
+        bundle: Returns the configuration in force.
+        cancelled: Returns whether the call's program has been closed.
+    """
 
     ref: "pykka.ActorRef[PartitionActor]"
     epoch: int
     upstreams: Upstreams
     bundle: Callable[[], Bundle]
+    cancelled: Callable[[], bool]
 
 
 class Plan(NamedTuple):
