Keep a partition's log on several copies

An append is acknowledged once every copy of the set in force has it on disk. A copy that fails leaves the set by compare-and-swap before anything is acknowledged without it; a new copy is filled before it joins. A copy is named by host and data folder, so an emptied or replaced folder is refused.

--- a/packages/endiveworks/src/endiveworks/journal/api.py
+++ b/packages/endiveworks/src/endiveworks/journal/api.py
@@ -19,16 +19,15 @@
             last one once every copy has it on disk, or with a Failure. After a Failure the log
             takes no more records: its holder has lost the partition or its copies.
         close: Finishes queued appends and releases the files.
-        snapshot: Stores records that stand for every record up to an index, then lets those go.
-            The future completes with the index of the snapshot's end. Records appended meanwhile
-            are kept.
+        snapshot: Stores records that stand for every record appended so far, stored or not yet,
+            then lets those go. The future completes once the snapshot is stored.
         snapshot_due: Tells whether so much has been appended since the last snapshot that
             another one would shorten the next opening.
     """
 
     append: Callable[[Sequence[bytes]], AppendFuture]
     close: Callable[[], None]
-    snapshot: Callable[[int, Iterable[bytes]], AppendFuture]
+    snapshot: Callable[[Iterable[bytes]], AppendFuture]
     snapshot_due: Callable[[], bool]
 
 
--- /dev/null
+++ b/packages/endiveworks/src/endiveworks/journal/repair.py
@@ -0,0 +1,146 @@
+"""Keeps an open log's set of copies whole: drops failed copies and fills new ones."""
+
+import time
+from collections.abc import Callable, Sequence
+
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+from ..errors import Code, Failure
+from .copy_state import Head, Reset, Seal
+from .lane import Lane, LaneEvents, Patience
+from .peer import CopyId, Peer
+from .replication import CopySet, Replication, lose, settle, trim
+from .takeover import copy_entries
+
+_ATTEMPT_BITS = 20
+_RETRIED = frozenset({Code.TIMEOUT, Code.UNREACHABLE})
+
+EventsOf = Callable[[CopyId], LaneEvents]
+
+
+def repair(state: Replication, copy_set: CopySet, patience: Patience, events_of: EventsOf) -> None:
+    """Changes the set until no copy in it has failed and no replacement is to be had."""
+    while True:
+        again = _repair_once(state, copy_set, patience, events_of)
+        with state.lock:
+            if state.closed is not None or not (again or state.failed.keys() & state.required):
+                state.repairing = False
+                return
+
+
+def _repair_once(
+    state: Replication, copy_set: CopySet, patience: Patience, events_of: EventsOf
+) -> bool:
+    """Makes one change; returns whether to look again."""
+    with state.lock:
+        if state.closed is not None:
+            return False
+        present = tuple(sorted(state.required))
+        whole = tuple(copy for copy in present if copy not in state.failed)
+        failures = [state.failed[copy] for copy in present if copy in state.failed]
+    if not whole:
+        lose(state, failures[0], copy_set)
+        return False
+    if failures:
+        return _change(state, copy_set, patience, whole)
+    replacement = copy_set.replacement(present)
+    if replacement is None:
+        return False
+    return _join(state, copy_set, patience, replacement, events_of)
+
+
+def _change(
+    state: Replication, copy_set: CopySet, patience: Patience, wanted: Sequence[CopyId]
+) -> bool:
+    """Puts a set in force; until that is settled, appends wait for both sets."""
+    while True:
+        outcome = copy_set.change(wanted)
+        if isinstance(outcome, Success):
+            break
+        if outcome.failure().code not in _RETRIED:
+            lose(state, outcome.failure(), copy_set)
+            return False
+        time.sleep(patience.retry_s)
+        with state.lock:
+            if state.closed is not None:
+                return False
+    with state.lock:
+        state.required = set(wanted)
+        for copy in set(state.lanes) - state.required:
+            state.lanes.pop(copy).stop()
+            state.failed.pop(copy, None)
+    settle(state)
+    return True
+
+
+def _join(
+    state: Replication,
+    copy_set: CopySet,
+    patience: Patience,
+    peer: Peer,
+    events_of: EventsOf,
+) -> bool:
+    """Fills a new copy while appends go on, then puts it into the set."""
+    with state.lock:
+        if state.closed is not None or peer.copy in state.lanes:
+            return False
+        state.joining = True
+        lane = Lane(peer, state.partition, state.epoch, state.last_index, patience, state.lock)
+        state.lanes[peer.copy] = lane
+        base = state.last_index
+        source = state.lanes[min(state.required)].peer
+    try:
+        filled = _fill(state, source, peer, base)
+        if not isinstance(filled, Success):
+            _abandon(state, peer.copy)
+            return False
+        lane.start(events_of(peer.copy))
+        with state.lock:
+            if peer.copy in state.failed or state.closed is not None:
+                _abandon(state, peer.copy)
+                return False
+            state.required.add(peer.copy)
+            wanted = tuple(sorted(state.required))
+        return _change(state, copy_set, patience, wanted)
+    finally:
+        with state.lock:
+            state.joining = False
+        if state.trim_to:
+            trim(state, state.trim_to)
+
+
+def _fill(state: Replication, source: Peer, target: Peer, base: int) -> Result[None, Failure]:
+    """Copies everything up to an index that was appended, but may not be stored yet."""
+    stored = _wait_stored(state, base)
+    if not isinstance(stored, Success):
+        return Err(stored.failure())
+    present = source.send(Seal(state.partition, state.epoch)).result()
+    if not isinstance(present, Success):
+        return Err(present.failure())
+    first_index = present.unwrap().first_index
+    with state.lock:
+        state.joins += 1
+        generation = state.epoch << _ATTEMPT_BITS | state.joins
+    reset = Reset(state.partition, state.epoch, generation, first_index)
+    started = target.send(reset).result()
+    if not isinstance(started, Success):
+        return Err(started.failure())
+    upto = Head(state.epoch, generation, first_index, base)
+    return copy_entries(state.partition, state.epoch, source, target, first_index, upto)
+
+
+def _wait_stored(state: Replication, base: int) -> Result[int, Failure]:
+    with state.lock:
+        if state.closed is not None:
+            return Err(state.closed)
+        before = [item.fut for item in state.waiting if item.last_index <= base]
+    return before[-1].result() if before else Success(base)
+
+
+def _abandon(state: Replication, copy: CopyId) -> None:
+    with state.lock:
+        state.failed.pop(copy, None)
+        lane = state.lanes.pop(copy, None)
+        if lane is not None:
+            lane.stop()
--- a/packages/endiveworks/src/endiveworks/journal/sequence.py
+++ b/packages/endiveworks/src/endiveworks/journal/sequence.py
@@ -3,6 +3,7 @@
 import threading
 from collections.abc import Callable, Iterable, Sequence
 from concurrent.futures import Future
+from contextlib import AbstractContextManager
 
 from returns.result import Failure as Err
 from returns.result import Result
@@ -21,8 +22,8 @@
 class _Sequence:
     """State of one open log: the next index, and what was written since the last snapshot."""
 
-    def __init__(self, next_index: int) -> None:
-        self.lock = threading.Lock()
+    def __init__(self, next_index: int, lock: AbstractContextManager[bool]) -> None:
+        self.lock = lock
         self.next_index = next_index
         self.bytes_since_snapshot = 0
         self.snapshot_bytes = 0
@@ -34,6 +35,7 @@
     write: WriteFrom,
     trim: Callable[[int], None],
     close: Callable[[], None],
+    lock: AbstractContextManager[bool] | None = None,
 ) -> Log:
     """Returns a log that numbers entries from last_index + 1 on.
 
@@ -42,15 +44,17 @@
         write: Writes entries.
         trim: Lets entries below an index go.
         close: Closes the log.
+        lock: Held during a write, and possibly while its future completes.
     """
-    state = _Sequence(last_index + 1)
+    state = _Sequence(last_index + 1, lock or threading.RLock())
 
     def append(records: Sequence[bytes]) -> AppendFuture:
         batch = [entries.record(data) for data in records]
         return _write(state, batch, write)
 
-    def snapshot(covers: int, records: Iterable[bytes]) -> AppendFuture:
+    def snapshot(records: Iterable[bytes]) -> AppendFuture:
         with state.lock:
+            covers = state.next_index - 1
             state.bytes_since_snapshot = 0
             state.snapshot_running = True
         parts = _parts(entries.snapshot(covers, records))
--- a/packages/endiveworks/src/endiveworks/wire/endiveworks.thrift
+++ b/packages/endiveworks/src/endiveworks/wire/endiveworks.thrift
@@ -99,10 +99,13 @@
   3: optional Fault fault
 }
 
-struct AppendReply {
-  1: i64 last_index
-  2: i64 sealed_epoch
-  3: optional Fault fault
+// State of a journal copy after a request.
+struct CopyReply {
+  1: i64 epoch
+  2: i64 generation
+  3: i64 first_index
+  4: i64 last_index
+  5: optional Fault fault
 }
 
 struct FetchReply {
@@ -117,10 +120,13 @@
   SubmitReply submit(1: Origin origin, 2: CallRequest req)
   Chunk read(1: Origin origin, 2: CallKey key, 3: i64 offset, 4: i32 wait_ms)
 
-  // Journal copies kept here for partitions owned by any host.
-  AppendReply append(1: Origin origin, 2: i32 partition, 3: i64 epoch, 4: i64 first_index, 5: list<binary> records)
-  AppendReply seal(1: Origin origin, 2: i32 partition, 3: i64 epoch)
-  FetchReply fetch(1: Origin origin, 2: i32 partition, 3: i64 first_index, 4: i32 max_bytes)
+  // Journal copies kept here for partitions owned by any host. folder is the id of the data folder
+  // meant, so that an empty or replaced one is not taken for it.
+  CopyReply append(1: Origin origin, 2: string folder, 3: i32 partition, 4: i64 epoch, 5: i64 first_index, 6: list<binary> records)
+  CopyReply seal(1: Origin origin, 2: string folder, 3: i32 partition, 4: i64 epoch)
+  CopyReply reset(1: Origin origin, 2: string folder, 3: i32 partition, 4: i64 epoch, 5: i64 generation, 6: i64 first_index)
+  CopyReply trim(1: Origin origin, 2: string folder, 3: i32 partition, 4: i64 epoch, 5: i64 first_index)
+  FetchReply fetch(1: Origin origin, 2: string folder, 3: i32 partition, 4: i64 first_index, 5: i32 max_bytes)
   // Asks this host to take a partition over from the sender, which has stopped acting on it.
   ManageReply take_over(1: Origin origin, 2: i32 partition, 3: i64 epoch)
 }
--- a/packages/endiveworks/src/endiveworks/wire/gen/Owner.py
+++ b/packages/endiveworks/src/endiveworks/wire/gen/Owner.py
@@ -49,10 +49,11 @@
         """
         pass
 
-    def append(self, origin, partition, epoch, first_index, records):
+    def append(self, origin, folder, partition, epoch, first_index, records):
         """
         Parameters:
          - origin
+         - folder
          - partition
          - epoch
          - first_index
@@ -61,20 +62,47 @@
         """
         pass
 
-    def seal(self, origin, partition, epoch):
+    def seal(self, origin, folder, partition, epoch):
         """
         Parameters:
          - origin
+         - folder
          - partition
          - epoch
 
         """
         pass
 
-    def fetch(self, origin, partition, first_index, max_bytes):
+    def reset(self, origin, folder, partition, epoch, generation, first_index):
         """
         Parameters:
          - origin
+         - folder
+         - partition
+         - epoch
+         - generation
+         - first_index
+
+        """
+        pass
+
+    def trim(self, origin, folder, partition, epoch, first_index):
+        """
+        Parameters:
+         - origin
+         - folder
+         - partition
+         - epoch
+         - first_index
+
+        """
+        pass
+
+    def fetch(self, origin, folder, partition, first_index, max_bytes):
+        """
+        Parameters:
+         - origin
+         - folder
          - partition
          - first_index
          - max_bytes
@@ -203,23 +231,25 @@
             return result.success
         raise TApplicationException(TApplicationException.MISSING_RESULT, "read failed: unknown result")
 
-    def append(self, origin, partition, epoch, first_index, records):
+    def append(self, origin, folder, partition, epoch, first_index, records):
         """
         Parameters:
          - origin
+         - folder
          - partition
          - epoch
          - first_index
          - records
 
         """
-        self.send_append(origin, partition, epoch, first_index, records)
+        self.send_append(origin, folder, partition, epoch, first_index, records)
         return self.recv_append()
 
-    def send_append(self, origin, partition, epoch, first_index, records):
+    def send_append(self, origin, folder, partition, epoch, first_index, records):
         self._oprot.writeMessageBegin('append', TMessageType.CALL, self._seqid)
         args = append_args()
         args.origin = origin
+        args.folder = folder
         args.partition = partition
         args.epoch = epoch
         args.first_index = first_index
@@ -243,21 +273,23 @@
             return result.success
         raise TApplicationException(TApplicationException.MISSING_RESULT, "append failed: unknown result")
 
-    def seal(self, origin, partition, epoch):
+    def seal(self, origin, folder, partition, epoch):
         """
         Parameters:
          - origin
+         - folder
          - partition
          - epoch
 
         """
-        self.send_seal(origin, partition, epoch)
+        self.send_seal(origin, folder, partition, epoch)
         return self.recv_seal()
 
-    def send_seal(self, origin, partition, epoch):
+    def send_seal(self, origin, folder, partition, epoch):
         self._oprot.writeMessageBegin('seal', TMessageType.CALL, self._seqid)
         args = seal_args()
         args.origin = origin
+        args.folder = folder
         args.partition = partition
         args.epoch = epoch
         args.write(self._oprot)
@@ -279,22 +311,106 @@
             return result.success
         raise TApplicationException(TApplicationException.MISSING_RESULT, "seal failed: unknown result")
 
-    def fetch(self, origin, partition, first_index, max_bytes):
+    def reset(self, origin, folder, partition, epoch, generation, first_index):
         """
         Parameters:
          - origin
+         - folder
+         - partition
+         - epoch
+         - generation
+         - first_index
+
+        """
+        self.send_reset(origin, folder, partition, epoch, generation, first_index)
+        return self.recv_reset()
+
+    def send_reset(self, origin, folder, partition, epoch, generation, first_index):
+        self._oprot.writeMessageBegin('reset', TMessageType.CALL, self._seqid)
+        args = reset_args()
+        args.origin = origin
+        args.folder = folder
+        args.partition = partition
+        args.epoch = epoch
+        args.generation = generation
+        args.first_index = first_index
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_reset(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = reset_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "reset failed: unknown result")
+
+    def trim(self, origin, folder, partition, epoch, first_index):
+        """
+        Parameters:
+         - origin
+         - folder
+         - partition
+         - epoch
+         - first_index
+
+        """
+        self.send_trim(origin, folder, partition, epoch, first_index)
+        return self.recv_trim()
+
+    def send_trim(self, origin, folder, partition, epoch, first_index):
+        self._oprot.writeMessageBegin('trim', TMessageType.CALL, self._seqid)
+        args = trim_args()
+        args.origin = origin
+        args.folder = folder
+        args.partition = partition
+        args.epoch = epoch
+        args.first_index = first_index
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_trim(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = trim_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "trim failed: unknown result")
+
+    def fetch(self, origin, folder, partition, first_index, max_bytes):
+        """
+        Parameters:
+         - origin
+         - folder
          - partition
          - first_index
          - max_bytes
 
         """
-        self.send_fetch(origin, partition, first_index, max_bytes)
+        self.send_fetch(origin, folder, partition, first_index, max_bytes)
         return self.recv_fetch()
 
-    def send_fetch(self, origin, partition, first_index, max_bytes):
+    def send_fetch(self, origin, folder, partition, first_index, max_bytes):
         self._oprot.writeMessageBegin('fetch', TMessageType.CALL, self._seqid)
         args = fetch_args()
         args.origin = origin
+        args.folder = folder
         args.partition = partition
         args.first_index = first_index
         args.max_bytes = max_bytes
@@ -362,6 +478,8 @@
         self._processMap["read"] = Processor.process_read
         self._processMap["append"] = Processor.process_append
         self._processMap["seal"] = Processor.process_seal
+        self._processMap["reset"] = Processor.process_reset
+        self._processMap["trim"] = Processor.process_trim
         self._processMap["fetch"] = Processor.process_fetch
         self._processMap["take_over"] = Processor.process_take_over
         self._on_message_begin = None
@@ -461,7 +579,7 @@
         iprot.readMessageEnd()
         result = append_result()
         try:
-            result.success = self._handler.append(args.origin, args.partition, args.epoch, args.first_index, args.records)
+            result.success = self._handler.append(args.origin, args.folder, args.partition, args.epoch, args.first_index, args.records)
             msg_type = TMessageType.REPLY
         except TTransport.TTransportException:
             raise
@@ -484,7 +602,7 @@
         iprot.readMessageEnd()
         result = seal_result()
         try:
-            result.success = self._handler.seal(args.origin, args.partition, args.epoch)
+            result.success = self._handler.seal(args.origin, args.folder, args.partition, args.epoch)
             msg_type = TMessageType.REPLY
         except TTransport.TTransportException:
             raise
@@ -501,13 +619,59 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_reset(self, seqid, iprot, oprot):
+        args = reset_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = reset_result()
+        try:
+            result.success = self._handler.reset(args.origin, args.folder, args.partition, args.epoch, args.generation, args.first_index)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("reset", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
+    def process_trim(self, seqid, iprot, oprot):
+        args = trim_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = trim_result()
+        try:
+            result.success = self._handler.trim(args.origin, args.folder, args.partition, args.epoch, args.first_index)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("trim", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
     def process_fetch(self, seqid, iprot, oprot):
         args = fetch_args()
         args.read(iprot)
         iprot.readMessageEnd()
         result = fetch_result()
         try:
-            result.success = self._handler.fetch(args.origin, args.partition, args.first_index, args.max_bytes)
+            result.success = self._handler.fetch(args.origin, args.folder, args.partition, args.first_index, args.max_bytes)
             msg_type = TMessageType.REPLY
         except TTransport.TTransportException:
             raise
@@ -992,6 +1156,7 @@
     """
     Attributes:
      - origin
+     - folder
      - partition
      - epoch
      - first_index
@@ -1000,8 +1165,9 @@
     """
 
 
-    def __init__(self, origin=None, partition=None, epoch=None, first_index=None, records=None,):
+    def __init__(self, origin=None, folder=None, partition=None, epoch=None, first_index=None, records=None,):
         self.origin = origin
+        self.folder = folder
         self.partition = partition
         self.epoch = epoch
         self.first_index = first_index
@@ -1023,21 +1189,26 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
+                if ftype == TType.STRING:
+                    self.folder = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
                 if ftype == TType.I32:
                     self.partition = iprot.readI32()
                 else:
                     iprot.skip(ftype)
-            elif fid == 3:
+            elif fid == 4:
                 if ftype == TType.I64:
                     self.epoch = iprot.readI64()
                 else:
                     iprot.skip(ftype)
-            elif fid == 4:
+            elif fid == 5:
                 if ftype == TType.I64:
                     self.first_index = iprot.readI64()
                 else:
                     iprot.skip(ftype)
-            elif fid == 5:
+            elif fid == 6:
                 if ftype == TType.LIST:
                     self.records = []
                     (_etype10, _size7) = iprot.readListBegin()
@@ -1061,20 +1232,24 @@
             oprot.writeFieldBegin('origin', TType.STRUCT, 1)
             self.origin.write(oprot)
             oprot.writeFieldEnd()
+        if self.folder is not None:
+            oprot.writeFieldBegin('folder', TType.STRING, 2)
+            oprot.writeString(self.folder.encode('utf-8') if sys.version_info[0] == 2 else self.folder)
+            oprot.writeFieldEnd()
         if self.partition is not None:
-            oprot.writeFieldBegin('partition', TType.I32, 2)
+            oprot.writeFieldBegin('partition', TType.I32, 3)
             oprot.writeI32(self.partition)
             oprot.writeFieldEnd()
         if self.epoch is not None:
-            oprot.writeFieldBegin('epoch', TType.I64, 3)
+            oprot.writeFieldBegin('epoch', TType.I64, 4)
             oprot.writeI64(self.epoch)
             oprot.writeFieldEnd()
         if self.first_index is not None:
-            oprot.writeFieldBegin('first_index', TType.I64, 4)
+            oprot.writeFieldBegin('first_index', TType.I64, 5)
             oprot.writeI64(self.first_index)
             oprot.writeFieldEnd()
         if self.records is not None:
-            oprot.writeFieldBegin('records', TType.LIST, 5)
+            oprot.writeFieldBegin('records', TType.LIST, 6)
             oprot.writeListBegin(TType.STRING, len(self.records))
             for iter13 in self.records:
                 oprot.writeBinary(iter13)
@@ -1100,10 +1275,11 @@
 append_args.thrift_spec = (
     None,  # 0
     (1, TType.STRUCT, 'origin', [Origin, None], None, ),  # 1
-    (2, TType.I32, 'partition', None, None, ),  # 2
-    (3, TType.I64, 'epoch', None, None, ),  # 3
-    (4, TType.I64, 'first_index', None, None, ),  # 4
-    (5, TType.LIST, 'records', (TType.STRING, 'BINARY', False), None, ),  # 5
+    (2, TType.STRING, 'folder', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'partition', None, None, ),  # 3
+    (4, TType.I64, 'epoch', None, None, ),  # 4
+    (5, TType.I64, 'first_index', None, None, ),  # 5
+    (6, TType.LIST, 'records', (TType.STRING, 'BINARY', False), None, ),  # 6
 )
 
 
@@ -1129,7 +1305,7 @@
                 break
             if fid == 0:
                 if ftype == TType.STRUCT:
-                    self.success = AppendReply()
+                    self.success = CopyReply()
                     self.success.read(iprot)
                 else:
                     iprot.skip(ftype)
@@ -1165,7 +1341,7 @@
         return not (self == other)
 all_structs.append(append_result)
 append_result.thrift_spec = (
-    (0, TType.STRUCT, 'success', [AppendReply, None], None, ),  # 0
+    (0, TType.STRUCT, 'success', [CopyReply, None], None, ),  # 0
 )
 
 
@@ -1173,14 +1349,16 @@
     """
     Attributes:
      - origin
+     - folder
      - partition
      - epoch
 
     """
 
 
-    def __init__(self, origin=None, partition=None, epoch=None,):
+    def __init__(self, origin=None, folder=None, partition=None, epoch=None,):
         self.origin = origin
+        self.folder = folder
         self.partition = partition
         self.epoch = epoch
 
@@ -1200,11 +1378,16 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
+                if ftype == TType.STRING:
+                    self.folder = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
                 if ftype == TType.I32:
                     self.partition = iprot.readI32()
                 else:
                     iprot.skip(ftype)
-            elif fid == 3:
+            elif fid == 4:
                 if ftype == TType.I64:
                     self.epoch = iprot.readI64()
                 else:
@@ -1223,12 +1406,16 @@
             oprot.writeFieldBegin('origin', TType.STRUCT, 1)
             self.origin.write(oprot)
             oprot.writeFieldEnd()
+        if self.folder is not None:
+            oprot.writeFieldBegin('folder', TType.STRING, 2)
+            oprot.writeString(self.folder.encode('utf-8') if sys.version_info[0] == 2 else self.folder)
+            oprot.writeFieldEnd()
         if self.partition is not None:
-            oprot.writeFieldBegin('partition', TType.I32, 2)
+            oprot.writeFieldBegin('partition', TType.I32, 3)
             oprot.writeI32(self.partition)
             oprot.writeFieldEnd()
         if self.epoch is not None:
-            oprot.writeFieldBegin('epoch', TType.I64, 3)
+            oprot.writeFieldBegin('epoch', TType.I64, 4)
             oprot.writeI64(self.epoch)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1251,8 +1438,9 @@
 seal_args.thrift_spec = (
     None,  # 0
     (1, TType.STRUCT, 'origin', [Origin, None], None, ),  # 1
-    (2, TType.I32, 'partition', None, None, ),  # 2
-    (3, TType.I64, 'epoch', None, None, ),  # 3
+    (2, TType.STRING, 'folder', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'partition', None, None, ),  # 3
+    (4, TType.I64, 'epoch', None, None, ),  # 4
 )
 
 
@@ -1278,7 +1466,7 @@
                 break
             if fid == 0:
                 if ftype == TType.STRUCT:
-                    self.success = AppendReply()
+                    self.success = CopyReply()
                     self.success.read(iprot)
                 else:
                     iprot.skip(ftype)
@@ -1314,7 +1502,365 @@
         return not (self == other)
 all_structs.append(seal_result)
 seal_result.thrift_spec = (
-    (0, TType.STRUCT, 'success', [AppendReply, None], None, ),  # 0
+    (0, TType.STRUCT, 'success', [CopyReply, None], None, ),  # 0
+)
+
+
+class reset_args(object):
+    """
+    Attributes:
+     - origin
+     - folder
+     - partition
+     - epoch
+     - generation
+     - first_index
+
+    """
+
+
+    def __init__(self, origin=None, folder=None, partition=None, epoch=None, generation=None, first_index=None,):
+        self.origin = origin
+        self.folder = folder
+        self.partition = partition
+        self.epoch = epoch
+        self.generation = generation
+        self.first_index = first_index
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.origin = Origin()
+                    self.origin.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.folder = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.partition = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.epoch = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.generation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.first_index = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('reset_args')
+        if self.origin is not None:
+            oprot.writeFieldBegin('origin', TType.STRUCT, 1)
+            self.origin.write(oprot)
+            oprot.writeFieldEnd()
+        if self.folder is not None:
+            oprot.writeFieldBegin('folder', TType.STRING, 2)
+            oprot.writeString(self.folder.encode('utf-8') if sys.version_info[0] == 2 else self.folder)
+            oprot.writeFieldEnd()
+        if self.partition is not None:
+            oprot.writeFieldBegin('partition', TType.I32, 3)
+            oprot.writeI32(self.partition)
+            oprot.writeFieldEnd()
+        if self.epoch is not None:
+            oprot.writeFieldBegin('epoch', TType.I64, 4)
+            oprot.writeI64(self.epoch)
+            oprot.writeFieldEnd()
+        if self.generation is not None:
+            oprot.writeFieldBegin('generation', TType.I64, 5)
+            oprot.writeI64(self.generation)
+            oprot.writeFieldEnd()
+        if self.first_index is not None:
+            oprot.writeFieldBegin('first_index', TType.I64, 6)
+            oprot.writeI64(self.first_index)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(reset_args)
+reset_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'origin', [Origin, None], None, ),  # 1
+    (2, TType.STRING, 'folder', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'partition', None, None, ),  # 3
+    (4, TType.I64, 'epoch', None, None, ),  # 4
+    (5, TType.I64, 'generation', None, None, ),  # 5
+    (6, TType.I64, 'first_index', None, None, ),  # 6
+)
+
+
+class reset_result(object):
+    """
+    Attributes:
+     - success
+
+    """
+
+
+    def __init__(self, success=None,):
+        self.success = success
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.STRUCT:
+                    self.success = CopyReply()
+                    self.success.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('reset_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.STRUCT, 0)
+            self.success.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(reset_result)
+reset_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [CopyReply, None], None, ),  # 0
+)
+
+
+class trim_args(object):
+    """
+    Attributes:
+     - origin
+     - folder
+     - partition
+     - epoch
+     - first_index
+
+    """
+
+
+    def __init__(self, origin=None, folder=None, partition=None, epoch=None, first_index=None,):
+        self.origin = origin
+        self.folder = folder
+        self.partition = partition
+        self.epoch = epoch
+        self.first_index = first_index
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.origin = Origin()
+                    self.origin.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.folder = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.partition = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.epoch = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.first_index = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('trim_args')
+        if self.origin is not None:
+            oprot.writeFieldBegin('origin', TType.STRUCT, 1)
+            self.origin.write(oprot)
+            oprot.writeFieldEnd()
+        if self.folder is not None:
+            oprot.writeFieldBegin('folder', TType.STRING, 2)
+            oprot.writeString(self.folder.encode('utf-8') if sys.version_info[0] == 2 else self.folder)
+            oprot.writeFieldEnd()
+        if self.partition is not None:
+            oprot.writeFieldBegin('partition', TType.I32, 3)
+            oprot.writeI32(self.partition)
+            oprot.writeFieldEnd()
+        if self.epoch is not None:
+            oprot.writeFieldBegin('epoch', TType.I64, 4)
+            oprot.writeI64(self.epoch)
+            oprot.writeFieldEnd()
+        if self.first_index is not None:
+            oprot.writeFieldBegin('first_index', TType.I64, 5)
+            oprot.writeI64(self.first_index)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(trim_args)
+trim_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'origin', [Origin, None], None, ),  # 1
+    (2, TType.STRING, 'folder', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'partition', None, None, ),  # 3
+    (4, TType.I64, 'epoch', None, None, ),  # 4
+    (5, TType.I64, 'first_index', None, None, ),  # 5
+)
+
+
+class trim_result(object):
+    """
+    Attributes:
+     - success
+
+    """
+
+
+    def __init__(self, success=None,):
+        self.success = success
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.STRUCT:
+                    self.success = CopyReply()
+                    self.success.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('trim_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.STRUCT, 0)
+            self.success.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(trim_result)
+trim_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [CopyReply, None], None, ),  # 0
 )
 
 
@@ -1322,6 +1868,7 @@
     """
     Attributes:
      - origin
+     - folder
      - partition
      - first_index
      - max_bytes
@@ -1329,8 +1876,9 @@
     """
 
 
-    def __init__(self, origin=None, partition=None, first_index=None, max_bytes=None,):
+    def __init__(self, origin=None, folder=None, partition=None, first_index=None, max_bytes=None,):
         self.origin = origin
+        self.folder = folder
         self.partition = partition
         self.first_index = first_index
         self.max_bytes = max_bytes
@@ -1351,16 +1899,21 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
+                if ftype == TType.STRING:
+                    self.folder = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
                 if ftype == TType.I32:
                     self.partition = iprot.readI32()
                 else:
                     iprot.skip(ftype)
-            elif fid == 3:
+            elif fid == 4:
                 if ftype == TType.I64:
                     self.first_index = iprot.readI64()
                 else:
                     iprot.skip(ftype)
-            elif fid == 4:
+            elif fid == 5:
                 if ftype == TType.I32:
                     self.max_bytes = iprot.readI32()
                 else:
@@ -1379,16 +1932,20 @@
             oprot.writeFieldBegin('origin', TType.STRUCT, 1)
             self.origin.write(oprot)
             oprot.writeFieldEnd()
+        if self.folder is not None:
+            oprot.writeFieldBegin('folder', TType.STRING, 2)
+            oprot.writeString(self.folder.encode('utf-8') if sys.version_info[0] == 2 else self.folder)
+            oprot.writeFieldEnd()
         if self.partition is not None:
-            oprot.writeFieldBegin('partition', TType.I32, 2)
+            oprot.writeFieldBegin('partition', TType.I32, 3)
             oprot.writeI32(self.partition)
             oprot.writeFieldEnd()
         if self.first_index is not None:
-            oprot.writeFieldBegin('first_index', TType.I64, 3)
+            oprot.writeFieldBegin('first_index', TType.I64, 4)
             oprot.writeI64(self.first_index)
             oprot.writeFieldEnd()
         if self.max_bytes is not None:
-            oprot.writeFieldBegin('max_bytes', TType.I32, 4)
+            oprot.writeFieldBegin('max_bytes', TType.I32, 5)
             oprot.writeI32(self.max_bytes)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1411,9 +1968,10 @@
 fetch_args.thrift_spec = (
     None,  # 0
     (1, TType.STRUCT, 'origin', [Origin, None], None, ),  # 1
-    (2, TType.I32, 'partition', None, None, ),  # 2
-    (3, TType.I64, 'first_index', None, None, ),  # 3
-    (4, TType.I32, 'max_bytes', None, None, ),  # 4
+    (2, TType.STRING, 'folder', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'partition', None, None, ),  # 3
+    (4, TType.I64, 'first_index', None, None, ),  # 4
+    (5, TType.I32, 'max_bytes', None, None, ),  # 5
 )
 
 
--- a/packages/endiveworks/src/endiveworks/wire/gen/ttypes.py
+++ b/packages/endiveworks/src/endiveworks/wire/gen/ttypes.py
@@ -1035,19 +1035,23 @@
         return not (self == other)
 
 
-class AppendReply(object):
+class CopyReply(object):
     """
     Attributes:
+     - epoch
+     - generation
+     - first_index
      - last_index
-     - sealed_epoch
      - fault
 
     """
 
 
-    def __init__(self, last_index=None, sealed_epoch=None, fault=None,):
+    def __init__(self, epoch=None, generation=None, first_index=None, last_index=None, fault=None,):
+        self.epoch = epoch
+        self.generation = generation
+        self.first_index = first_index
         self.last_index = last_index
-        self.sealed_epoch = sealed_epoch
         self.fault = fault
 
     def read(self, iprot):
@@ -1061,15 +1065,25 @@
                 break
             if fid == 1:
                 if ftype == TType.I64:
-                    self.last_index = iprot.readI64()
+                    self.epoch = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.I64:
-                    self.sealed_epoch = iprot.readI64()
+                    self.generation = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
+                if ftype == TType.I64:
+                    self.first_index = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.last_index = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
                 if ftype == TType.STRUCT:
                     self.fault = Fault()
                     self.fault.read(iprot)
@@ -1084,17 +1098,25 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('AppendReply')
+        oprot.writeStructBegin('CopyReply')
+        if self.epoch is not None:
+            oprot.writeFieldBegin('epoch', TType.I64, 1)
+            oprot.writeI64(self.epoch)
+            oprot.writeFieldEnd()
+        if self.generation is not None:
+            oprot.writeFieldBegin('generation', TType.I64, 2)
+            oprot.writeI64(self.generation)
+            oprot.writeFieldEnd()
+        if self.first_index is not None:
+            oprot.writeFieldBegin('first_index', TType.I64, 3)
+            oprot.writeI64(self.first_index)
+            oprot.writeFieldEnd()
         if self.last_index is not None:
-            oprot.writeFieldBegin('last_index', TType.I64, 1)
+            oprot.writeFieldBegin('last_index', TType.I64, 4)
             oprot.writeI64(self.last_index)
             oprot.writeFieldEnd()
-        if self.sealed_epoch is not None:
-            oprot.writeFieldBegin('sealed_epoch', TType.I64, 2)
-            oprot.writeI64(self.sealed_epoch)
-            oprot.writeFieldEnd()
         if self.fault is not None:
-            oprot.writeFieldBegin('fault', TType.STRUCT, 3)
+            oprot.writeFieldBegin('fault', TType.STRUCT, 5)
             self.fault.write(oprot)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1639,12 +1661,14 @@
     (2, TType.I64, 'incarnation', None, None, ),  # 2
     (3, TType.STRUCT, 'fault', [Fault, None], None, ),  # 3
 )
-all_structs.append(AppendReply)
-AppendReply.thrift_spec = (
+all_structs.append(CopyReply)
+CopyReply.thrift_spec = (
     None,  # 0
-    (1, TType.I64, 'last_index', None, None, ),  # 1
-    (2, TType.I64, 'sealed_epoch', None, None, ),  # 2
-    (3, TType.STRUCT, 'fault', [Fault, None], None, ),  # 3
+    (1, TType.I64, 'epoch', None, None, ),  # 1
+    (2, TType.I64, 'generation', None, None, ),  # 2
+    (3, TType.I64, 'first_index', None, None, ),  # 3
+    (4, TType.I64, 'last_index', None, None, ),  # 4
+    (5, TType.STRUCT, 'fault', [Fault, None], None, ),  # 5
 )
 all_structs.append(FetchReply)
 FetchReply.thrift_spec = (
