--- a/packages/endiveworks/src/endiveworks/programs/partition.py
+++ b/packages/endiveworks/src/endiveworks/programs/partition.py
@@ -103,11 +103,8 @@
             self._snapshot()
 
     def _snapshot(self) -> None:
-        # A snapshot stands for all records up to an index, so the last append must have one.
-        stored = self._last.result(timeout=APPEND_TIMEOUT_S)
-        if isinstance(stored, Success):
-            kept = snapshot(self._state, time.time() - _KEEP_CLOSED_S)
-            self._log.snapshot(stored.unwrap(), [encode(record) for record in kept])
+        kept = snapshot(self._state, time.time() - _KEEP_CLOSED_S)
+        self._log.snapshot([encode(record) for record in kept])
 
     def _lost(self) -> Failure | None:
         if not self._last.done():
