Add the engine stand-in over a model of batching and prefix caching

One step loop serves all streams; a stream begins with a comment line so that its headers are sent before the first token.

--- /dev/null
+++ b/packages/endiveworks-standins/src/endiveworks_standins/engine/http.py
@@ -0,0 +1,195 @@
+"""HTTP surface of the stand-in."""
+
+import json
+import time
+import uuid
+from collections.abc import Callable, Iterable, Iterator
+from typing import Any, NamedTuple
+
+from .faults import Faults
+from .loop import Loop, Request
+from .orders import KINDS, Orders
+from .text import answer_pieces, read_prompt
+
+READ_WAIT_S = 5.0
+DEFAULT_MAX_TOKENS = 256
+
+Json = dict[str, Any]
+Environ = dict[str, Any]
+StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+
+
+class Reply(NamedTuple):
+    """A whole response as status line and JSON body."""
+
+    status: str
+    body: Json
+
+
+class Stream(NamedTuple):
+    """A response that is sent piece by piece."""
+
+    parts: Iterator[bytes]
+
+
+OK = "200 OK"
+
+
+def make_app(
+    loop: Loop, orders: Orders, natural_tokens: int
+) -> Callable[[Environ, StartResponse], Iterable[bytes]]:
+    """Makes the WSGI application of the stand-in."""
+    routes: dict[tuple[str, str], Callable[[Environ], Reply | Stream]] = {
+        ("POST", "/v1/chat/completions"): lambda env: _complete(loop, natural_tokens, env),
+        ("POST", "/v1/cancel"): lambda env: _cancel(loop, env),
+        ("GET", "/load"): lambda env: Reply(OK, loop.read_load()._asdict()),
+        ("GET", "/cache/events"): lambda env: _events(loop, env),
+        ("GET", "/cache/list"): lambda env: Reply(OK, {"prefixes": loop.list_cache()}),
+        ("POST", "/cache/release"): lambda env: _memory(loop.release, env),
+        ("POST", "/cache/export"): lambda env: _memory(loop.export_prefix, env),
+        ("POST", "/cache/import"): lambda env: _memory(loop.import_prefix, env),
+        ("POST", "/orders"): lambda env: _order(orders, env),
+        ("GET", "/orders"): lambda env: Reply(OK, {**orders.values, "fencing": orders.fencing}),
+        ("POST", "/standin/faults"): lambda env: _set_faults(loop, env),
+    }
+
+    def app(environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
+        handler = routes.get((environ["REQUEST_METHOD"], environ["PATH_INFO"]))
+        try:
+            reply = handler(environ) if handler else _problem("404 Not Found", "no such path")
+        except (ValueError, TypeError, KeyError, AttributeError) as exc:
+            reply = _problem("400 Bad Request", str(exc))
+        if isinstance(reply, Stream):
+            start_response(OK, [("Content-Type", "text/event-stream")])
+            return reply.parts
+        data = json.dumps(reply.body).encode()
+        headers = [("Content-Type", "application/json"), ("Content-Length", str(len(data)))]
+        start_response(reply.status, headers)
+        return [data]
+
+    return app
+
+
+def _problem(status: str, message: str) -> Reply:
+    return Reply(status, {"error": {"message": message}})
+
+
+def _body(environ: Environ) -> Json:
+    return json.loads(environ["wsgi.input"].read() or b"{}")
+
+
+def _complete(loop: Loop, natural_tokens: int, environ: Environ) -> Reply | Stream:
+    body = _body(environ)
+    request_id = environ.get("HTTP_X_REQUEST_ID") or uuid.uuid4().hex
+    after = int(environ.get("HTTP_LAST_EVENT_ID") or 0)
+    if after and request_id not in loop.requests:
+        return _problem("404 Not Found", "no request to resume")
+    prompt = read_prompt(
+        body["messages"], loop.options.seed, bool(body.get("continue_final_message"))
+    )
+    limit = int(body.get("max_tokens") or DEFAULT_MAX_TOKENS)
+    if prompt.tokens + limit > loop.rates.memory_tokens:
+        return _problem("400 Bad Request", "the request exceeds the engine's memory")
+    pieces = answer_pieces(prompt.answer_seed, prompt.given, natural_tokens, limit)
+    request = loop.submit(request_id, str(body.get("cache_salt", "")), prompt, pieces)
+    if body.get("stream"):
+        return Stream(_stream(loop, request, after, str(body.get("model", ""))))
+    return _whole(loop, request)
+
+
+def _whole(loop: Loop, request: Request) -> Reply:
+    for _ in _stream(loop, request, 0, ""):
+        pass
+    if request.ending != "stop":
+        return _problem("503 Service Unavailable", request.ending)
+    message = {"role": "assistant", "content": "".join(request.pieces)}
+    choice = {"index": 0, "message": message, "finish_reason": "stop"}
+    return Reply(OK, {"choices": [choice], "usage": _usage(loop, request)})
+
+
+def _usage(loop: Loop, request: Request) -> Json:
+    prompt_tokens = request.seq.prompt_tokens
+    completion_tokens = request.produced + loop.faults.extra_tokens
+    return {
+        "prompt_tokens": prompt_tokens,
+        "completion_tokens": completion_tokens,
+        "total_tokens": prompt_tokens + completion_tokens,
+        "prompt_tokens_details": {"cached_tokens": request.seq.cached_tokens},
+    }
+
+
+def _stream(loop: Loop, request: Request, after: int, model: str) -> Iterator[bytes]:
+    sent = after
+    cut = False
+    head = json.dumps({"id": request.seq.request, "object": "chat.completion.chunk"})[:-1]
+    head += f', "model": {json.dumps(model)}, "choices": [{{"index": 0, "delta": {{"content": "'
+    with request.changed:
+        request.readers += 1
+    try:
+        yield b": accepted\n\n"
+        while True:
+            produced, ending = _wait(request, sent)
+            if request.cut_after and produced >= request.cut_after:
+                produced, cut = request.cut_after, True
+                request.cut_after = 0
+            pieces = request.pieces[sent:produced]
+            for at, piece in enumerate(pieces, sent + 1):
+                yield f'id: {at}\ndata: {head}{piece}"}}}}]}}\n\n'.encode()
+                sent = at
+            if cut:
+                raise ConnectionAbortedError("stream cut on order")
+            if ending:
+                yield from _ending(loop, request, ending)
+                return
+    finally:
+        with request.changed:
+            request.readers -= 1
+            request.left_at = time.monotonic()
+        loop.log("sent", request=request.seq.request, after=after, sent=sent, cut=cut)
+
+
+def _wait(request: Request, sent: int) -> tuple[int, str]:
+    with request.changed:
+        while request.produced <= sent and not request.ending:
+            request.changed.wait(READ_WAIT_S)
+        return request.produced, request.ending
+
+
+def _ending(loop: Loop, request: Request, ending: str) -> Iterator[bytes]:
+    if ending == "lost":
+        raise ConnectionAbortedError("engine restarted")
+    body = {
+        "id": request.seq.request,
+        "object": "chat.completion.chunk",
+        "choices": [{"index": 0, "delta": {}, "finish_reason": ending}],
+        "usage": _usage(loop, request),
+    }
+    yield f"id: {request.produced + 1}\ndata: {json.dumps(body)}\n\n".encode()
+    yield b"data: [DONE]\n\n"
+
+
+def _cancel(loop: Loop, environ: Environ) -> Reply:
+    return Reply(OK, {"cancelled": loop.cancel(str(_body(environ)["request_id"]))})
+
+
+def _events(loop: Loop, environ: Environ) -> Reply:
+    query = environ.get("QUERY_STRING", "")
+    after = int(query.removeprefix("after=") or 0)
+    return Reply(OK, {"events": [event._asdict() for event in loop.read_events(after)]})
+
+
+def _memory(order: Callable[[str], int], environ: Environ) -> Reply:
+    return Reply(OK, {"tokens": order(str(_body(environ)["cache_salt"]))})
+
+
+def _order(orders: Orders, environ: Environ) -> Reply:
+    body = _body(environ)
+    if body["kind"] not in KINDS:
+        return _problem("400 Bad Request", f"kind must be one of {', '.join(KINDS)}")
+    done = orders.apply(body["kind"], str(body["value"]), int(body.get("fencing", 0)))
+    return Reply(OK if done.accepted else "409 Conflict", done._asdict())
+
+
+def _set_faults(loop: Loop, environ: Environ) -> Reply:
+    loop.set_faults(Faults(**_body(environ)))
+    return Reply(OK, loop.faults._asdict())
