--- /dev/null
+++ b/packages/endiveworks/src/endiveworks/admission/tests/test_preempt.py
@@ -0,0 +1,18 @@
+from endiveworks.admission.preempt import Victim, choose_victim
+
+
+class TestVictim:
+    def test_lowest_class_with_most_left_is_cancelled(self) -> None:
+        running = [Victim("a", 1, 500, 0, True), Victim("b", 2, 100, 0, True)]
+        running.append(Victim("c", 2, 200, 0, True))
+        preemption = choose_victim(running, 0)
+        assert preemption is not None and preemption.key == "c"
+
+    def test_own_class_nearly_done_and_preempted_calls_stay(self) -> None:
+        running = [
+            Victim("same", 1, 500, 0, True),
+            Victim("done", 2, 1, 0, True),
+            Victim("again", 2, 500, 1, True),
+            Victim("once", 2, 500, 0, False),
+        ]
+        assert choose_victim(running, 1) is None
--- /dev/null
+++ b/packages/endiveworks/src/endiveworks/admission/tests/test_queue.py
@@ -0,0 +1,132 @@
+from endiveworks.admission.queue import (
+    Queue,
+    Rules,
+    Waiting,
+    cost_ahead_s,
+    level,
+    offer,
+    remove,
+    settle,
+    take,
+)
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+
+def call(key: str, tenant: str = "t", priority: int = 0, **fields: float) -> Waiting:
+    usual = {"weight": 1.0, "attained_tokens": 0, "cost_s": 1.0, "arrived_s": 0.0}
+    return Waiting(key=key, tenant=tenant, priority=priority, **{**usual, **fields})
+
+
+def drain(queue: Queue, now_s: float = 0.0) -> list[str]:
+    keys = []
+    while (taken := take(queue, now_s)) is not None:
+        keys.append(taken.call.key)
+    return keys
+
+
+calls = st.lists(
+    st.tuples(
+        st.sampled_from("abc"), st.integers(0, 2), st.integers(0, 10**6), st.floats(0.1, 5.0)
+    ),
+    max_size=40,
+)
+
+
+class TestOrder:
+    def test_lower_priority_number_goes_first(self) -> None:
+        queue = Queue(Rules())
+        offer(queue, call("lookup", priority=1))
+        offer(queue, call("certificate", priority=0))
+        assert drain(queue) == ["certificate", "lookup"]
+
+    def test_least_attained_service_goes_first_until_the_other_has_aged(self) -> None:
+        queue = Queue(Rules(level_gap_s=10.0))
+        old = call("old", attained_tokens=10_000, arrived_s=0.0)
+        gap_s = 10.0 * level(10_000)
+        offer(queue, old)
+        offer(queue, call("soon", arrived_s=gap_s - 1))
+        offer(queue, call("late", arrived_s=gap_s + 1))
+        assert drain(queue) == ["soon", "old", "late"]
+
+    def test_class_passed_over_gets_a_turn(self) -> None:
+        queue = Queue(Rules(passed_over_s=5.0))
+        offer(queue, call("low", priority=1))
+        for at in range(8):
+            offer(queue, call(f"high{at}", priority=0))
+        order = [taken.call.key for now in range(8) if (taken := take(queue, float(now)))]
+        assert order.index("low") == 5
+
+    def test_tenants_share_by_weight(self) -> None:
+        queue = Queue(Rules())
+        for at in range(30):
+            offer(queue, call(f"big{at}", "big", weight=2.0))
+            offer(queue, call(f"small{at}", "small", weight=1.0))
+        first = drain(queue)[:30]
+        assert sum(key.startswith("big") for key in first) == 20
+
+    def test_idle_tenant_saves_up_no_claim(self) -> None:
+        queue = Queue(Rules())
+        for at in range(10):
+            offer(queue, call(f"busy{at}", "busy"))
+        for _ in range(6):
+            take(queue, 0.0)
+        for at in range(4):
+            offer(queue, call(f"new{at}", "new"))
+        first = drain(queue)[:4]
+        assert sum(key.startswith("new") for key in first) <= 3
+
+    def test_settled_overrun_is_charged(self) -> None:
+        queue = Queue(Rules())
+        for at in range(4):
+            offer(queue, call(f"a{at}", "a"))
+            offer(queue, call(f"b{at}", "b"))
+        settle(queue, "a", 1.0, 2.5)
+        assert drain(queue)[:3] == ["b0", "b1", "b2"]
+
+
+class TestBounds:
+    def test_tenant_and_class_are_bounded_alone(self) -> None:
+        queue = Queue(Rules(max_waiting=1))
+        assert offer(queue, call("a", "t"))
+        assert not offer(queue, call("b", "t"))
+        assert offer(queue, call("c", "other"))
+        assert offer(queue, call("d", "t", priority=1))
+
+    def test_known_key_is_not_queued_twice(self) -> None:
+        queue = Queue(Rules())
+        assert offer(queue, call("a"))
+        assert not offer(queue, call("a"))
+
+
+class TestInvariants:
+    @settings(derandomize=True, deadline=None)
+    @given(calls, st.sets(st.integers(0, 39)))
+    def test_every_call_leaves_exactly_once(
+        self, offered: list[tuple[str, int, int, float]], removed: set[int]
+    ) -> None:
+        queue = Queue(Rules())
+        for at, (tenant, priority, attained, cost_s) in enumerate(offered):
+            fields = {"attained_tokens": attained, "cost_s": cost_s, "arrived_s": float(at)}
+            offer(queue, call(str(at), tenant, priority, **fields))
+        gone = [key for key in map(str, removed) if remove(queue, key) is not None]
+        left = drain(queue, 100.0)
+        assert sorted(gone + left) == sorted(map(str, range(len(offered))))
+        assert abs(cost_ahead_s(queue, 2)) < 1e-6
+        assert not any(queue.counts.values())
+
+    @settings(derandomize=True, deadline=None)
+    @given(st.lists(st.floats(0.1, 3.0), min_size=40, max_size=80))
+    def test_backlogged_tenants_stay_within_one_call_of_their_share(
+        self, costs: list[float]
+    ) -> None:
+        queue = Queue(Rules())
+        for at, cost_s in enumerate(costs):
+            for tenant, weight in (("a", 1.0), ("b", 3.0)):
+                offer(queue, call(f"{tenant}{at}", tenant, weight=weight, cost_s=cost_s))
+        served = {"a": 0.0, "b": 0.0}
+        for _ in range(len(costs) // 2):
+            taken = take(queue, 0.0)
+            assert taken is not None
+            served[taken.call.tenant] += taken.call.cost_s / taken.call.weight
+        assert abs(served["a"] - served["b"]) <= 3.0
