--- a/packages/endiveworks/src/endiveworks/engines/chat.py
+++ b/packages/endiveworks/src/endiveworks/engines/chat.py
@@ -134,7 +134,9 @@
         pending += data
         *events, pending = pending.split(EVENT_END)
         for event in events:
-            yield event + EVENT_END
+            # Comments only keep the connection alive.
+            if data_of(event):
+                yield event + EVENT_END
 
 
 def _note(event: bytes, progress: _Progress) -> None:
--- a/packages/endiveworks/src/endiveworks/engines/chat_format.py
+++ b/packages/endiveworks/src/endiveworks/engines/chat_format.py
@@ -14,7 +14,11 @@
 EVENT_END = b"\n\n"
 _DATA = b"data: "
 _MESSAGE_OVERHEAD_TOKENS = 16
-_RESERVED_FIELDS = frozenset({"model", "messages", "max_tokens", "stream", "stream_options"})
+_RESERVED_FIELDS = frozenset(
+    {"model", "messages", "max_tokens", "stream", "stream_options", "cache_salt"}
+)
+# Each further choice would generate as many tokens again, beyond what was reserved.
+_CHOICE_FIELDS = ("n", "best_of")
 _LENGTH_FIELDS = ("max_completion_tokens", "max_tokens")
 
 _RAW_OBJECT = msgspec.json.Decoder(dict[str, msgspec.Raw])
@@ -70,6 +74,7 @@
             msgspec.json.decode(message, type=Message)["role"]
         stream = msgspec.json.decode(fields.get("stream", b"false"), type=bool)
         max_tokens = _length_of(fields)
+        _check_choices(fields)
     except (msgspec.MsgspecError, KeyError, UnicodeDecodeError) as exc:
         return Err(_bad(f"the chat request is malformed: {exc}"))
     if not messages:
@@ -90,12 +95,18 @@
 
 
 def engine_request(
-    model: str, history: Sequence[bytes], req: ChatRequest, max_tokens: int, begun: bytes = b""
+    model: str,
+    program: str,
+    history: Sequence[bytes],
+    req: ChatRequest,
+    max_tokens: int,
+    begun: bytes = b"",
 ) -> bytes:
     """Returns the request for an engine.
 
     Args:
         model: Model name.
+        program: Program id, under which the engine keeps the prefix.
         history: Messages of the program so far, each as JSON.
         req: The caller's request.
         max_tokens: Largest answer, in tokens.
@@ -113,6 +124,7 @@
         "max_tokens": str(max_tokens).encode(),
         "stream": b"true",
         "stream_options": b'{"include_usage":true}',
+        "cache_salt": msgspec.json.encode(program),
         **options,
     }
     return msgspec.json.encode({name: msgspec.Raw(value) for name, value in fields.items()})
@@ -206,5 +218,11 @@
     return 0
 
 
+def _check_choices(fields: dict[str, msgspec.Raw]) -> None:
+    for name in _CHOICE_FIELDS:
+        if name in fields and msgspec.json.decode(fields[name], type=int) != 1:
+            raise msgspec.ValidationError(f"{name} must be 1")
+
+
 def _bad(detail: str) -> Failure:
     return Failure(Code.BAD_REQUEST, "engines.parse", "", detail, not_run=True)
--- a/packages/endiveworks/src/endiveworks/programs/plan.py
+++ b/packages/endiveworks/src/endiveworks/programs/plan.py
@@ -167,7 +167,9 @@
     begun = stream.read(0, 0.0).data
     message = _begun_message(begun) if begun else b""
     wanted = plan.wanted
-    return engine_request(wanted.service.model, plan.history, req, wanted.max_tokens, message)
+    return engine_request(
+        wanted.service.model, wanted.program, plan.history, req, wanted.max_tokens, message
+    )
 
 
 def _begun_message(events: bytes) -> bytes:
