Check service files and encode the bundle made from them

Operators need every error of a file at once, with the key path, what was found and what is allowed; unknown keys are refused with their near matches. The bundle is encoded as JSON objects rather than arrays, so that operators can read the key and a field in the wrong place can't be taken for another; its digest is checked when it is read. Publications' ids are kept in the bundle for publishers whose answer is lost.

--- a/packages/endiveworks/src/endiveworks/config/bundle.py
+++ b/packages/endiveworks/src/endiveworks/config/bundle.py
@@ -64,6 +64,8 @@
         published_at: Seconds since the epoch.
         digest: Hash of the services, equal for equal content.
         services: The services by name.
+        publications: Unique ids of the latest publications, newest last. A publisher whose answer
+            was lost finds its id here if the write took effect.
     """
 
     version: int
@@ -71,6 +73,7 @@
     published_at: float
     digest: str
     services: Mapping[str, Service]
+    publications: tuple[str, ...] = ()
 
 
 EMPTY = Bundle(0, "", 0.0, "", {})
--- /dev/null
+++ b/packages/endiveworks/src/endiveworks/config/codec.py
@@ -0,0 +1,67 @@
+"""The bundle as JSON, with objects for its parts so that operators can read it."""
+
+from collections.abc import Mapping
+from typing import Any
+
+import msgspec
+import xxhash
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+from ..errors import Code, Failure
+from .bundle import Bundle, CostWeights, Service, TenantTerms
+
+# The key-value service takes values up to a megabyte.
+MAX_BUNDLE_BYTES = 1_000_000
+
+
+def encode_bundle(bundle: Bundle) -> bytes:
+    """Returns the JSON form of a bundle; equal bundles give equal bytes."""
+    return msgspec.json.encode(_plain(bundle), order="deterministic")
+
+
+def decode_bundle(data: bytes) -> Result[Bundle, Failure]:
+    """Returns the bundle in JSON bytes.
+
+    Errors:
+        CORRUPT: The bytes are not JSON, a field is missing, unknown or of the wrong type, or the
+            digest does not match the services.
+    """
+    try:
+        bundle = _bundle(msgspec.json.decode(data, type=dict))
+    except (msgspec.DecodeError, KeyError, TypeError, AttributeError) as exc:
+        return Err(Failure(Code.CORRUPT, "config.decode", "", f"{type(exc).__name__}: {exc}"))
+    if bundle.digest != digest(bundle.services):
+        return Err(Failure(Code.CORRUPT, "config.decode", "", "digest does not match services"))
+    return Success(bundle)
+
+
+def digest(services: Mapping[str, Service]) -> str:
+    """Returns a hash of services that is equal for equal content; empty for none."""
+    if not services:
+        return ""
+    data = msgspec.json.encode(_plain(services), order="deterministic")
+    return xxhash.xxh3_128_hexdigest(data)
+
+
+def _plain(value: Any) -> Any:
+    if hasattr(value, "_asdict"):
+        return _plain(value._asdict())
+    if isinstance(value, Mapping):
+        return {name: _plain(item) for name, item in value.items()}
+    if isinstance(value, frozenset):
+        return sorted(value)
+    return value
+
+
+def _bundle(fields: dict[str, Any]) -> Bundle:
+    services = {name: _service(item) for name, item in fields["services"].items()}
+    bundle = Bundle(**{**fields, "services": services})
+    # Converting through arrays checks the type of every field.
+    return msgspec.convert(msgspec.to_builtins(bundle), Bundle)
+
+
+def _service(fields: dict[str, Any]) -> Service:
+    tenants = {name: TenantTerms(**terms) for name, terms in fields["tenants"].items()}
+    weights = CostWeights(**fields["weights"])
+    return Service(**{**fields, "tenants": tenants, "weights": weights})
--- /dev/null
+++ b/packages/endiveworks/src/endiveworks/config/service_file.py
@@ -0,0 +1,222 @@
+"""Service files: one TOML file for each service, checked before it is published."""
+
+import difflib
+import tomllib
+from collections.abc import Mapping, Sequence
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+from . import rules
+from .bundle import CostWeights, Service, TenantTerms
+from .rules import REQUIRED, Rule
+
+_MAX_FILE_BYTES = 65_536
+_MAX_FOUND_CHARS = 80
+_NOT_SET = "nothing"
+_MODEL, _PLAIN = "model", "plain"
+
+
+class Problem(NamedTuple):
+    """One error in a service file.
+
+    Attributes:
+        file: Path of the file.
+        key: Path of the key, such as "tenants.signs.weight"; empty for the file itself.
+        found: What the file has there.
+        allowed: What may stand there.
+    """
+
+    file: str
+    key: str
+    found: str
+    allowed: str
+
+    def __str__(self) -> str:
+        """Formats the problem for a terminal."""
+        where = f"{self.file}: {self.key}" if self.key else self.file
+        return f"{where}: found {self.found}; allowed: {self.allowed}"
+
+
+class ServiceSet(NamedTuple):
+    """The services of several files, by name."""
+
+    services: Mapping[str, Service]
+
+
+_SERVICE_RULES: Mapping[str, Rule] = {
+    "name": Rule(
+        "a name of lower-case letters, digits, dots, hyphens and underscores", rules.is_name
+    ),
+    "kind": Rule(f'"{_MODEL}" or "{_PLAIN}"', rules.is_one_of(_MODEL, _PLAIN)),
+    "model": Rule("a model name", rules.is_text, ""),
+    "classes": Rule("a table of class names with priorities", rules.is_filled_table),
+    "default_class": Rule("the name of one of the classes", rules.is_name),
+    "tenants": Rule("a table of tenants, each with its terms", rules.is_filled_table),
+    "at_most_once": Rule("a list of different operation names", rules.is_name_list, ()),
+    "checks_fencing": Rule("true or false", rules.is_flag, False),
+    "weights": Rule("a table of cost weights", rules.is_table, {}),
+    "deadline_s": Rule("seconds from 0.1 to 86400", rules.is_number(0.1, 86_400.0)),
+    "max_tokens": Rule("a whole number from 1 to 1000000", rules.is_integer(1, 1_000_000), 1),
+    "slots": Rule("a whole number from 1 to 10000", rules.is_integer(1, 10_000)),
+}
+_TENANT_RULES: Mapping[str, Rule] = {
+    "weight": Rule("a number from 0.001 to 1000", rules.is_number(0.001, 1000.0), 1.0),
+    "budget_tokens": Rule("a whole number of at least 1", rules.is_integer(1, 10**12)),
+}
+_WEIGHT_RULES: Mapping[str, Rule] = {
+    "latency": Rule("a number from 0 to 1000", rules.is_number(0.0, 1000.0), 1.0),
+    "wasted_cache": Rule("a number from 0 to 1000", rules.is_number(0.0, 1000.0), 1.0),
+}
+_CLASS_RULE = Rule("a whole number from 0 to 99", rules.is_integer(0, 99))
+_TENANT_RULE = Rule("a table of terms", rules.is_table)
+
+
+def check(path: Path) -> Result[Service, tuple[Problem, ...]]:
+    """Returns the service that a file describes, or every problem in it."""
+    loaded = _load(path)
+    if not isinstance(loaded, Success):
+        return Err((loaded.failure(),))
+    table = loaded.unwrap()
+    problems = [
+        *_check_table(_SERVICE_RULES, table),
+        *_check_parts(table),
+        *_check_together(table),
+    ]
+    if problems:
+        return Err(tuple(found._replace(file=str(path)) for found in problems))
+    return Success(_service(table))
+
+
+def collect(paths: Sequence[Path]) -> Result[ServiceSet, tuple[Problem, ...]]:
+    """Returns the services of all files, or every problem in any of them.
+
+    Args:
+        paths: Service files, or folders in which every "*.toml" is one.
+    """
+    services: dict[str, Service] = {}
+    sources: dict[str, Path] = {}
+    problems: list[Problem] = []
+    for path in _files(paths):
+        checked = check(path)
+        if not isinstance(checked, Success):
+            problems.extend(checked.failure())
+            continue
+        service = checked.unwrap()
+        if service.name in services:
+            taken = f"a name that {sources[service.name]} does not use"
+            problems.append(Problem(str(path), "name", repr(service.name), taken))
+        services[service.name] = service
+        sources[service.name] = path
+    if not services and not problems:
+        folders = ", ".join(map(str, paths))
+        problems.append(Problem(folders, "", "no service file", "at least one *.toml"))
+    return Err(tuple(problems)) if problems else Success(ServiceSet(services))
+
+
+def _files(paths: Sequence[Path]) -> list[Path]:
+    found: list[Path] = []
+    for path in paths:
+        found.extend(sorted(path.rglob("*.toml")) if path.is_dir() else [path])
+    return found
+
+
+def _load(path: Path) -> Result[dict[str, Any], Problem]:
+    allowed = f"a readable TOML file in UTF-8 of up to {_MAX_FILE_BYTES} bytes"
+    try:
+        data = path.read_bytes()
+        if len(data) > _MAX_FILE_BYTES:
+            return Err(Problem(str(path), "", f"{len(data)} bytes", allowed))
+        return Success(tomllib.loads(data.decode()))
+    except OSError as exc:
+        return Err(Problem(str(path), "", exc.strerror or str(exc), allowed))
+    except (UnicodeDecodeError, tomllib.TOMLDecodeError) as exc:
+        return Err(Problem(str(path), "", str(exc), allowed))
+
+
+def _check_parts(table: Mapping[str, Any]) -> list[Problem]:
+    problems = []
+    for name, priority in _entries(table, "classes"):
+        problems.extend(_check_name(name, f"classes.{name}"))
+        problems.extend(_check_value(_CLASS_RULE, priority, f"classes.{name}"))
+    for name, terms in _entries(table, "tenants"):
+        if name != "*":
+            problems.extend(_check_name(name, f"tenants.{name}"))
+        wrong = _check_value(_TENANT_RULE, terms, f"tenants.{name}")
+        problems.extend(wrong or _check_table(_TENANT_RULES, terms, f"tenants.{name}."))
+    problems.extend(_check_table(_WEIGHT_RULES, dict(_entries(table, "weights")), "weights."))
+    return problems
+
+
+def _check_together(table: Mapping[str, Any]) -> list[Problem]:
+    problems = []
+    classes = [name for name, _ in _entries(table, "classes")]
+    default = table.get("default_class")
+    if rules.is_name(default) and classes and default not in classes:
+        problems.append(Problem("", "default_class", repr(default), "one of " + _quoted(classes)))
+    model = table.get("model", "")
+    if table.get("kind") == _MODEL and model == "":
+        problems.append(Problem("", "model", _NOT_SET, "a model name, as the kind is model"))
+    if table.get("kind") == _PLAIN and model != "":
+        problems.append(Problem("", "model", _shown(model), "nothing, as the kind is plain"))
+    return problems
+
+
+def _check_table(
+    known: Mapping[str, Rule], table: Mapping[str, Any], prefix: str = ""
+) -> list[Problem]:
+    problems = []
+    for key, rule in known.items():
+        if key in table:
+            problems.extend(_check_value(rule, table[key], prefix + key))
+        elif rule.default is REQUIRED:
+            problems.append(Problem("", prefix + key, _NOT_SET, rule.allowed))
+    for key in table:
+        if key not in known:
+            problems.append(Problem("", prefix + key, "an unknown key", _near(key, known)))
+    return problems
+
+
+def _check_value(rule: Rule, value: Any, key: str) -> list[Problem]:
+    return [] if rule.accepts(value) else [Problem("", key, _shown(value), rule.allowed)]
+
+
+def _check_name(name: str, key: str) -> list[Problem]:
+    return _check_value(_SERVICE_RULES["name"], name, key)
+
+
+def _near(key: str, known: Mapping[str, Rule]) -> str:
+    matches = difflib.get_close_matches(key, known, n=2)
+    hint = f" (did you mean {_quoted(matches)}?)" if matches else ""
+    return "one of " + _quoted(list(known)) + hint
+
+
+def _quoted(names: Sequence[str]) -> str:
+    return ", ".join(f'"{name}"' for name in names)
+
+
+def _shown(value: Any) -> str:
+    text = repr(value)
+    return text if len(text) <= _MAX_FOUND_CHARS else text[:_MAX_FOUND_CHARS] + "..."
+
+
+def _entries(table: Mapping[str, Any], key: str) -> list[tuple[str, Any]]:
+    part = table.get(key, {})
+    return list(part.items()) if isinstance(part, Mapping) else []
+
+
+def _filled(known: Mapping[str, Rule], table: Mapping[str, Any]) -> dict[str, Any]:
+    return {key: table.get(key, rule.default) for key, rule in known.items()}
+
+
+def _service(table: Mapping[str, Any]) -> Service:
+    fields = _filled(_SERVICE_RULES, table)
+    tenants = {
+        name: TenantTerms(**_filled(_TENANT_RULES, terms))
+        for name, terms in table["tenants"].items()
+    }
+    weights = CostWeights(**_filled(_WEIGHT_RULES, fields["weights"]))
+    once = frozenset(fields["at_most_once"])
+    return Service(**{**fields, "tenants": tenants, "weights": weights, "at_most_once": once})
--- /dev/null
+++ b/packages/endiveworks/src/endiveworks/config/tests/test_codec.py
@@ -0,0 +1,49 @@
+import json
+
+from endiveworks.config.bundle import EMPTY, Bundle, CostWeights, Service, TenantTerms
+from endiveworks.config.codec import decode_bundle, digest, encode_bundle
+from endiveworks.errors import Code
+
+SHOP = Service(
+    name="shop",
+    kind="plain",
+    model="",
+    classes={"front": 0, "back": 1},
+    default_class="back",
+    tenants={"*": TenantTerms(1.0, 1000)},
+    at_most_once=frozenset({"order", "cut"}),
+    checks_fencing=False,
+    weights=CostWeights(1.0, 0.5),
+    deadline_s=30.0,
+    max_tokens=1,
+    slots=4,
+)
+BUNDLE = Bundle(3, "ann", 12.5, digest({"shop": SHOP}), {"shop": SHOP}, ("a", "b"))
+
+
+class TestCodec:
+    def test_round_trip(self) -> None:
+        assert decode_bundle(encode_bundle(BUNDLE)).unwrap() == BUNDLE
+        assert decode_bundle(encode_bundle(EMPTY)).unwrap() == EMPTY
+
+    def test_what_cannot_be_read_is_corrupt(self) -> None:
+        fields = json.loads(encode_bundle(BUNDLE))
+        shop = fields["services"]["shop"]
+        damaged = [
+            b"{",
+            b"[]",
+            json.dumps({**fields, "colour": 1}).encode(),
+            json.dumps({**fields, "version": "3"}).encode(),
+            json.dumps({**fields, "services": {"shop": {**shop, "slots": "4"}}}).encode(),
+            json.dumps({**fields, "services": {"shop": {**shop, "slots": 5}}}).encode(),
+            json.dumps({**fields, "services": {"shop": {**shop, "tenants": []}}}).encode(),
+            json.dumps({**fields, "services": {"shop": None}}).encode(),
+        ]
+        codes = [decode_bundle(data).failure().code for data in damaged]
+        assert codes == [Code.CORRUPT] * len(damaged)
+
+
+class TestDigest:
+    def test_does_not_depend_on_the_order_of_keys(self) -> None:
+        other = SHOP._replace(classes={"back": 1, "front": 0})
+        assert digest({"a": SHOP, "b": other}) == digest({"b": other, "a": SHOP})
