Refuse invalid UTF-8, deep nesting and absurd lengths in chat requests, and answer slow bodies

Seen at a running entry: messages that are not UTF-8 were accepted and kept in the history, a deeply nested body ended as an internal error, max_tokens beyond 31 bits was accepted though messages between processes carry 32, and a request whose body did not arrive got no answer, since cheroot waits for the rest of a body before it sends any headers.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/http_app.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/http_app.py
@@ -191,7 +191,7 @@
     try:
         body = msgspec.json.decode(req.body, type=OpenBody)
         unknown = msgspec.json.decode(req.body, type=dict).keys() - OpenBody.__annotations__.keys()
-    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as exc:
         return Err(bad(f"the body is malformed: {exc}"))
     if unknown:
         return Err(bad(f"the body has unknown fields: {', '.join(sorted(unknown))[:200]}"))
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/http_protocol.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/http_protocol.py
@@ -91,10 +91,21 @@
         try:
             super().respond()
         finally:
-            left = self.rfile.remaining if hasattr(self.rfile, "remaining") else 0
-            self.conn.unread = left > 0 or (self.chunked_read and not self.rfile.closed)
-            # What is left of a body would be taken for the next request.
-            self.close_connection = self.close_connection or self.conn.unread
+            self.conn.unread = self._is_partly_read()
+
+    def send_headers(self) -> None:
+        """Sends the headers of the answer; a request that was not read whole ends the connection.
+
+        cheroot would wait for the rest of the request first.
+        """
+        self.close_connection = self.close_connection or self._is_partly_read()
+        super().send_headers()
+
+    def _is_partly_read(self) -> bool:
+        if self.chunked_read:
+            return not self.rfile.closed
+        left: int = getattr(self.rfile, "remaining", 0)
+        return left > 0
 
     def simple_response(self, status: str, msg: str = "") -> None:
         """Refuses the request with problem details and ends the connection."""
--- a/packages/endiveworks/src/endiveworks/engines/chat_format.py
+++ b/packages/endiveworks/src/endiveworks/engines/chat_format.py
@@ -10,6 +10,7 @@
 
 from ..errors import Code, Failure
 
+MAX_ANSWER_TOKENS = 2**31 - 1
 DONE_EVENT = b"data: [DONE]\n\n"
 EVENT_END = b"\n\n"
 _DATA = b"data: "
@@ -64,13 +65,15 @@
 def parse_request(body: bytes) -> Result[ChatRequest, Failure]:
     """Checks a caller's request; a malformed one gives BAD_REQUEST naming the field."""
     try:
+        # Parts that are passed on unparsed must be text as well.
+        body.decode()
         fields = _RAW_OBJECT.decode(body)
         messages = tuple(bytes(raw) for raw in _RAW_LIST.decode(fields.get("messages", b"")))
         for message in messages:
             msgspec.json.decode(message, type=Message)["role"]
         stream = msgspec.json.decode(fields.get("stream", b"false"), type=bool)
         max_tokens = _length_of(fields)
-    except (msgspec.MsgspecError, KeyError, UnicodeDecodeError) as exc:
+    except (msgspec.MsgspecError, KeyError, UnicodeDecodeError, RecursionError) as exc:
         return Err(_bad(f"the chat request is malformed: {exc}"))
     if not messages:
         return Err(_bad("messages is empty"))
@@ -200,8 +203,9 @@
     for name in _LENGTH_FIELDS:
         if name in fields:
             value = msgspec.json.decode(fields[name], type=int)
-            if value < 1:
-                raise msgspec.ValidationError(f"{name} is {value}, allowed is 1 or more")
+            if not 1 <= value <= MAX_ANSWER_TOKENS:
+                detail = f"{name} is {value}, allowed are 1 to {MAX_ANSWER_TOKENS}"
+                raise msgspec.ValidationError(detail)
             return value
     return 0
 
