--- a/packages/endiveworks-daemon/src/endiveworks_daemon/options.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/options.py
@@ -9,6 +9,7 @@
     optional_address,
 )
 from endiveworks.settings.flags import Flags, Values
+from endiveworks.settings.shared import CTL_SETTINGS
 
 ROLES = ("entry", "upstream")
 LOG_LEVELS = ("debug", "info", "warning", "error")
@@ -16,7 +17,7 @@
 
 def daemon_flags() -> Flags:
     """Returns the settings of the daemon, all with their checks."""
-    flags = Flags("endiveworksd")
+    flags = Flags("endiveworksd", shared=CTL_SETTINGS)
     flags.define_choice("role", "", ROLES, "What this process is.")
     flags.define_string("host", "", "Name of this process, unique in the deployment.", not_empty)
     flags.define_string("region", "", "Region of the failure domain.", not_empty)
--- a/packages/endiveworks/src/endiveworks/settings/shared.py
+++ b/packages/endiveworks/src/endiveworks/settings/shared.py
@@ -1,6 +1,33 @@
 """Names of all settings by program, so that one program knows the variables of the other."""
 
-DAEMON_SETTINGS: tuple[str, ...] = ()
+DAEMON_SETTINGS = (
+    "role",
+    "host",
+    "region",
+    "failure_domain",
+    "kv",
+    "listen",
+    "admin",
+    "statsd",
+    "log_level",
+    "seeds",
+    "lease_s",
+    "drain_s",
+    "max_connections",
+    "http",
+    "data_dir",
+    "max_open",
+    "max_body_bytes",
+    "max_callers",
+    "max_header_bytes",
+    "request_s",
+    "caller_silence_s",
+    "patience_s",
+    "service",
+    "upstream_url",
+    "max_waiting",
+    "silence_s",
+)
 
 CTL_SETTINGS = (
     "kv",
@@ -8,6 +35,7 @@
     "format",
     "timeout_s",
     "publisher",
+    "expect",
     "histograms",
     "limit",
 )
