--- /dev/null
+++ b/packages/endiveworks/src/endiveworks/links/tests/test_retry.py
@@ -0,0 +1,45 @@
+from endiveworks.links.retry import (
+    Circuit,
+    after_failure,
+    after_success,
+    allows,
+    backoff_s,
+    deposit,
+    full_budget,
+    withdraw,
+)
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+
+class TestRetryBudget:
+    @settings(derandomize=True)
+    @given(st.lists(st.booleans(), max_size=200))
+    def test_retries_stay_a_share_of_the_requests(self, wants_retry: list[bool]) -> None:
+        budget = full_budget(capacity=5.0, per_request=0.1)
+        retries = 0
+        for wants in wants_retry:
+            budget = deposit(budget)
+            if wants:
+                budget, allowed = withdraw(budget)
+                retries += allowed
+        assert retries <= 5 + 0.1 * len(wants_retry)
+
+
+class TestBackoff:
+    def test_is_spread_from_zero_to_a_bound_that_doubles_up_to_the_cap(self) -> None:
+        bounds = [backoff_s(attempt, 0.1, 1.0, 1.0) for attempt in range(1, 7)]
+        assert bounds == [0.1, 0.2, 0.4, 0.8, 1.0, 1.0]
+        assert backoff_s(10_000, 0.1, 1.0, 0.0) == 0.0
+
+
+class TestCircuit:
+    def test_opens_after_failures_in_a_row_and_closes_on_a_success(self) -> None:
+        circuit = Circuit()
+        for _ in range(2):
+            circuit = after_failure(circuit, now_s=10.0, wait_s=1.0)
+        assert allows(circuit, 10.0)
+        circuit = after_failure(circuit, now_s=10.0, wait_s=1.0)
+        assert not allows(circuit, 10.9)
+        assert allows(circuit, 11.0)
+        assert allows(after_success(circuit), 10.0)
