Follow members and configuration in the daemon

The daemon polled the key-value service twice a second for both, which grows with the fleet. It now keeps a lease-backed entry, watches the members, takes the configuration through its region's tree, reads the platform's list of hosts, and leaves a process out of routing after a failed contact or its own word that it is leaving. A process that starts takes the configuration from a peer or a seed before it serves.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/deployment.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/deployment.py
@@ -1,24 +1,37 @@
 """This process as a member of its deployment: who else is there and what configuration holds."""
 
+import random
 import threading
-from collections.abc import Mapping
-
-import msgspec
-from endiveworks.config.bundle import EMPTY, Bundle
-from endiveworks.config.codec import decode_bundle
+import time
+from collections.abc import Callable, Mapping
+
+from endiveworks.config.adopt import Adoption
+from endiveworks.config.bundle import Bundle
+from endiveworks.config.follower import Follower
+from endiveworks.config.publish import BUNDLE_KEY
+from endiveworks.errors import Code, Failure
+from endiveworks.links.client import Peers
+from endiveworks.links.retry import backoff_s
 from endiveworks.members.member import Member
+from endiveworks.members.membership import Membership
 from endiveworks.platform.etcd import connect
-from endiveworks.platform.kv import Kv, Swap
+from endiveworks.platform.host_list import read_host_list
 from endiveworks.settings.flags import Values
-from endiveworks.wire.gen import ttypes
+from endiveworks.telemetry.logs import logger
+from endiveworks.wire.gen import Node, ttypes
 from returns.result import Success
 
+from .config_links import config_links
 from .identity import Identity, new_incarnation
+from .presence import Presence
 
-_HOSTS = "/endiveworks/hosts/"
-_BUNDLE = "/endiveworks/config/bundle"
-_POLL_S = 0.5
 _KV_TIMEOUT_S = 2.0
+_MEMBER_SILENCE_S = 15.0
+_CONFIG_SILENCE_S = 4.0
+_PULL_PERIOD_S = 2.0
+_HOST_LIST_PERIOD_S = 2.0
+_BASE_BACKOFF_S = 0.2
+_MAX_BACKOFF_S = 2.0
 
 
 class Deployment:
@@ -29,84 +42,128 @@
         leaving: Whether it takes no new work.
     """
 
-    def __init__(self, kv: Kv, cfg: Values) -> None:
+    def __init__(self, cfg: Values) -> None:
         self.identity = Identity(
             host=cfg.text("host"),
             incarnation=new_incarnation(),
             region=cfg.text("region"),
             failure_domain=cfg.text("failure_domain"),
-            config_version=lambda: self._bundle.version,
+            config_version=lambda: self.bundle().version,
+            config_age_s=lambda: self._follower.age_s(time.monotonic()),
         )
         self.leaving = False
-        self._kv = kv
-        self._members: dict[str, Member] = {}
-        self._bundle = EMPTY
-        self._encoded = b""
+        self._kv = connect(cfg.text("kv"), _KV_TIMEOUT_S, _MEMBER_SILENCE_S)
+        self._config_kv = connect(cfg.text("kv"), _KV_TIMEOUT_S, _CONFIG_SILENCE_S)
+        self._host_list = cfg.text("host_list")
+        self._membership = Membership()
+        self._adoption = Adoption()
+        self._rng = random.Random(self.identity.incarnation)
+        self._presence = Presence(self._kv, cfg.number("lease_s"), self._superseded, self._rng)
+        self._follower = Follower(
+            self.identity.host,
+            self.identity.region,
+            self._adoption,
+            self._membership.usable,
+            config_links(Peers(Node.Client), self.identity.origin),
+            _addresses(cfg.text("seeds")),
+            self._rng,
+        )
 
     def members(self) -> Mapping[str, Member]:
-        """Returns the live processes by host."""
-        return self._members
+        """Returns the live processes by host, those that are leaving included."""
+        return self._membership.members()
+
+    def usable(self) -> Mapping[str, Member]:
+        """Returns the processes by host that take new work, as far as is known."""
+        return self._membership.usable()
 
     def bundle(self) -> Bundle:
         """Returns the configuration in force."""
-        return self._bundle
+        return self._adoption.in_force().bundle
 
     def encoded_bundle(self) -> bytes:
         """Returns the encoded configuration in force."""
-        return self._encoded
+        return self._adoption.in_force().encoded
 
     def heard(self, origin: ttypes.Origin) -> None:
-        """Notes the sender of a message."""
+        """Notes the sender of a message: it is alive, and its configuration may be newer."""
+        self._follower.heard(origin.host, origin.config_version, time.monotonic())
+
+    def contacted(self, member: Member, failure: Failure | None) -> None:
+        """Notes the outcome of a call to a process; it decides whether it gets new work."""
+        if failure is None:
+            self._membership.answered(member.host, member.incarnation, draining=False)
+        elif failure.code is Code.DRAINING:
+            self._membership.answered(member.host, member.incarnation, draining=True)
+        elif failure.code in (Code.UNREACHABLE, Code.TIMEOUT):
+            self._membership.unanswered(member.host, member.incarnation)
 
     def announce(self, member: Member) -> None:
-        """Makes this process known to the others."""
-        self._put(member)
-        threading.Thread(target=self._poll_forever, name="deployment", daemon=True).start()
+        """Makes this process known to the others and starts to follow the deployment."""
+        self._presence.announce(member)
+        self._membership.load(self._kv)
+        self._follow_once()
+        follow = self._membership.follow
+        _start("members", lambda: follow(self._kv, time.sleep, self._rng))
+        _start("config-pull", self._pull_forever)
+        _start("config-watch", self._watch_forever)
+        if self._host_list:
+            _start("host-list", self._read_host_list_forever)
 
     def leave(self) -> None:
         """Tells the others that this process takes no new work."""
         self.leaving = True
-        me = self._members.get(self.identity.host)
-        if me is not None:
-            self._put(me._replace(draining=True))
+        self._presence.leave()
 
     def forget(self) -> None:
         """Removes this process from the deployment."""
-        self._swap(None)
-
-    def poll(self) -> None:
-        """Reads the members and the configuration."""
-        found = self._kv.read_prefix(_HOSTS)
-        if isinstance(found, Success):
-            members = [
-                msgspec.json.decode(entry.value, type=Member) for entry in found.unwrap().entries
-            ]
-            self._members = {member.host: member for member in members}
-        entry = self._kv.read(_BUNDLE).value_or(None)
-        if entry is not None and entry.value != self._encoded:
-            bundle = decode_bundle(entry.value).value_or(EMPTY)
-            if bundle.version > self._bundle.version:
-                self._bundle, self._encoded = bundle, entry.value
-
-    def _poll_forever(self) -> None:
-        wake = threading.Event()
-        while True:
-            self.poll()
-            wake.wait(_POLL_S)
+        self._presence.forget()
+
+    def _follow_once(self) -> None:
+        """Takes the configuration from a peer, else from the key-value service, before any work."""
+        self._follower.run_round(time.monotonic())
+        if self.bundle().version == 0:
+            entry = self._kv.read(BUNDLE_KEY).value_or(None)
+            self._adoption.offer(entry.value if entry is not None else b"", BUNDLE_KEY)
+
+    def _superseded(self) -> None:
+        """Stops taking new work, since another process has taken this one's name."""
+        self.leaving = True
+        logger("members").error("superseded", incarnation=self.identity.incarnation)
 
-    def _put(self, member: Member) -> None:
-        self._swap(msgspec.json.encode(member))
-        self.poll()
+    def _pull_forever(self) -> None:
+        while True:
+            self._follower.wait(_PULL_PERIOD_S * self._rng.uniform(0.8, 1.2))
+            self._follower.run_round(time.monotonic())
 
-    def _swap(self, value: bytes | None) -> None:
-        key = f"{_HOSTS}{self.identity.host}"
-        current = self._kv.read(key).value_or(None)
-        revision = current.mod_revision if current is not None else 0
-        self._kv.swap(Swap(key, value, revision))
+    def _watch_forever(self) -> None:
+        failures = 0
+        while True:
+            if not self._follower.should_watch(time.monotonic()):
+                time.sleep(_PULL_PERIOD_S / 2)
+                continue
+            began_s = time.monotonic()
+            failure = self._follower.watch(self._config_kv, time.monotonic)
+            lasted = time.monotonic() - began_s > _MAX_BACKOFF_S
+            failures = 1 if lasted or failure is None else failures + 1
+            time.sleep(backoff_s(failures, _BASE_BACKOFF_S, _MAX_BACKOFF_S, self._rng.random()))
+
+    def _read_host_list_forever(self) -> None:
+        while True:
+            read = read_host_list(self._host_list, _KV_TIMEOUT_S)
+            if isinstance(read, Success):
+                self._membership.listed(read.unwrap())
+            time.sleep(_HOST_LIST_PERIOD_S * self._rng.uniform(0.8, 1.2))
 
 
 def join(cfg: Values) -> Deployment:
-    """Connects to the key-value service and reads what it holds."""
-    deployment = Deployment(connect(cfg.text("kv"), _KV_TIMEOUT_S), cfg)
-    deployment.poll()
-    return deployment
+    """Returns this process's part in the deployment; the key-value service may be down."""
+    return Deployment(cfg)
+
+
+def _start(name: str, run: Callable[[], None]) -> None:
+    threading.Thread(target=run, name=name, daemon=True).start()
+
+
+def _addresses(text: str) -> tuple[str, ...]:
+    return tuple(part.strip() for part in text.split(",") if part.strip())
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/entry.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/entry.py
@@ -43,8 +43,9 @@
         deployment.identity,
         Peers(ExecutorThrift.Client),
         deployment.members,
-        lambda wanted: sends.choose(wanted, deployment.members()),
+        lambda wanted: sends.choose(wanted, deployment.usable()),
         sends.done,
+        deployment.contacted,
     )
     metrics = Metrics(cfg.text("statsd"), cfg.text("host"))
     measured = measured_upstreams(links, metrics)
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/identity.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/identity.py
@@ -18,6 +18,8 @@
         region: Region of its failure domain.
         failure_domain: Failure domain from its settings.
         config_version: Returns the version of the configuration in force here.
+        config_age_s: Returns the seconds since the key-value service is known to have had no newer
+            version; None for never.
     """
 
     host: str
@@ -25,6 +27,7 @@
     region: str
     failure_domain: str
     config_version: Callable[[], int]
+    config_age_s: Callable[[], float | None] = lambda: None
 
     def origin(self) -> ttypes.Origin:
         """Returns the sender part of a message."""
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/node_service.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/node_service.py
@@ -4,6 +4,7 @@
 
 from endiveworks.wire.gen import ttypes
 
+from .config_links import to_age_ms
 from .identity import Identity
 
 
@@ -47,6 +48,8 @@
 
     def config(self, origin: ttypes.Origin, newer_than: int) -> ttypes.ConfigReply:
         """Returns the bundle in force if it is newer than the caller's."""
+        self.heard(origin)
         version = self.identity.config_version()
         bundle = self._bundle() if version > newer_than else b""
-        return ttypes.ConfigReply(version, bundle)
+        age_s = self.identity.config_age_s()
+        return ttypes.ConfigReply(version, bundle, to_age_ms(age_s))
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/options.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/options.py
@@ -22,6 +22,12 @@
     flags.define_string("region", "", "Region of the failure domain.", not_empty)
     flags.define_string("failure_domain", "", "Failure domain of this host.", not_empty)
     flags.define_string("kv", "127.0.0.1:2379", "Address of the key-value service.", address)
+    flags.define_string(
+        "host_list",
+        "",
+        "Address of the platform's list of live and leaving hosts; empty reads none.",
+        optional_address,
+    )
     flags.define_string("listen", "127.0.0.1:0", "Address for the other processes.", address)
     flags.define_string("admin", "127.0.0.1:0", "Address for operators.", address)
     flags.define_string("statsd", "", "Address of statsd; empty sends nothing.", optional_address)
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/upstream_links.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/upstream_links.py
@@ -1,6 +1,7 @@
 """How owners reach the processes beside upstreams."""
 
 from collections.abc import Callable, Mapping
+from typing import TypeVar
 
 from endiveworks.calls.messages import CallKey, Doubt, Job
 from endiveworks.calls.stream import Piece
@@ -18,6 +19,8 @@
 
 _SILENCE_MARGIN_S = 2.0
 
+T = TypeVar("T")
+
 
 def upstream_links(
     identity: Identity,
@@ -25,6 +28,7 @@
     members: Callable[[], Mapping[str, Member]],
     choose: Callable[..., Result[Member, Failure]],
     done: Callable[..., None],
+    contacted: Callable[[Member, Failure | None], None] = lambda member, failure: None,
 ) -> Upstreams:
     """Returns the functions that owners call.
 
@@ -34,8 +38,13 @@
         members: Returns the live processes by host.
         choose: Chooses the upstream process for a call.
         done: Is told that an attempt has ended.
+        contacted: Is told the outcome of each contact with a process.
     """
 
+    def noted(member: Member, outcome: Result[T, Failure]) -> Result[T, Failure]:
+        contacted(member, None if isinstance(outcome, Success) else outcome.failure())
+        return outcome
+
     def submit(member: Member, job: Job) -> Result[None, Failure]:
         req = _dispatch(job)
         answered = peers.call(
@@ -44,7 +53,7 @@
             ANSWER_TIMEOUT_S,
             lambda client: client.submit(identity.origin(), req),
         )
-        return answered.bind(_accepted)
+        return noted(member, answered.bind(_accepted))
 
     def read(host: str, key: CallKey, offset: int, wait_s: float) -> Result[Piece, Failure]:
         member = members().get(host)
@@ -58,7 +67,7 @@
                 identity.origin(), ttypes.CallKey(*key), offset, int(wait_s * 1000)
             ),
         )
-        return answered.bind(read_reply)
+        return noted(member, answered).bind(read_reply)
 
     def revoke(host: str, key: CallKey, incarnation: int, epoch: int) -> Result[Doubt, Failure]:
         member = members().get(host)
--- a/packages/endiveworks-standins/src/endiveworks_standins/fleet.py
+++ b/packages/endiveworks-standins/src/endiveworks_standins/fleet.py
@@ -182,6 +182,7 @@
             f"--region={place.region}",
             f"--failure_domain={place.failure_domain}",
             f"--kv={self.kv_address}",
+            f"--host_list={self.kv_address}",
             *flags,
         ]
         return self.start(name, args)
--- /dev/null
+++ b/packages/endiveworks/src/endiveworks/members/membership.py
@@ -0,0 +1,105 @@
+"""Holds a process's view of the others and keeps it up to date."""
+
+import random
+import threading
+import time
+from collections.abc import Callable, Mapping
+
+from returns.result import Success
+
+from ..errors import Code
+from ..links.retry import backoff_s
+from ..platform.host_list import ListedHost
+from ..platform.kv import Change, Kv
+from ..telemetry.logs import logger
+from . import view as views
+from .member import Member
+from .registry import HOSTS_PREFIX
+from .view import View
+
+_BASE_BACKOFF_S = 0.2
+_MAX_BACKOFF_S = 5.0
+
+
+class Membership:
+    """The view of one process, shared by its threads.
+
+    Args:
+        clock: Returns the monotonic time in seconds.
+    """
+
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._view = View()
+        self._members: Mapping[str, Member] = {}
+
+    def members(self) -> Mapping[str, Member]:
+        """Returns the hosts by name, those that are leaving included."""
+        if self._view.vanished:
+            self._update(lambda view: views.expired(view, self._clock()))
+        return self._members
+
+    def usable(self) -> Mapping[str, Member]:
+        """Returns the hosts that take new work, as far as is known."""
+        self.members()
+        return views.usable(self._view, self._clock())
+
+    def unanswered(self, host: str, incarnation: int) -> None:
+        """Notes a refused connection or a missed heartbeat of a host."""
+        self._update(lambda view: views.unanswered(view, host, incarnation, self._clock()))
+
+    def answered(self, host: str, incarnation: int, draining: bool) -> None:
+        """Notes that a host answered, and whether it said that it is leaving."""
+        view = self._view
+        if host in view.suspicions or draining != (view.draining.get(host) == incarnation):
+            self._update(lambda view: views.answered(view, host, incarnation, draining))
+
+    def listed(self, hosts: tuple[ListedHost, ...]) -> None:
+        """Takes the platform's list over."""
+        self._update(lambda view: views.listed(view, hosts))
+
+    def load(self, kv: Kv) -> bool:
+        """Reads all entries; returns whether the key-value service answered."""
+        read = kv.read_prefix(HOSTS_PREFIX)
+        if not isinstance(read, Success):
+            return False
+        snapshot = read.unwrap()
+        self._update(lambda view: views.loaded(view, snapshot, self._clock()))
+        return True
+
+    def follow(self, kv: Kv, sleep: Callable[[float], None], rng: random.Random) -> None:
+        """Keeps the view up to date for as long as the process runs."""
+        failures = 0
+        while True:
+            while not self.load(kv):
+                failures += 1
+                sleep(backoff_s(failures, _BASE_BACKOFF_S, _MAX_BACKOFF_S, rng.random()))
+            failures = self._watch(kv, sleep, rng)
+
+    def _watch(self, kv: Kv, sleep: Callable[[float], None], rng: random.Random) -> int:
+        """Watches until the revision is forgotten; returns the failures since a sign of life."""
+        failures = 0
+
+        def on_changes(changes: tuple[Change, ...]) -> bool:
+            nonlocal failures
+            failures = 0
+            if changes:
+                self._update(lambda view: views.changed(view, changes, self._clock()))
+            return True
+
+        while True:
+            ended = kv.watch(HOSTS_PREFIX, self._view.revision, on_changes)
+            if isinstance(ended, Success) or ended.failure().code is Code.CONFLICT:
+                return failures
+            if ended.failure().code is not Code.TIMEOUT:
+                failures += 1
+                sleep(backoff_s(failures, _BASE_BACKOFF_S, _MAX_BACKOFF_S, rng.random()))
+
+    def _update(self, change: Callable[[View], View]) -> None:
+        with self._lock:
+            before = self._members
+            self._view = change(self._view)
+            self._members = views.members(self._view)
+        for host in before.keys() - self._members.keys():
+            logger("members").info("host_removed", peer=host)
