--- /dev/null
+++ b/tests/fleet/conftest.py
@@ -0,0 +1,104 @@
+"""A deployment of one plain service, with what the tests of the fleet ask of it."""
+
+import json
+import time
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+import urllib3
+from endiveworks.client.caller import Program, connect, open_program
+from endiveworks.config import publish as publication
+from endiveworks.config.publish import Published, Refused, Request
+from endiveworks.config.service_file import collect
+from endiveworks.members.member import Member
+from endiveworks.members.registry import read_members
+from endiveworks.platform.etcd import connect as connect_kv
+from endiveworks_standins.fleet import Fleet, Place, wait_until
+from returns.result import Result, Success
+
+SERVICES = Path(__file__).parents[2] / "examples" / "services"
+EAST = Place("east", "east-1")
+WEST = Place("west", "west-1")
+RETRIES_S = (0.1, 0.2, 0.4, 0.8, 1.6, 1.6, 1.6)
+
+
+class Cluster(Fleet):
+    """Processes of one deployment and the questions that tests ask of them."""
+
+    def __init__(self, folder: Path) -> None:
+        super().__init__(folder)
+        self.start_kv()
+        self.kv = connect_kv(self.kv_address, 2.0)
+        self.shop = self.start_plain("shop-1")
+        self.entries: dict[str, str] = {}
+        self.services = dict(collect([SERVICES]).unwrap().services)
+
+    def add_entry(self, name: str, place: Place = EAST, *flags: str) -> None:
+        self.entries[name] = self.start_entry(name, place, *flags)
+
+    def add_upstream(self, name: str, *flags: str, shop: str = "") -> None:
+        self.start_upstream(name, EAST, "shop", shop or self.shop, *flags)
+
+    def set_faults(self, **faults: Any) -> None:
+        self._standin("POST", self.kv_address, "/standin/faults", faults)
+
+    def set_hosts(self, **states: str) -> None:
+        hosts = [{"host": host, "state": state} for host, state in states.items()]
+        self._standin("POST", self.kv_address, "/standin/hosts", {"hosts": hosts})
+
+    def watches_waiting(self) -> int:
+        counters = self._standin("GET", self.kv_address, "/standin/counters", None)
+        return int(counters["watches_waiting"])
+
+    def publish_slots(
+        self, slots: int, expected: int, publisher: str = "ann"
+    ) -> Result[Published, Refused]:
+        shop = self.services["shop"]._replace(slots=slots)
+        services = {**self.services, "shop": shop}
+        identity = f"{publisher}-{expected}"
+        req = Request(services, publisher, expected, identity, time.time())
+        return publication.publish(self.kv, req, RETRIES_S, time.sleep)
+
+    def members(self) -> dict[str, Member]:
+        return {member.host: member for member in read_members(self.kv).unwrap()}
+
+    def status(self, name: str) -> dict[str, Any]:
+        address = self.procs[name].wait_event("listening")["admin"]
+        return self._standin("GET", address, "/status", None)
+
+    def versions(self, *names: str) -> list[int]:
+        return [int(self.status(name)["config_version"]) for name in names]
+
+    def events(self, name: str, event: str) -> list[dict[str, Any]]:
+        return [line for line in self.procs[name].events if line.get("event") == event]
+
+    def open_program(self, *entries: str) -> Program:
+        addresses = [self.entries[name] for name in entries or self.entries]
+        deployment = connect(addresses, "signs", timeout_s=60.0, silence_s=10.0)
+        opened: list[Program] = []
+
+        def attempt() -> bool:
+            outcome = open_program(deployment, "shop", "front", 400_000)
+            if isinstance(outcome, Success):
+                opened.append(outcome.unwrap())
+            return bool(opened)
+
+        wait_until(attempt)
+        return opened[0]
+
+    def _standin(self, method: str, address: str, path: str, body: Any) -> Any:
+        resp = urllib3.request(method, f"http://{address}{path}", json=body, timeout=5.0)
+        return json.loads(resp.data)
+
+
+@pytest.fixture
+def cluster(tmp_path: Path) -> Iterator[Cluster]:
+    with Cluster(tmp_path) as running:
+        yield running
+
+
+@pytest.fixture
+def until() -> Callable[..., None]:
+    return wait_until
