--- a/packages/endiveworks-daemon/src/endiveworks_daemon/http_app.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/http_app.py
@@ -139,7 +139,7 @@
     try:
         return _route(owners, req)
     except Exception as exc:  # A fault in one request must not show its trace to the caller.
-        logger("http").error("request_failed", path=req.path, exc_info=exc)
+        logger("http").error("request_failed", step="http.route", exc_info=exc)
         detail = "the request failed inside this host"
         return problem_answer(Failure(Code.INTERNAL, "http.route", "", detail))
 
--- a/packages/endiveworks/src/endiveworks/settings/flags.py
+++ b/packages/endiveworks/src/endiveworks/settings/flags.py
@@ -25,6 +25,14 @@
     check: Check | None
 
 
+class Described(NamedTuple):
+    """A setting as documentation shows it."""
+
+    name: str
+    default: object
+    help: str
+
+
 class Values:
     """The values in force after parsing.
 
@@ -122,6 +130,13 @@
         """Returns the names of all settings, in order of definition."""
         return tuple(self._settings)
 
+    def described(self) -> tuple[Described, ...]:
+        """Returns name, default and help of all settings, in order of definition."""
+        return tuple(
+            Described(setting.name, setting.default, setting.help)
+            for setting in self._settings.values()
+        )
+
     def help_text(self) -> str:
         """Returns the help for every setting, with its environment variable and default."""
         return f"usage: {self.program} [flags] [arguments]\n{self._flag_values().get_help()}"
--- /dev/null
+++ b/tests/test_docs.py
@@ -0,0 +1,78 @@
+"""docs/OPERATING.md names everything that operators meet; a row that is missing is printed."""
+
+import re
+from collections.abc import Iterable
+from pathlib import Path
+
+import pytest
+from endiveworks.config.bundle import CostWeights, Service, TenantTerms
+from endiveworks.errors import Code
+from endiveworks.settings.flags import Flags
+from endiveworks.telemetry.fields import ALLOWED
+from endiveworks_ctl import settings
+from endiveworks_ctl.exits import MEANING
+from endiveworks_ctl.main import COMMANDS
+from endiveworks_daemon.options import daemon_flags
+
+_ROOT = Path(__file__).parents[1]
+_DOCS = (_ROOT / "docs" / "OPERATING.md").read_text()
+_LOG_CALL = re.compile(r"\.(?:debug|info|warning|error|exception)\(\s*\"([a-z0-9_]+)\"")
+_METRIC_CALL = re.compile(r"(?:\.(?:count|record|gauge)|_record)\(\s*f?\"([a-z_]+)")
+_BY_USER = "publisher"
+
+
+def _sources() -> Iterable[str]:
+    for package in ("endiveworks", "endiveworks-daemon", "endiveworks-ctl"):
+        for path in (_ROOT / "packages" / package / "src").rglob("*.py"):
+            if "tests" not in path.parts and "gen" not in path.parts:
+                yield path.read_text()
+
+
+def _rows_without(names: Iterable[str]) -> list[str]:
+    return sorted(name for name in set(names) if f"| `{name}` |" not in _DOCS)
+
+
+class TestSettings:
+    @pytest.mark.parametrize("flags", [daemon_flags(), settings.define()], ids=lambda f: f.program)
+    def test_every_flag_with_default_and_help(self, flags: Flags) -> None:
+        rows = []
+        for found in flags.described():
+            default = "the user's name" if found.name == _BY_USER else f"`{found.default}`"
+            default = "" if found.default == "" else default
+            rows.append(f"| `--{found.name}` | {default} | {found.help} |")
+        assert not [row for row in rows if row not in _DOCS]
+
+
+class TestServiceFiles:
+    def test_every_key(self) -> None:
+        keys = [*Service._fields]
+        keys += [f"tenants.NAME.{key}" for key in TenantTerms._fields]
+        keys += [f"weights.{key}" for key in CostWeights._fields]
+        assert not _rows_without(keys)
+
+
+class TestCodes:
+    def test_every_error_code(self) -> None:
+        assert not _rows_without(code.value for code in Code)
+
+    def test_every_exit_code(self) -> None:
+        rows = [f"| `{code.value}` | {meaning} |" for code, meaning in MEANING.items()]
+        assert not [row for row in rows if row not in _DOCS]
+
+    def test_every_command(self) -> None:
+        assert not [name for name in COMMANDS if f"`endivectl {name}" not in _DOCS]
+
+
+class TestTelemetry:
+    def test_every_log_event(self) -> None:
+        found = {name for text in _sources() for name in _LOG_CALL.findall(text)}
+        assert "listening" in found
+        assert not _rows_without(found)
+
+    def test_every_log_field(self) -> None:
+        assert not [name for name, text in ALLOWED.items() if f"| `{name}` | {text} |" not in _DOCS]
+
+    def test_every_metric(self) -> None:
+        found = {name for text in _sources() for name in _METRIC_CALL.findall(text)}
+        assert "program_ms" in found
+        assert not [name for name in found if not re.search(rf"\| `{name}[a-z0-9]*` \|", _DOCS)]
