--- a/packages/endiveworks-ctl/src/endiveworks_ctl/output.py
+++ b/packages/endiveworks-ctl/src/endiveworks_ctl/output.py
@@ -65,7 +65,7 @@
 
 def show_failures(terminal: Terminal, failures: Sequence[Failure]) -> None:
     """Prints errors on the error stream, as sentences or as one JSON list."""
-    if terminal.as_json:
+    if terminal.as_json and failures:
         bodies = [failure._asdict() for failure in failures]
         print(msgspec.json.encode(bodies).decode(), file=terminal.err)
         return
