Publish whole numbers in service files as the floats that the bundle holds

A file with deadline_s = 600 was published with a digest over the whole number, and every process refused the bundle, since decoding gives 600.0 and another digest. The services of a file are now converted to the bundle's types before anything is hashed; the test failed before.

--- a/packages/endiveworks/src/endiveworks/config/service_file.py
+++ b/packages/endiveworks/src/endiveworks/config/service_file.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
+import msgspec
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
@@ -219,4 +220,6 @@
     }
     weights = CostWeights(**_filled(_WEIGHT_RULES, fields["weights"]))
     once = frozenset(fields["at_most_once"])
-    return Service(**{**fields, "tenants": tenants, "weights": weights, "at_most_once": once})
+    service = Service(**{**fields, "tenants": tenants, "weights": weights, "at_most_once": once})
+    # TOML's whole numbers become floats where the bundle has floats, so that digests agree.
+    return msgspec.convert(msgspec.to_builtins(service), Service)
--- a/packages/endiveworks/src/endiveworks/config/tests/test_service_file.py
+++ b/packages/endiveworks/src/endiveworks/config/tests/test_service_file.py
@@ -1,6 +1,7 @@
 from pathlib import Path
 
-from endiveworks.config.bundle import CostWeights, TenantTerms
+from endiveworks.config.bundle import Bundle, CostWeights, TenantTerms
+from endiveworks.config.codec import decode_bundle, digest, encode_bundle
 from endiveworks.config.service_file import Problem, check, collect
 
 EXAMPLES = Path(__file__).parents[6] / "examples" / "services"
@@ -25,6 +26,14 @@
         shop = check(EXAMPLES / "shop.toml").unwrap()
         assert shop.at_most_once == frozenset({"order"})
 
+    def test_whole_numbers_are_decoded_as_they_were_published(self, tmp_path: Path) -> None:
+        text = (EXAMPLES / "assistant.toml").read_text()
+        path = tmp_path / "whole.toml"
+        path.write_text(text.replace("60.0", "60").replace("2.0", "2").replace("1.0", "1"))
+        services = {"assistant": check(path).unwrap()}
+        bundle = Bundle(1, "ops", 0.0, digest(services), services)
+        assert decode_bundle(encode_bundle(bundle)).unwrap() == bundle
+
     def test_lists_every_problem_at_once(self, tmp_path: Path) -> None:
         found = problems_of(
             tmp_path,
