--- a/packages/endiveworks/src/endiveworks/admission/queue.py
+++ b/packages/endiveworks/src/endiveworks/admission/queue.py
@@ -37,6 +37,7 @@
         attained_tokens: Service that the whole program has had.
         cost_s: Seconds of the upstream that the call is expected to take.
         arrived_s: Time of arrival.
+        need_tokens: Engine memory that it is expected to take.
     """
 
     key: str
@@ -46,6 +47,7 @@
     attained_tokens: int
     cost_s: float
     arrived_s: float
+    need_tokens: int = 0
 
 
 class Taken(NamedTuple):
@@ -146,10 +148,13 @@
     return Taken(call, reasons)
 
 
-def next_priority(queue: Queue, now_s: float) -> int | None:
-    """Returns the priority of the class whose turn it is; None when no call waits."""
+def head(queue: Queue, now_s: float) -> Waiting | None:
+    """Returns the call that goes next and leaves it in the queue; None when none waits."""
     chosen = _choose_lane(queue, now_s)
-    return None if chosen is None else chosen[0]
+    if chosen is None:
+        return None
+    lane = chosen[1]
+    return lane.calls[_choose_tenant(queue, lane)][0][2]
 
 
 def settle(queue: Queue, tenant: str, weight: float, extra_s: float) -> None:
--- /dev/null
+++ b/packages/endiveworks/src/endiveworks/replay/replica.py
@@ -0,0 +1,318 @@
+"""An upstream in a replay: the engine model behind the admission and cache decisions."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from ..admission import limit, preempt, queue, refuse
+from ..cache import pauses, room
+from .clock import Clock
+from .engine import Boundary, Cached, Engine, Rates, Sequence, Step
+from .policy import Policy
+
+MAX_JUMP_S = 0.2
+REPORT_S = 1.0
+TRANSFER_TOKENS_PER_S = 60_000.0
+HOST_STORE_SHARE = 4
+EWMA_SHARE = 0.1
+FIRST_COST_S = 5.0
+FIRST_NEED_TOKENS = 1_000.0
+
+
+class Job(NamedTuple):
+    """A call at an upstream.
+
+    Attributes:
+        waiting: The call as the queue sees it.
+        seq: The request as the engine sees it.
+        deadline_s: Longest wait that it bears.
+        done: Called with the request once it has ended.
+        refused: Called with the seconds after which to ask again.
+        lost: Called when the upstream vanishes.
+    """
+
+    waiting: queue.Waiting
+    seq: Sequence
+    deadline_s: float
+    done: Callable[[Sequence], None]
+    refused: Callable[[float], None]
+    lost: Callable[[], None]
+    first: bool = False
+    preemptions: int = 0
+
+
+class Started(NamedTuple):
+    """A job in the engine and when it went there."""
+
+    job: Job
+    at_s: float
+
+
+class Paused(NamedTuple):
+    """A program in a tool pause, and what is known of the tool."""
+
+    since_s: float
+    tool: pauses.Pauses
+
+
+class Report(NamedTuple):
+    """What the upstream reports of its load."""
+
+    waits_s: dict[int, float]
+    at_s: float
+    running: int = 0
+
+
+class Replica:
+    """State of one upstream."""
+
+    def __init__(
+        self,
+        host: str,
+        region: str,
+        rates: Rates,
+        policy: Policy,
+        clock: Clock,
+        spread: Callable[[], float],
+        evicted: Callable[[str, str], None],
+        priorities: tuple[int, ...],
+    ) -> None:
+        self.host = host
+        self.region = region
+        self.rates = rates
+        self.policy = policy
+        self.clock = clock
+        self.spread = spread
+        self.evicted = evicted
+        self.priorities = priorities
+        self.engine = Engine(rates)
+        self.queue = queue.Queue(_queue_rules(policy))
+        self.target = limit.Target(
+            slots=rates.max_sequences,
+            memory_tokens=rates.memory_tokens if policy.memory else 0,
+        )
+        self.jobs: dict[str, Job] = {}
+        self.started: dict[str, Started] = {}
+        self.exported: dict[str, Cached] = {}
+        self.paused: dict[str, Paused] = {}
+        self.exported_tokens = 0
+        self.moved_tokens = 0
+        self.cost_s = FIRST_COST_S
+        self.need_tokens = FIRST_NEED_TOKENS
+        self.report = Report({}, 0.0)
+        self.stepping = False
+        self.alive = True
+        self.preempted = 0
+
+    def submit(self, job: Job) -> None:
+        """Takes, queues or refuses a call."""
+        if not self.alive:
+            job.lost()
+            return
+        key = job.waiting.key
+        if not self.policy.queue:
+            self.jobs[key] = job
+            self._start(job)
+            self._step()
+            return
+        if self.policy.refuse and self._refuses(job):
+            return
+        self.jobs[key] = job
+        queue.offer(self.queue, job.waiting)
+        self._pump()
+
+    def finish_program(self, salt: str) -> None:
+        """Releases the memory of a program that has ended."""
+        if self.policy.release:
+            self._release(salt)
+
+    def pause_program(self, salt: str, tool: pauses.Pauses) -> None:
+        """Notes that a program waits for a tool."""
+        self.paused[salt] = Paused(self.clock.now_s, tool)
+
+    def vanish(self) -> None:
+        """Loses the upstream with all it holds."""
+        self.alive = False
+        jobs = list(self.jobs.values())
+        self.jobs.clear()
+        self.started.clear()
+        self.engine = Engine(self.rates)
+        for job in jobs:
+            job.lost()
+
+    def make_report(self) -> Report:
+        """Predicts the wait of a new call of each class."""
+        allowed = self.usual_calls()
+        running = len(self.started)
+        running_s = min(1.0, running / allowed) * running * self.cost_s / 2
+        waits_s = {
+            priority: (queue.cost_ahead_s(self.queue, priority) + running_s) / allowed
+            for priority in self.priorities
+        }
+        return Report(waits_s, self.clock.now_s, running)
+
+    def usual_calls(self) -> float:
+        """Returns how many calls run at once when the engine is full."""
+        whole = limit.Target(self.rates.max_sequences, self.rates.memory_tokens)
+        return limit.usual_calls(whole, self.need_tokens)
+
+    def renew_report(self) -> None:
+        """Publishes the load every second for as long as the upstream lives."""
+        if self.alive:
+            self.report = self.make_report()
+            self.clock.after(REPORT_S, self.renew_report)
+
+    def _refuses(self, job: Job) -> bool:
+        ahead_s = queue.cost_ahead_s(self.queue, job.waiting.priority)
+        expected = refuse.Expected(ahead_s, self.usual_calls(), job.deadline_s, job.first)
+        refusal = refuse.judge(expected, self.spread())
+        if refusal.refused:
+            job.refused(refusal.retry_after_s)
+        return refusal.refused
+
+    def _pump(self) -> None:
+        while True:
+            first = queue.head(self.queue, self.clock.now_s)
+            if first is None:
+                break
+            running = limit.Running(len(self.started), self._reserved_tokens())
+            if limit.may_start(self.target, running, first.need_tokens).admitted:
+                queue.take(self.queue, self.clock.now_s)
+                self._start(self.jobs[first.key])
+            elif not (self.policy.preempt and self._preempt(first.priority)):
+                break
+        self._step()
+
+    def _reserved_tokens(self) -> int:
+        waiting = sum(seq.reserved_tokens for seq in self.engine.waiting)
+        return self.engine.running_tokens + waiting
+
+    def _preempt(self, priority: int) -> bool:
+        victims = [
+            preempt.Victim(
+                key,
+                started.job.waiting.priority,
+                started.job.seq.output_tokens - started.job.seq.produced,
+                started.job.preemptions,
+                True,
+            )
+            for key, started in self.started.items()
+        ]
+        chosen = preempt.choose_victim(victims, priority)
+        if chosen is None:
+            return False
+        job = self.started.pop(chosen.key).job
+        seq = self.engine.cancel(chosen.key)
+        if seq is None:
+            return False
+        self.preempted += 1
+        again = _resumed(job, seq)
+        self.jobs[chosen.key] = again
+        queue.offer(self.queue, again.waiting)
+        return True
+
+    def _start(self, job: Job) -> None:
+        key = job.waiting.key
+        self.started[key] = Started(job, self.clock.now_s)
+        self.paused.pop(job.seq.salt, None)
+        if self.policy.pauses:
+            self._make_room(job)
+            self._import(job.seq.salt)
+        self.engine.submit(job.seq)
+
+    def _step(self) -> None:
+        if self.stepping or not self.engine.busy or not self.alive:
+            return
+        self.stepping = True
+        engine = self.engine
+        step = engine.step(MAX_JUMP_S)
+        self.clock.after(step.duration_s, lambda: self._stepped(engine, step))
+
+    def _stepped(self, engine: Engine, step: Step) -> None:
+        self.stepping = False
+        if engine is not self.engine:
+            return
+        self._note_evictions()
+        for seq in step.finished:
+            started = self.started.pop(seq.request, None)
+            if started is None:
+                continue
+            job = self.jobs.pop(seq.request)
+            took_s = self.clock.now_s - started.at_s
+            self.cost_s += EWMA_SHARE * (took_s - self.cost_s)
+            self.need_tokens += EWMA_SHARE * (seq.reserved_tokens - self.need_tokens)
+            extra_s = took_s - job.waiting.cost_s
+            queue.settle(self.queue, job.waiting.tenant, job.waiting.weight, extra_s)
+            job.done(seq)
+        self._pump() if self.policy.queue else self._step()
+
+    def _note_evictions(self) -> None:
+        for event in self.engine.events:
+            gone = event.salt not in self.engine.cache and event.salt not in self.exported
+            if event.kind == "evicted" and gone:
+                self.evicted(self.host, event.salt)
+        self.engine.events.clear()
+
+    def _make_room(self, job: Job) -> None:
+        engine = self.engine
+        cached = engine.cache.get(job.seq.salt)
+        need = job.seq.reserved_tokens - (cached.tokens if cached else 0)
+        free = self.rates.memory_tokens - self._reserved_tokens() - engine.cached_tokens
+        if need <= free:
+            return
+        idle = [self._idle(salt) for salt in engine.cache if salt != job.seq.salt]
+        speed = room.Speed(self.rates.prefill_tokens_per_s, TRANSFER_TOKENS_PER_S)
+        for move in room.make_room(idle, need - free, speed):
+            found = engine.cache[move.program]
+            if move.action is room.Action.EXPORT and self.policy.export:
+                self._export(move.program, found)
+            engine.release(move.program)
+
+    def _idle(self, salt: str) -> room.Idle:
+        # A program without a pause has its next call in the queue.
+        paused = self.paused.get(salt)
+        return_s = 0.0
+        if paused is not None:
+            return_s = room.expected_return_s(paused.tool, self.clock.now_s - paused.since_s)
+        return room.Idle(salt, self.engine.cache[salt].tokens, return_s)
+
+    def _release(self, salt: str) -> None:
+        self.paused.pop(salt, None)
+        found = self.exported.pop(salt, None)
+        if found is not None:
+            self.exported_tokens -= found.tokens
+        self.engine.release(salt)
+
+    def _export(self, salt: str, found: Cached) -> None:
+        self.exported[salt] = found
+        self.exported_tokens += found.tokens
+        self.moved_tokens += found.tokens
+        while self.exported_tokens > HOST_STORE_SHARE * self.rates.memory_tokens:
+            oldest = next(iter(self.exported))
+            self.exported_tokens -= self.exported.pop(oldest).tokens
+
+    def _import(self, salt: str) -> None:
+        found = self.exported.pop(salt, None)
+        if found is None:
+            return
+        self.exported_tokens -= found.tokens
+        self.moved_tokens += found.tokens
+        self.engine.store(salt, found)
+
+
+def _queue_rules(policy: Policy) -> queue.Rules:
+    usual = queue.Rules()
+    return usual if policy.service else usual._replace(level_gap_s=0.0)
+
+
+def _resumed(job: Job, seq: Sequence) -> Job:
+    produced = seq.produced
+    reached = Boundary(seq.mark_after(produced), seq.prompt_tokens + produced)
+    left = Sequence(
+        seq.request,
+        seq.salt,
+        (*seq.boundaries, reached),
+        reached.tokens,
+        max(1, seq.output_tokens - produced),
+        lambda n: seq.mark_after(produced + n),
+    )
+    return job._replace(seq=left, preemptions=job.preemptions + 1)
--- /dev/null
+++ b/packages/endiveworks/src/endiveworks/replay/router.py
@@ -0,0 +1,108 @@
+"""An entry's choice of upstream in a replay."""
+
+import random
+from collections import deque
+from typing import NamedTuple
+
+from ..routing import choose
+from .clock import Clock
+from .policy import Policy
+from .replica import Replica
+from .trace import Header
+
+LINK_SHARE = 0.5
+LINK_BURST_S = 2.0
+
+
+class Sent(NamedTuple):
+    """A call sent to an upstream and the wait it adds there."""
+
+    at_s: float
+    wait_s: float
+
+
+class Router:
+    """State of the entry of one region."""
+
+    def __init__(
+        self,
+        region: str,
+        header: Header,
+        replicas: list[Replica],
+        policy: Policy,
+        clock: Clock,
+        source: random.Random,
+    ) -> None:
+        self.region = region
+        self.header = header
+        self.replicas = replicas
+        self.policy = policy
+        self.clock = clock
+        self.source = source
+        self.sent: dict[str, deque[Sent]] = {replica.host: deque() for replica in replicas}
+        self.turn = 0
+        self.link_bytes = self._burst_bytes
+        self.link_at_s = 0.0
+
+    @property
+    def _burst_bytes(self) -> float:
+        return self.header.link_bytes_per_s * LINK_SHARE * LINK_BURST_S
+
+    def pick(self, call: choose.Call, priority: int) -> Replica | None:
+        """Returns the upstream for a call; None when every one has vanished."""
+        alive = [replica for replica in self.replicas if replica.alive]
+        if not alive:
+            return None
+        if self.policy.routing == "cost":
+            return self._cheapest(call, priority, alive)
+        if self.policy.routing == "sticky" and call.held is not None:
+            for replica in alive:
+                if replica.host == call.held.host:
+                    return replica
+        self.turn += 1
+        return alive[self.turn % len(alive)]
+
+    def _cheapest(self, call: choose.Call, priority: int, alive: list[Replica]) -> Replica | None:
+        costs = choose.Costs(
+            self.header.weights,
+            self.header.rates.prefill_tokens_per_s,
+            self.header.link_delay_s,
+            self._link_bytes_left(),
+            self.header.link_bytes_per_s,
+        )
+        views = [self._view(replica, priority) for replica in alive]
+        choice = choose.choose(call, views, costs, self.clock.now_s, self.source)
+        for replica in alive:
+            if replica.host == choice.host:
+                self._count(replica, call)
+                return replica
+        return None
+
+    def _view(self, replica: Replica, priority: int) -> choose.Replica:
+        report = replica.report
+        unreported_s = 0.0
+        if self.policy.own_sends:
+            sent = self.sent[replica.host]
+            while sent and sent[0].at_s < report.at_s:
+                sent.popleft()
+            unreported_s = sum(send.wait_s for send in sent)
+        return choose.Replica(
+            replica.host,
+            replica.region,
+            report.waits_s.get(priority, 0.0),
+            report.at_s,
+            unreported_s,
+            report.running,
+        )
+
+    def _count(self, replica: Replica, call: choose.Call) -> None:
+        wait_s = replica.cost_s / replica.usual_calls()
+        self.sent[replica.host].append(Sent(self.clock.now_s, wait_s))
+        if replica.region != self.region:
+            self.link_bytes -= call.bytes_across
+
+    def _link_bytes_left(self) -> float:
+        gained = (self.clock.now_s - self.link_at_s) * self.header.link_bytes_per_s * LINK_SHARE
+        self.link_bytes = min(self._burst_bytes, self.link_bytes + gained)
+        self.link_at_s = self.clock.now_s
+        return self.link_bytes
--- /dev/null
+++ b/packages/endiveworks/src/endiveworks/replay/tests/test_run.py
@@ -0,0 +1,91 @@
+import pytest
+from endiveworks.replay.engine import Boundary, Engine, Rates, Sequence
+from endiveworks.replay.measures import check
+from endiveworks.replay.policy import BASELINES, FULL, PARTS, Policy, without
+from endiveworks.replay.run import replay
+from endiveworks.replay.trace import Loss, Trace
+
+from .test_trace import HEADER, call
+
+PROGRAMS = tuple(
+    call(
+        f"p{at}",
+        number,
+        at_s=at * 0.05 if number == 0 else 0.0,
+        pause_s=1.0,
+        tool="lookup",
+        output_tokens=150 if at % 3 else 30,
+        class_name="back" if at % 3 else "front",
+    )
+    for at in range(60)
+    for number in range(4)
+)
+TRACE = Trace(HEADER, PROGRAMS, ())
+
+
+class TestEngine:
+    def test_prefix_of_the_same_salt_is_computed_once(self) -> None:
+        engine = Engine(Rates())
+        engine.submit(Sequence("r1", "p", (), 100, 5, lambda n: f"end{n}"))
+        while engine.busy:
+            engine.step()
+        again = Sequence("r2", "p", (Boundary("end5", 105),), 150, 5, str)
+        other = Sequence("r3", "q", (Boundary("end5", 105),), 150, 5, str)
+        engine.submit(again)
+        engine.submit(other)
+        while engine.busy:
+            engine.step()
+        assert (again.cached_tokens, other.cached_tokens) == (105, 0)
+
+    def test_memory_is_never_passed(self) -> None:
+        engine = Engine(Rates(memory_tokens=1_000))
+        for at in range(20):
+            engine.submit(Sequence(f"r{at}", f"p{at}", (), 200, 50, str))
+        while engine.busy:
+            engine.step(1.0)
+            assert engine.running_tokens + engine.cached_tokens <= 1_000
+        assert len(engine.cache) == 4
+
+
+class TestReplay:
+    @pytest.mark.parametrize("policy", [FULL, *BASELINES, *map(without, PARTS)])
+    def test_every_program_ends(self, policy: Policy) -> None:
+        measures = replay(TRACE, policy)
+        assert measures.programs == 60
+        assert measures.done_share == 1.0
+
+    def test_same_seed_gives_the_same_measures(self) -> None:
+        assert replay(TRACE, FULL, seed=3) == replay(TRACE, FULL, seed=3)
+
+    def test_lost_upstream_costs_no_program(self) -> None:
+        trace = TRACE._replace(losses=(Loss("r0", 5.0),))
+        for policy in (FULL, *BASELINES):
+            assert replay(trace, policy).done_share == 1.0
+
+    def test_parent_waits_for_its_sub_agents(self) -> None:
+        calls = (
+            call("p", 0),
+            call("p", 1),
+            call("p.0", 0, parent="p", parent_call=0, output_tokens=2_000),
+        )
+        alone = replay(Trace(HEADER, calls[:2], ()), FULL)
+        both = replay(Trace(HEADER, calls, ()), FULL)
+        assert both.mean_s > alone.mean_s + 10.0
+
+    def test_front_class_is_faster_than_first_come_first_served(self) -> None:
+        header = HEADER._replace(rates=Rates(memory_tokens=3_000))
+        trace = TRACE._replace(header=header)
+        ours = replay(trace, FULL).front_calls_p95_s
+        assert ours < min(replay(trace, policy).front_calls_p95_s for policy in BASELINES)
+
+
+class TestOutcomes:
+    def test_breach_names_the_measure(self) -> None:
+        measures = replay(TRACE, FULL)
+        assert check(HEADER.outcomes, measures) == []
+        breach = check({"goodput": (1e9, 2e9)}, measures)[0]
+        assert breach.measure == "goodput"
+
+    def test_unknown_measure_is_an_error(self) -> None:
+        with pytest.raises(KeyError, match="colour"):
+            check({"colour": (0.0, 1.0)}, replay(TRACE, FULL))
--- /dev/null
+++ b/packages/endiveworks/src/endiveworks/replay/tests/test_trace.py
@@ -0,0 +1,49 @@
+from pathlib import Path
+
+import pytest
+from endiveworks.config.bundle import CostWeights
+from endiveworks.replay.engine import Rates
+from endiveworks.replay.trace import Call, Header, Loss, Place, Trace, TraceError, read, write
+
+HEADER = Header(
+    "d",
+    "",
+    1,
+    1.0,
+    (Place("r0", "east"), Place("r1", "east")),
+    Rates(memory_tokens=10_000),
+    {"t": 1.0},
+    {"front": 0, "back": 1},
+    CostWeights(1.0, 1.0),
+    60.0,
+    1.9e6,
+    0.02,
+    {"done_share": (1.0, 1.0)},
+)
+
+
+def call(program: str, number: int, **fields: object) -> Call:
+    usual = {"at_s": 0.0, "pause_s": 0.0, "tool": "", "new_tokens": 100, "output_tokens": 20}
+    usual |= {"tenant": "t", "class_name": "front", "region": "east"}
+    return Call(program=program, call=number, **{**usual, **fields})
+
+
+class TestFormat:
+    def test_trace_reads_back_as_written(self, tmp_path: Path) -> None:
+        calls = (call("a", 0, at_s=1.5), call("a", 1, tool="x", pause_s=2.0))
+        trace = Trace(HEADER, calls, (Loss("r0", 3.0),))
+        write(tmp_path / "t.jsonl", trace)
+        assert read(tmp_path / "t.jsonl") == trace
+
+    def test_wrong_line_is_named(self, tmp_path: Path) -> None:
+        path = tmp_path / "t.jsonl"
+        write(path, Trace(HEADER, (), ()))
+        path.write_bytes(path.read_bytes() + b'{"colour": 1}\n')
+        with pytest.raises(TraceError, match=":2: "):
+            read(path)
+
+    def test_other_version_is_refused(self, tmp_path: Path) -> None:
+        path = tmp_path / "t.jsonl"
+        path.write_text('{"trace": 99}\n')
+        with pytest.raises(TraceError, match="version"):
+            read(path)
--- a/packages/endiveworks/src/endiveworks/routing/choose.py
+++ b/packages/endiveworks/src/endiveworks/routing/choose.py
@@ -21,6 +21,7 @@
         wait_s: Wait that its last report predicts for a new call.
         reported_s: Time at which that report was true.
         unreported_s: Expected wait added by own sends that the report can't show yet.
+        running: Calls that its engine runs.
         draining: Whether it is leaving.
     """
 
@@ -29,6 +30,7 @@
     wait_s: float
     reported_s: float
     unreported_s: float = 0.0
+    running: int = 0
     draining: bool = False
 
 
@@ -146,7 +148,9 @@
     held_here = held.tokens if held is not None and held.host == replica.host else 0
     computed = call.prompt_tokens - held_here
     recomputed = (held.tokens if held is not None else 0) - held_here
-    latency_s = wait_s + computed / costs.prefill_tokens_per_s
+    # Computing a prefix again holds up every call in the batch, not this one alone.
+    others_s = replica.running * recomputed / costs.prefill_tokens_per_s
+    latency_s = wait_s + others_s + computed / costs.prefill_tokens_per_s
     if _crosses(call, replica):
         latency_s += 2 * costs.link_delay_s + call.bytes_across / costs.link_bytes_per_s
     wasted = recomputed / TOKENS_PER_WASTE_UNIT
--- a/packages/endiveworks/src/endiveworks/routing/tests/test_choose.py
+++ b/packages/endiveworks/src/endiveworks/routing/tests/test_choose.py
@@ -30,6 +30,11 @@
         assert pick(held, replica("a", 5.9), replica("b"), costs=costs).host == "a"
         assert pick(held, replica("a", 6.1), replica("b"), costs=costs).host == "b"
 
+    def test_recomputation_counts_for_every_call_in_the_batch(self) -> None:
+        held = call(Held("a", 1_000))
+        assert pick(held, replica("a", 3.9), replica("b", running=3)).host == "a"
+        assert pick(held, replica("a", 4.1), replica("b", running=3)).host == "b"
+
     def test_holder_is_considered_beyond_the_sample(self) -> None:
         many = [replica(f"r{at}", 0.5) for at in range(600)]
         assert pick(call(Held("r599", 1_000)), *many).host == "r599"
