--- a/packages/endiveworks/src/endiveworks/settings/shared.py
+++ b/packages/endiveworks/src/endiveworks/settings/shared.py
@@ -6,6 +6,7 @@
     "region",
     "failure_domain",
     "kv",
+    "host_list",
     "listen",
     "admin",
     "statsd",
