--- a/packages/endiveworks-daemon/src/endiveworks_daemon/node.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/node.py
@@ -10,7 +10,8 @@
 from endiveworks.calls.stream import Piece
 from endiveworks.errors import Code, Failure
 from endiveworks.links.client import Peers
-from endiveworks.programs.owner import CallRequest, OpenRequest, Owner, ProgramStatus
+from endiveworks.programs.owner import CallRequest, OpenRequest, Owner
+from endiveworks.programs.views import ProgramStatus
 from endiveworks.wire.faults import from_fault
 from endiveworks.wire.gen import ttypes
 from endiveworks.wire.streams import from_chunk
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/operators.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/operators.py
@@ -7,7 +7,8 @@
 from typing import NamedTuple
 
 import endiveworks
-from endiveworks.programs.owner import Owner, ProgramStatus
+from endiveworks.programs.owner import Owner
+from endiveworks.programs.views import ProgramStatus
 from endiveworks.settings.flags import Values
 from endiveworks.telemetry.metrics import Metrics
 from endiveworks.telemetry.status import ProcessStatus, ProgramRow, Sources
--- a/packages/endiveworks/src/endiveworks/programs/decide.py
+++ b/packages/endiveworks/src/endiveworks/programs/decide.py
@@ -178,6 +178,29 @@
     return Success(Decision(tuple(closing)))
 
 
+def close_idle(
+    partition: Partition, active_before_s: float, at_s: float
+) -> Result[Decision, Failure]:
+    """Closes programs whose callers have gone, so that nothing is held for them any longer.
+
+    Args:
+        partition: The state.
+        active_before_s: Programs that last did something before this time are idle, in seconds
+            since the epoch.
+        at_s: The time, in seconds since the epoch.
+    """
+    open_programs = [program for program in partition.programs.values() if program.closed is None]
+    needed: set[str] = set()
+    for program in open_programs:
+        if program.running is not None or program.active_at_s >= active_before_s:
+            needed.update(
+                limited.opened.program for limited in partition.limits(program.opened.program)
+            )
+    names = [program.opened.program for program in open_programs]
+    closing = [ProgramClosed(name, "idle", at_s) for name in names if name not in needed]
+    return Success(Decision(tuple(closing)))
+
+
 def find_program(
     partition: Partition, program: str, tenant: str, step: str
 ) -> Result[Program, Failure]:
--- a/packages/endiveworks/src/endiveworks/programs/owner.py
+++ b/packages/endiveworks/src/endiveworks/programs/owner.py
@@ -4,7 +4,6 @@
 import secrets
 import threading
 import time
-from collections import deque
 from collections.abc import Callable
 from typing import NamedTuple, TypedDict, TypeVar
 
@@ -12,22 +11,29 @@
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
-from ..calls.stream import STORED_GENERATION, Ending, Piece, Stream
+from ..calls.stream import Piece, Stream
 from ..config.bundle import Bundle
-from ..engines.chat import EVENT_STREAM
-from ..engines.chat_format import parse_request, render
+from ..engines.chat_format import parse_request
 from ..errors import Code, Failure
 from ..journal.api import OpenedLog
-from .attempt import PROBLEM
-from .decide import Decision, Open, Start, close_program, find_program, open_program, start_call
-from .dispatch import run_call
+from .decide import (
+    Decision,
+    Open,
+    Start,
+    close_idle,
+    close_program,
+    find_program,
+    open_program,
+    start_call,
+)
 from .partition import PartitionActor, commit, start_actor, view
 from .plan import Context, Upstreams, answer_limit
-from .records import CHAT, Call, CallEnded, Outcome, ProgramClosed, ProgramOpened
+from .records import CHAT, Call, ProgramClosed, ProgramOpened
+from .running import RunningCalls
 from .state import Partition, Program
+from .views import ProgramStatus, ended_call, history_of, running_calls, status_of, stored_stream
 
 T = TypeVar("T")
-_LINGER_S = 30.0
 
 
 class OpenRequest(TypedDict):
@@ -40,19 +46,6 @@
     request_key: str
 
 
-class ProgramStatus(TypedDict):
-    """A program as callers see it."""
-
-    id: str
-    tenant: str
-    parent: str
-    next_call: int
-    running: bool
-    budget_tokens: int
-    attained_tokens: int
-    closed: str
-
-
 class CallRequest(NamedTuple):
     """A call as its caller sent it."""
 
@@ -78,7 +71,7 @@
     Args:
         upstreams: How upstream processes are reached.
         bundle: Returns the configuration in force.
-        on_closed: Is told of each program that a caller closes.
+        on_closed: Is told of each program that is closed.
     """
 
     def __init__(
@@ -92,9 +85,7 @@
         self._on_closed = on_closed
         self._lock = threading.Lock()
         self._held: dict[int, _Held] = {}
-        self._streams: dict[tuple[str, int], Stream] = {}
-        self._cancels: dict[str, threading.Event] = {}
-        self._retired: deque[tuple[float, tuple[str, int], Stream]] = deque()
+        self._calls = RunningCalls()
 
     def adopt(self, partition: int, epoch: int, opened: OpenedLog) -> Result[None, Failure]:
         """Takes a partition and brings the calls that were under way to their end."""
@@ -104,7 +95,7 @@
         held = _Held(epoch, started.unwrap())
         with self._lock:
             self._held[partition] = held
-        running = view(held.ref, _running_calls)
+        running = view(held.ref, running_calls)
         for call in running.value_or(()):
             self._run(held, call)
         return Success(None)
@@ -123,8 +114,7 @@
 
     def running(self) -> int:
         """Returns the number of calls under way."""
-        with self._lock:
-            return len(self._streams) - len(self._retired)
+        return self._calls.count()
 
     def open(
         self, partition: int, tenant: str, body: OpenRequest
@@ -151,17 +141,17 @@
 
         def look(state: Partition) -> ProgramStatus:
             known = state.opened_keys.get((tenant, req.request_key), program)
-            return _status(state, state.programs[known])
+            return status_of(state, state.programs[known])
 
         return view(ref, look)
 
     def status(self, program: str, tenant: str) -> Result[ProgramStatus, Failure]:
         """Returns a program's status."""
-        return self._look(program, tenant, _status)
+        return self._look(program, tenant, status_of)
 
     def history(self, program: str, tenant: str) -> Result[bytes, Failure]:
         """Returns a program's messages as a JSON list."""
-        return self._look(program, tenant, _history)
+        return self._look(program, tenant, history_of)
 
     def close(self, program: str, tenant: str) -> Result[ProgramStatus, Failure]:
         """Closes a program and those of its sub-agents."""
@@ -174,17 +164,25 @@
         )
         if not isinstance(decided, Success):
             return Err(decided.failure())
-        for record in decided.unwrap().records:
-            self._cancel(record.program)
-        self._tell_closed(held.unwrap(), decided.unwrap())
+        self._drop_closed(held.unwrap(), decided.unwrap())
         return self.status(program, tenant)
 
+    def close_idle(self, idle_s: float) -> None:
+        """Closes programs that have done nothing for a number of seconds."""
+        now_s = time.time()
+        with self._lock:
+            held = tuple(self._held.values())
+        for partition in held:
+            decided = commit(partition.ref, lambda state: close_idle(state, now_s - idle_s, now_s))
+            if isinstance(decided, Success):
+                self._drop_closed(partition, decided.unwrap())
+
     def list_open(self, limit: int) -> list[ProgramStatus]:
         """Returns up to a number of the programs that take calls, in no order."""
 
         def look(state: Partition) -> list[ProgramStatus]:
             found = (known for known in state.programs.values() if known.closed is None)
-            return [_status(state, program) for program in itertools.islice(found, limit)]
+            return [status_of(state, program) for program in itertools.islice(found, limit)]
 
         rows: list[ProgramStatus] = []
         with self._lock:
@@ -218,14 +216,13 @@
 
     def find(self, program: str, number: int) -> Result[Stream, Failure]:
         """Returns the stream of a call's answer, under way or stored."""
-        with self._lock:
-            stream = self._streams.get((program, number))
+        stream = self._calls.find(program, number)
         if stream is not None:
             return Success(stream)
         held = self._find_for(program)
         if not isinstance(held, Success):
             return Err(held.failure())
-        found = view(held.unwrap().ref, lambda state: _ended_call(state, program, number))
+        found = view(held.unwrap().ref, lambda state: ended_call(state, program, number))
         if not isinstance(found, Success):
             return Err(found.failure())
         ended = found.unwrap()
@@ -234,8 +231,11 @@
             return Err(Failure(Code.CONFLICT, "programs.read", "", detail, retry_after_s=0.0))
         return Success(stored_stream(ended))
 
-    def _tell_closed(self, held: _Held, decision: Decision) -> None:
+    def _drop_closed(self, held: _Held, decision: Decision) -> None:
+        """Cancels the calls of programs that were closed, and tells who keeps memory for them."""
         records = [record for record in decision.records if isinstance(record, ProgramClosed)]
+        for record in records:
+            self._calls.cancel(record.program)
 
         def look(state: Partition) -> list[ProgramOpened]:
             return [state.programs[record.program].opened for record in records]
@@ -250,40 +250,10 @@
             self._run(held, call)
 
     def _run(self, held: _Held, call: Call) -> None:
-        key = (call.started.program, call.started.call)
-        stream = Stream()
-        cancelled = threading.Event()
-        ctx = Context(held.ref, held.epoch, self._upstreams, self._bundle, cancelled.is_set)
-        with self._lock:
-            self._streams[key] = stream
-            self._cancels[key[0]] = cancelled
-
-        def work() -> None:
-            try:
-                run_call(ctx, call, stream)
-            finally:
-                failure = Failure(Code.INTERNAL, "programs.run", "", "the call failed here")
-                stream.finish(Ending(500, PROBLEM, failure=failure))
-                self._retire(key, stream)
+        def context(cancelled: Callable[[], bool]) -> Context:
+            return Context(held.ref, held.epoch, self._upstreams, self._bundle, cancelled)
 
-        threading.Thread(target=work, name=f"run-{key[0]}-{key[1]}", daemon=True).start()
-
-    def _cancel(self, program: str) -> None:
-        with self._lock:
-            cancelled = self._cancels.get(program)
-        if cancelled is not None:
-            cancelled.set()
-
-    def _retire(self, key: tuple[str, int], stream: Stream) -> None:
-        """Keeps a finished stream for readers under way, and drops older ones."""
-        now = time.monotonic()
-        with self._lock:
-            self._cancels.pop(key[0], None)
-            self._retired.append((now, key, stream))
-            while self._retired[0][0] < now - _LINGER_S:
-                _, old_key, old = self._retired.popleft()
-                if self._streams.get(old_key) is old:
-                    del self._streams[old_key]
+        self._calls.run(call, context)
 
     def _start_of(self, req: CallRequest) -> Result[Start, Failure]:
         new_tokens = max_tokens = 0
@@ -333,54 +303,3 @@
         return int(digits, 16) if dash and len(digits) == 4 else None
     except ValueError:
         return None
-
-
-def stored_stream(ended: CallEnded) -> Stream:
-    """Returns a finished stream with the answer of a call that ended."""
-    stream = Stream()
-    failure = None
-    if ended.outcome is Outcome.UNKNOWN:
-        detail = "the call may have run; it is not repeated"
-        failure = Failure(Code.OUTCOME_UNKNOWN, "programs.read", ended.upstream, detail)
-    whole_chat = ended.content_type == EVENT_STREAM and ended.status == 200
-    stream.append(render(ended.answer) if whole_chat else ended.answer, STORED_GENERATION)
-    stream.finish(
-        Ending(
-            ended.status,
-            ended.content_type,
-            ended.prompt_tokens,
-            ended.completion_tokens,
-            ended.cached_tokens,
-            failure,
-        )
-    )
-    return stream
-
-
-def _running_calls(state: Partition) -> tuple[Call, ...]:
-    programs = state.programs.values()
-    return tuple(program.running for program in programs if program.running is not None)
-
-
-def _ended_call(state: Partition, program: str, number: int) -> CallEnded | None:
-    found = state.programs.get(program)
-    call = found.calls.get(number) if found is not None else None
-    return call.ended if call is not None else None
-
-
-def _status(state: Partition, program: Program) -> ProgramStatus:
-    opened = program.opened
-    return ProgramStatus(
-        id=opened.program,
-        tenant=opened.tenant,
-        parent=opened.parent,
-        next_call=program.next_call,
-        running=program.running is not None,
-        budget_tokens=min(limited.budget_tokens for limited in state.limits(opened.program)),
-        attained_tokens=program.attained_tokens,
-        closed=program.closed.reason if program.closed is not None else "",
-    )
-
-
-def _history(state: Partition, program: Program) -> bytes:
-    return b"[" + b",".join(program.messages) + b"]"
--- /dev/null
+++ b/packages/endiveworks/src/endiveworks/programs/running.py
@@ -0,0 +1,76 @@
+"""Calls under way on this host, each with a thread and the stream of its answer."""
+
+import threading
+import time
+from collections import deque
+from collections.abc import Callable
+
+from ..calls.stream import Ending, Stream
+from ..errors import Code, Failure
+from .attempt import PROBLEM
+from .dispatch import run_call
+from .plan import Context
+from .records import Call
+
+_LINGER_S = 30.0
+_Key = tuple[str, int]
+
+# Returns what a call runs with, given the function that tells whether it has been cancelled.
+MakeContext = Callable[[Callable[[], bool]], Context]
+
+
+class RunningCalls:
+    """Runs calls and keeps their streams for a while after their end."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._streams: dict[_Key, Stream] = {}
+        self._cancels: dict[str, threading.Event] = {}
+        self._retired: deque[tuple[float, _Key, Stream]] = deque()
+
+    def run(self, call: Call, make_context: MakeContext) -> None:
+        """Runs a call to its end on a thread of its own."""
+        key = (call.started.program, call.started.call)
+        stream = Stream()
+        cancelled = threading.Event()
+        with self._lock:
+            self._streams[key] = stream
+            self._cancels[key[0]] = cancelled
+
+        def work() -> None:
+            try:
+                run_call(make_context(cancelled.is_set), call, stream)
+            finally:
+                failure = Failure(Code.INTERNAL, "programs.run", "", "the call failed here")
+                stream.finish(Ending(500, PROBLEM, failure=failure))
+                self._retire(key, stream)
+
+        threading.Thread(target=work, name=f"run-{key[0]}-{key[1]}", daemon=True).start()
+
+    def find(self, program: str, number: int) -> Stream | None:
+        """Returns the stream of a call that runs or ended a short time ago."""
+        with self._lock:
+            return self._streams.get((program, number))
+
+    def cancel(self, program: str) -> None:
+        """Cancels a program's call under way, if any."""
+        with self._lock:
+            cancelled = self._cancels.get(program)
+        if cancelled is not None:
+            cancelled.set()
+
+    def count(self) -> int:
+        """Returns the number of calls under way."""
+        with self._lock:
+            return len(self._cancels)
+
+    def _retire(self, key: _Key, stream: Stream) -> None:
+        """Keeps a finished stream for readers under way, and drops older ones."""
+        now = time.monotonic()
+        with self._lock:
+            self._cancels.pop(key[0], None)
+            self._retired.append((now, key, stream))
+            while self._retired[0][0] < now - _LINGER_S:
+                _, old_key, old = self._retired.popleft()
+                if self._streams.get(old_key) is old:
+                    del self._streams[old_key]
--- a/packages/endiveworks/src/endiveworks/programs/state.py
+++ b/packages/endiveworks/src/endiveworks/programs/state.py
@@ -55,9 +55,11 @@
 
     @property
     def active_at_s(self) -> float:
-        """When it last did something, in seconds since the epoch."""
-        ended = [call.ended.at_s for call in self.calls.values() if call.ended is not None]
-        return max((self.opened.at_s, *ended[-1:]))
+        """When it was opened or its last call ended, in seconds since the epoch."""
+        last = self.calls.get(len(self.calls))
+        if last is None or last.ended is None:
+            return self.opened.at_s
+        return last.ended.at_s
 
 
 class Partition:
--- a/packages/endiveworks/src/endiveworks/programs/tests/test_decide.py
+++ b/packages/endiveworks/src/endiveworks/programs/tests/test_decide.py
@@ -6,6 +6,7 @@
     Open,
     Start,
     claim_attempt,
+    close_idle,
     close_program,
     end_call,
     open_program,
@@ -242,6 +243,22 @@
         assert decision.call.reserved_tokens == 0
 
 
+class TestIdle:
+    def test_programs_without_a_caller_are_closed(self) -> None:
+        state = Partition()
+        opened(state)
+        do(state, close_idle(state, 100.0, 200.0))
+        closed = state.programs[ROOT].closed
+        assert closed is not None and closed.reason == "idle"
+
+    def test_a_parent_lives_as_long_as_a_sub_agent_works(self) -> None:
+        state = Partition()
+        opened(state)
+        opened(state, CHILD, ROOT)
+        do(state, start_call(state, start(1, CHILD), SERVICES))
+        assert do(state, close_idle(state, 100.0, 200.0)).records == ()
+
+
 class TestSnapshot:
     def test_rebuilds_the_same_state(self) -> None:
         state = Partition()
