Never call a request not run that may have run at a lost or restarted peer

Found by the specification's guard 'refusal by a later incarnation' and by reading the code against it: - A call repeated after a lost idle connection returned 'not run' when the peer had stopped listening, although the first request may have been received. Each test failed before its change.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/upstream_links.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/upstream_links.py
@@ -40,13 +40,15 @@
 
     def submit(member: Member, job: Job) -> Result[None, Failure]:
         req = _dispatch(job)
-        answered = peers.call(
+        call = peers.call_once if job.at_most_once else peers.call
+        answered = call(
             member.address,
             "upstream.submit",
             ANSWER_TIMEOUT_S,
             lambda client: client.submit(identity.origin(), req),
         )
-        return answered.bind(_accepted)
+        accepted = answered.bind(_accepted)
+        return accepted if job.at_most_once else accepted.alt(_unless_restarted)
 
     def read(host: str, key: CallKey, offset: int, wait_s: float) -> Result[Piece, Failure]:
         member = members().get(host)
@@ -91,6 +93,14 @@
     return Success(None) if reply.fault is None else Err(from_fault(reply.fault))
 
 
+def _unless_restarted(refusal: Failure) -> Failure:
+    """Returns the refusal of a request that may have been repeated.
+
+    A process that restarted in between can't tell whether the first request ran.
+    """
+    return refusal._replace(not_run=refusal.not_run and refusal.code is not Code.CONFLICT)
+
+
 def _dispatch(job: Job) -> ttypes.Dispatch:
     return ttypes.Dispatch(
         key=ttypes.CallKey(*job.key),
--- a/packages/endiveworks/src/endiveworks/calls/executor.py
+++ b/packages/endiveworks/src/endiveworks/calls/executor.py
@@ -90,6 +90,8 @@
         self._ended: OrderedDict[CallKey, float] = OrderedDict()
         self._answered: OrderedDict[CallKey, float] = OrderedDict()
         self._revoked: OrderedDict[CallKey, float] = OrderedDict()
+        # Highest attempt of each program that was forgotten: one number, while the process lives.
+        self._forgotten: dict[str, int] = {}
         self._epochs: dict[int, int] = {}
         self._running = 0
         self._draining = False
@@ -98,8 +100,8 @@
         """Accepts an attempt, or finds it accepted before.
 
         Returns:
-            Nothing when the attempt waits, runs or has ended here; else a Failure with not_run
-            set, since a refused attempt never runs.
+            Nothing when the attempt waits, runs or has ended here; else a Failure, with not_run
+            set unless the attempt was accepted so long ago that its outcome is forgotten.
         """
         with self._lock:
             self._forget(time.monotonic())
@@ -147,6 +149,8 @@
                 return Doubt.UNKNOWN
             self._note_epoch(key, epoch)
             execution = self._executions.get(key)
+            if execution is None and self._has_forgotten(key):
+                return Doubt.UNKNOWN
             if execution is None:
                 self._revoked[key] = time.monotonic()
                 return Doubt.REVOKED
@@ -191,6 +195,9 @@
         if job.key in self._revoked:
             detail = f"attempt {job.key} was revoked"
             return Failure(Code.REVOKED, step, self.host, detail, not_run=True)
+        if self._has_forgotten(job.key):
+            detail = f"the outcome of attempt {job.key} is no longer kept"
+            return Failure(Code.CONFLICT, step, self.host, detail)
         if self._draining:
             detail = "the upstream process is leaving"
             return Failure(Code.DRAINING, step, self.host, detail, True, _BUSY_RETRY_S)
@@ -251,6 +258,14 @@
         for memory in (self._ended, self._revoked):
             for key in _older(memory, now - _KEEP_KEY_S):
                 self._executions.pop(key, None)
+                known = self._forgotten.get(key.program, 0)
+                self._forgotten[key.program] = max(known, key.attempt)
+
+    def _has_forgotten(self, key: CallKey) -> bool:
+        """Tells whether an attempt that is not known now may have been known once."""
+        if key in self._revoked:
+            return False
+        return key.attempt <= self._forgotten.get(key.program, 0)
 
 
 def _older(times: OrderedDict[CallKey, float], before: float) -> list[CallKey]:
--- a/packages/endiveworks/src/endiveworks/calls/tests/test_executor.py
+++ b/packages/endiveworks/src/endiveworks/calls/tests/test_executor.py
@@ -1,5 +1,8 @@
 import threading
+import time
 
+import pytest
+from endiveworks.calls import executor
 from endiveworks.calls.executor import Executor
 from endiveworks.calls.fifo import fifo_queue
 from endiveworks.calls.messages import CallKey, Doubt, Job
@@ -108,6 +111,19 @@
         assert bench.finish(KEY) == b"whole"
         assert bench.executor.revoke(KEY, 7, 3) is Doubt.ENDED
 
+    def test_an_attempt_forgotten_since_may_have_run(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        bench = Bench()
+        bench.executor.submit(JOB).unwrap()
+        bench.finish(KEY)
+        long_after = time.monotonic() + 2 * executor._KEEP_KEY_S
+        monkeypatch.setattr(executor.time, "monotonic", lambda: long_after)
+        bench.executor.submit(JOB._replace(key=CallKey("0001-b", 1, 1))).unwrap()
+        assert bench.executor.revoke(KEY, 7, 4) is Doubt.UNKNOWN
+        failure = bench.executor.submit(JOB._replace(epoch=4)).failure()
+        assert failure.code is Code.CONFLICT and not failure.not_run
+        assert bench.runs.count(KEY) == 1
+        assert bench.executor.revoke(KEY._replace(attempt=2), 7, 4) is Doubt.REVOKED
+
     def test_another_incarnation_knows_nothing(self) -> None:
         assert Bench().executor.revoke(KEY, 8, 3) is Doubt.UNKNOWN
 
--- a/packages/endiveworks/src/endiveworks/links/client.py
+++ b/packages/endiveworks/src/endiveworks/links/client.py
@@ -74,9 +74,19 @@
             if isinstance(outcome, Success):
                 return outcome
             self._drop_idle(address)
-        return self._attempt(
-            _Conn(address, self._client_type), address, step, timeout_s, method, fresh=True
-        )
+            # The peer may have received the request on the connection that was lost.
+            repeated = self._call_fresh(address, step, timeout_s, method)
+            return repeated.alt(lambda failure: failure._replace(not_run=False))
+        return self._call_fresh(address, step, timeout_s, method)
+
+    def call_once(
+        self, address: str, step: str, timeout_s: float, method: Callable[[Any], T]
+    ) -> Result[T, Failure]:
+        """Calls a method as call does, with a single request on a connection of its own.
+
+        A refusal by the peer is then known to answer the only request there was.
+        """
+        return self._call_fresh(address, step, timeout_s, method, keep=False)
 
     def close(self) -> None:
         """Closes all idle connections."""
@@ -86,28 +96,41 @@
         for conn in conns:
             conn.transport.close()
 
-    def _attempt(
+    def _call_fresh(
         self,
-        conn: _Conn,
         address: str,
         step: str,
         timeout_s: float,
         method: Callable[[Any], T],
-        fresh: bool = False,
+        keep: bool = True,
     ) -> Result[T, Failure]:
+        conn = _Conn(address, self._client_type)
         try:
-            if fresh:
-                conn.open(timeout_s)
+            conn.open(timeout_s)
         except (TTransportException, OSError) as exc:
             conn.transport.close()
             return Err(Failure(Code.UNREACHABLE, step, address, str(exc), not_run=True))
+        return self._attempt(conn, address, step, timeout_s, method, keep)
+
+    def _attempt(
+        self,
+        conn: _Conn,
+        address: str,
+        step: str,
+        timeout_s: float,
+        method: Callable[[Any], T],
+        keep: bool = True,
+    ) -> Result[T, Failure]:
         try:
             conn.socket.setTimeout(timeout_s * 1000)
             value = method(conn.client)
         except (TException, OSError, ValueError) as exc:
             conn.transport.close()
             return Err(Failure(Code.TIMEOUT, step, address, str(exc) or "no answer"))
-        self._give_back(address, conn)
+        if keep:
+            self._give_back(address, conn)
+        else:
+            conn.transport.close()
         return Success(value)
 
     def _drop_idle(self, address: str) -> None:
--- /dev/null
+++ b/packages/endiveworks/src/endiveworks/links/tests/test_client.py
@@ -0,0 +1,77 @@
+import socket
+from collections.abc import Iterator
+from typing import Any
+
+import pytest
+from endiveworks.errors import Code
+from endiveworks.links.client import Peers
+from endiveworks.wire.gen import Node
+from thrift.transport.TTransport import TTransportException
+
+TIMEOUT_S = 5.0
+
+
+@pytest.fixture
+def listener() -> Iterator[socket.socket]:
+    with socket.create_server(("127.0.0.1", 0)) as sock:
+        yield sock
+
+
+class Method:
+    """A method of a peer that answers, or loses its connection after the request was sent."""
+
+    def __init__(self, lost: int = 0) -> None:
+        self.lost = lost
+        self.sent = 0
+
+    def __call__(self, client: Any) -> str:
+        self.sent += 1
+        if self.sent <= self.lost:
+            raise TTransportException(message="connection lost")
+        return "answer"
+
+
+def address(listener: socket.socket) -> str:
+    return f"127.0.0.1:{listener.getsockname()[1]}"
+
+
+def peers_with_idle_connection(listener: socket.socket) -> Peers:
+    peers = Peers(Node.Client)
+    peers.call(address(listener), "t", TIMEOUT_S, Method()).unwrap()
+    return peers
+
+
+class TestCall:
+    def test_a_lost_idle_connection_is_replaced_by_a_fresh_one(
+        self, listener: socket.socket
+    ) -> None:
+        peers = peers_with_idle_connection(listener)
+        method = Method(lost=1)
+        assert peers.call(address(listener), "t", TIMEOUT_S, method).unwrap() == "answer"
+        assert method.sent == 2
+
+    def test_a_peer_never_reached_did_not_run_the_request(self, listener: socket.socket) -> None:
+        peer = address(listener)
+        listener.close()
+        failure = Peers(Node.Client).call(peer, "t", TIMEOUT_S, Method()).failure()
+        assert failure.code is Code.UNREACHABLE and failure.not_run
+
+    def test_a_peer_that_ends_after_a_first_send_may_have_run_the_request(
+        self, listener: socket.socket
+    ) -> None:
+        peers = peers_with_idle_connection(listener)
+        peer = address(listener)
+        listener.close()
+        failure = peers.call(peer, "t", TIMEOUT_S, Method(lost=1)).failure()
+        assert failure.code is Code.UNREACHABLE and not failure.not_run
+
+
+class TestCallOnce:
+    def test_is_sent_once_on_a_fresh_connection(self, listener: socket.socket) -> None:
+        peers = peers_with_idle_connection(listener)
+        method = Method(lost=1)
+        failure = peers.call_once(address(listener), "t", TIMEOUT_S, method).failure()
+        assert failure.code is Code.TIMEOUT and not failure.not_run
+        assert method.sent == 1
+        listener.accept()
+        listener.accept()
