Say not run of a call only when no attempt at it may have run

A repeatable plain call reserves no tokens, so the test on reserved tokens took a first attempt that ran for none when a later one was refused. Spending now carries whether an attempt may have run; a call taken over with several attempts counts as run. The test failed before the change.

--- a/packages/endiveworks/src/endiveworks/programs/attempt.py
+++ b/packages/endiveworks/src/endiveworks/programs/attempt.py
@@ -24,10 +24,17 @@
 
 
 class Spending(NamedTuple):
-    """Tokens that earlier attempts may have used, and those reserved for the next."""
+    """What the attempts so far may have used.
+
+    Attributes:
+        earlier_tokens: Tokens that earlier attempts may have used.
+        reserved_tokens: Tokens reserved for the next attempt.
+        ran: Whether an attempt may have run.
+    """
 
     earlier_tokens: int
     reserved_tokens: int
+    ran: bool
 
 
 class Try(NamedTuple):
@@ -77,8 +84,10 @@
 
 def after_try(spending: Spending, last: Try) -> Spending:
     """Moves the reservation of an attempt that may have used tokens to what is spent."""
+    spending = spending._replace(ran=spending.ran or last.ran)
     if last.ran and last.again:
-        return Spending(spending.earlier_tokens + spending.reserved_tokens, 0)
+        earlier = spending.earlier_tokens + spending.reserved_tokens
+        return spending._replace(earlier_tokens=earlier, reserved_tokens=0)
     return spending
 
 
--- a/packages/endiveworks/src/endiveworks/programs/dispatch.py
+++ b/packages/endiveworks/src/endiveworks/programs/dispatch.py
@@ -40,7 +40,8 @@
         stream.finish(refusal(outcome.failure()))
         return
     plan = outcome.unwrap()
-    spending = Spending(0, call.reserved_tokens)
+    # What became of attempts before the last is not recorded.
+    spending = Spending(0, call.reserved_tokens, ran=len(call.claims) > 1)
     last = _NOT_TRIED
     if call.claims:
         last = settle_previous(ctx, plan, call, stream)
@@ -109,9 +110,8 @@
     if not isinstance(stored, Success):
         stream.finish(refusal(stored.failure()._replace(not_run=False)))
         return
-    ran = last.ran or spending.earlier_tokens > 0
     retry_after = _RETRY_AFTER_S if failure.retry_after_s is None else failure.retry_after_s
-    final = failure._replace(not_run=not ran, retry_after_s=retry_after)
+    final = failure._replace(not_run=not spending.ran, retry_after_s=retry_after)
     log = logger("programs")
     log.warning(
         "call_given_up",
--- /dev/null
+++ b/packages/endiveworks/src/endiveworks/programs/tests/test_dispatch.py
@@ -0,0 +1,142 @@
+from collections.abc import Iterator
+
+import pytest
+from endiveworks.calls.messages import CallKey, Doubt, Job
+from endiveworks.calls.stream import Ending, Piece
+from endiveworks.config.bundle import EMPTY, CostWeights, Service, TenantTerms
+from endiveworks.errors import Code, Failure
+from endiveworks.journal.memory_log import open_memory_logs
+from endiveworks.members.member import Member
+from endiveworks.programs.owner import CallRequest, Owner
+from endiveworks.programs.plan import Upstreams, Wanted
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+SHOP = Service(
+    name="shop",
+    kind="plain",
+    model="",
+    classes={"front": 0},
+    default_class="front",
+    tenants={"*": TenantTerms(1.0, 1000)},
+    at_most_once=frozenset({"order"}),
+    checks_fencing=True,
+    weights=CostWeights(1.0, 1.0),
+    deadline_s=10.0,
+    max_tokens=100,
+    slots=2,
+)
+BUNDLE = EMPTY._replace(version=1, services={"shop": SHOP})
+GONE = Failure(Code.UNREACHABLE, "t", "u1", "gone")
+BUSY = Failure(Code.OVERLOADED, "t", "u1", "busy", not_run=True)
+DONE = Ending(200, "application/json")
+
+
+class Upstream:
+    """An upstream process that answers as the test says; a list is used up in order."""
+
+    def __init__(self) -> None:
+        self.submits: list[Result[None, Failure]] = []
+        self.endings: list[Result[Ending, Failure]] = []
+        self.doubts: list[Result[Doubt, Failure]] = []
+        self.jobs: list[Job] = []
+
+    def links(self) -> Upstreams:
+        return Upstreams(
+            self.choose, self.submit, self.read, self.tail, self.revoke, lambda *told: None
+        )
+
+    def choose(self, wanted: Wanted) -> Result[Member, Failure]:
+        return Success(Member("u1", "127.0.0.1:1", "upstream", "shop", "r", "d", 7))
+
+    def submit(self, member: Member, job: Job) -> Result[None, Failure]:
+        self.jobs.append(job)
+        return self.submits.pop(0) if self.submits else Err(BUSY)
+
+    def read(self, host: str, key: CallKey, offset: int, wait_s: float) -> Result[Piece, Failure]:
+        return self.endings.pop(0).map(lambda ending: Piece(offset, b"", ending))
+
+    def tail(self, *asked: object) -> Result[Piece, Failure]:
+        return Err(GONE)
+
+    def revoke(
+        self, host: str, key: CallKey, incarnation: int, epoch: int
+    ) -> Result[Doubt, Failure]:
+        return self.doubts.pop(0)
+
+
+@pytest.fixture
+def upstream() -> Upstream:
+    return Upstream()
+
+
+@pytest.fixture
+def owner(upstream: Upstream) -> Iterator[Owner]:
+    made = Owner(upstream.links(), lambda: BUNDLE)
+    made.adopt(1, 1, open_memory_logs()(1, 1).unwrap()).unwrap()
+    yield made
+    made.give_up(1)
+
+
+def run(owner: Owner, operation: str) -> Ending:
+    program = owner.open(1, "t", body_of_open()).unwrap()["id"]
+    owner.submit(CallRequest(program, 1, "t", "shop", operation, "", b"{}")).unwrap()
+    while True:
+        ending = owner.read(program, 1, 0, 10.0).unwrap().ending
+        if ending is not None:
+            return ending
+
+
+def body_of_open() -> dict[str, object]:
+    return {
+        "service": "shop",
+        "class_name": "",
+        "budget_tokens": 0,
+        "parent": "",
+        "request_key": "",
+    }
+
+
+class TestNotRun:
+    def test_is_said_when_every_attempt_was_refused(self, owner: Owner) -> None:
+        failure = run(owner, "lookup").failure
+        assert failure is not None and failure.code is Code.OVERLOADED and failure.not_run
+
+    def test_is_not_said_when_an_earlier_attempt_may_have_run(
+        self, owner: Owner, upstream: Upstream
+    ) -> None:
+        upstream.submits = [Success(None)]
+        upstream.endings = [Success(Ending(502, "", failure=GONE))]
+        failure = run(owner, "lookup").failure
+        assert len(upstream.jobs) > 1
+        assert failure is not None and not failure.not_run
+
+
+class TestAtMostOnce:
+    def test_an_attempt_in_doubt_that_was_revoked_is_made_again(
+        self, owner: Owner, upstream: Upstream
+    ) -> None:
+        upstream.submits = [Err(GONE), Success(None)]
+        upstream.doubts = [Success(Doubt.REVOKED)]
+        upstream.endings = [Success(DONE)]
+        assert run(owner, "order").failure is None
+        assert [job.key.attempt for job in upstream.jobs] == [1, 2]
+
+    @pytest.mark.parametrize("doubt", [Doubt.RUNNING, Doubt.ENDED])
+    def test_an_attempt_in_doubt_that_runs_is_followed(
+        self, owner: Owner, upstream: Upstream, doubt: Doubt
+    ) -> None:
+        upstream.submits = [Err(GONE)]
+        upstream.doubts = [Success(doubt)]
+        upstream.endings = [Success(DONE)]
+        assert run(owner, "order").failure is None
+        assert len(upstream.jobs) == 1
+
+    def test_an_attempt_at_a_restarted_process_stays_unknown(
+        self, owner: Owner, upstream: Upstream
+    ) -> None:
+        upstream.submits = [Err(GONE)]
+        upstream.doubts = [Success(Doubt.UNKNOWN)]
+        failure = run(owner, "order").failure
+        assert failure is not None and failure.code is Code.OUTCOME_UNKNOWN
+        assert not failure.not_run and len(upstream.jobs) == 1
