--- a/packages/endiveworks-daemon/src/endiveworks_daemon/node_service.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/node_service.py
@@ -11,6 +11,7 @@
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
+from .config_links import to_age_ms
 from .identity import Identity
 
 MAX_WAIT_MS = 5000
@@ -76,9 +77,11 @@
 
     def config(self, origin: ttypes.Origin, newer_than: int) -> ttypes.ConfigReply:
         """Returns the bundle in force if it is newer than the caller's."""
+        self.heard(origin)
         version = self.identity.config_version()
         bundle = self._bundle() if version > newer_than else b""
-        return ttypes.ConfigReply(version, bundle)
+        age_s = self.identity.config_age_s()
+        return ttypes.ConfigReply(version, bundle, to_age_ms(age_s))
 
 
 def chunk_of(news: Result[Piece, Failure]) -> ttypes.Chunk:
