--- a/packages/endiveworks-ctl/src/endiveworks_ctl/publish.py
+++ b/packages/endiveworks-ctl/src/endiveworks_ctl/publish.py
@@ -2,6 +2,7 @@
 
 import secrets
 import time
+from collections.abc import Sequence
 
 from endiveworks.config import publish as publication
 from endiveworks.config.differences import differences
@@ -12,6 +13,7 @@
 from .deployment import open_kv
 from .exits import Exit, exit_for
 from .output import Column, Invocation, Terminal, show_failures, show_json, show_rows
+from .wait import wait_for
 
 _RETRY_DELAYS_S = (0.2, 0.5, 1.0, 2.0)
 _COLUMNS = (
@@ -47,20 +49,27 @@
         return _show_refused(invocation.terminal, outcome.failure())
     changes = differences(before.services, req.services)
     rows = [change._asdict() for change in changes]
-    return _show_published(invocation.terminal, outcome.unwrap(), rows)
+    published = outcome.unwrap()
+    wait_s = invocation.values.number("wait_s")
+    behind = wait_for(invocation.values, published.bundle.version, wait_s) if wait_s else ()
+    _show_published(invocation.terminal, published, rows, behind)
+    return Exit.PARTIAL if behind else Exit.OK
 
 
-def _show_published(terminal: Terminal, published: Published, rows: list[dict[str, str]]) -> int:
+def _show_published(
+    terminal: Terminal, published: Published, rows: list[dict[str, str]], behind: Sequence[str]
+) -> None:
     bundle = published.bundle
     if terminal.as_json:
         body = {"version": bundle.version, "changed": published.changed, "differences": rows}
-        show_json(terminal, body)
-        return Exit.OK
+        show_json(terminal, {**body, "behind": behind})
+        return
     state = "published" if published.changed else "already in force"
     print(f"version {bundle.version} by {bundle.publisher}: {state}", file=terminal.out)
     if rows:
         show_rows(terminal, rows, _COLUMNS)
-    return Exit.OK
+    if behind:
+        print(f"not yet in force on: {', '.join(behind)}", file=terminal.err)
 
 
 def _show_refused(terminal: Terminal, refused: Refused) -> int:
--- a/packages/endiveworks-ctl/src/endiveworks_ctl/settings.py
+++ b/packages/endiveworks-ctl/src/endiveworks_ctl/settings.py
@@ -35,6 +35,13 @@
         "force. -1 takes the one in force when the command starts.",
         at_least(-1),
     )
+    flags.define_float(
+        "wait_s",
+        0,
+        "Time for which publish waits until every process has the version in force, in seconds; "
+        "0 does not wait.",
+        between(0.0, _MAX_TIMEOUT_S),
+    )
     flags.define_boolean("histograms", False, "Whether status shows histograms.")
     flags.define_integer(
         "limit", 100, "Programs shown of each entry.", between(1, MAX_PROGRAM_ROWS)
--- a/packages/endiveworks/src/endiveworks/settings/shared.py
+++ b/packages/endiveworks/src/endiveworks/settings/shared.py
@@ -37,6 +37,7 @@
     "timeout_s",
     "publisher",
     "expect",
+    "wait_s",
     "histograms",
     "limit",
 )
--- a/tests/fleet/test_configuration.py
+++ b/tests/fleet/test_configuration.py
@@ -1,11 +1,17 @@
+import json
+import subprocess
+import sys
 import threading
 from collections.abc import Callable
+from pathlib import Path
 from typing import Any
 
 import pytest
 from endiveworks.config.publish import BUNDLE_KEY, read_bundle
 from endiveworks.errors import Code
 from endiveworks.platform.kv import Swap
+from endiveworks_ctl.exits import Exit
+from endiveworks_standins.demo import SERVICES
 from endiveworks_standins.fleet import Place
 from returns.result import Success
 
@@ -102,3 +108,26 @@
 
 def _won(outcome: Any) -> bool:
     return isinstance(outcome, Success)
+
+
+class TestWaiting:
+    def test_publish_names_the_processes_that_are_behind(self, running: Any, until: Until) -> None:
+        running.procs["entry-2"].freeze()
+        first = publish(running, running.folder, slots=5)
+        assert first.returncode == Exit.PARTIAL
+        assert json.loads(first.stdout)["behind"] == ["entry-2"]
+        running.procs["entry-2"].thaw()
+        until(lambda: running.versions("entry-2") == [2])
+        second = publish(running, running.folder, slots=6)
+        assert second.returncode == Exit.OK
+        assert json.loads(second.stdout)["behind"] == []
+        assert running.versions(*NAMES) == [3, 3, 3]
+
+
+def publish(running: Any, folder: Path, slots: int) -> "subprocess.CompletedProcess[str]":
+    text = (SERVICES / "shop.toml").read_text()
+    path = folder / "shop.toml"
+    path.write_text(text.replace("slots = 8", f"slots = {slots}"))
+    command = [sys.executable, "-m", "endiveworks_ctl.main", "publish", str(path)]
+    flags = [f"--kv={running.kv_address}", "--wait_s=3", "--timeout_s=1", "--format=json"]
+    return subprocess.run([*command, *flags], capture_output=True, text=True, check=False)
