--- a/packages/endiveworks/src/endiveworks/members/view.py
+++ b/packages/endiveworks/src/endiveworks/members/view.py
@@ -92,13 +92,9 @@
 
 
 def answered(view: View, host: str, incarnation: int, draining: bool) -> View:
-    """Returns the view after a host answered, saying whether it is leaving."""
+    """Returns the view after a host answered; one that said it is leaving stays so."""
     suspicions = {name: found for name, found in view.suspicions.items() if name != host}
-    said = dict(view.draining)
-    if draining:
-        said[host] = incarnation
-    elif said.get(host) == incarnation:
-        del said[host]
+    said = {**view.draining, host: incarnation} if draining else view.draining
     return view._replace(suspicions=suspicions, draining=said)
 
 
