Put the decisions in force: queue beside each upstream, routing at owners, engine memory

The upstream process orders waiting calls by class, tenant share and attained service, bounds what runs by the engine's memory and refuses calls that would wait past their deadline. Owners choose upstreams by cost from load reports and their own sends, and renew the engine memory of their programs; the upstream process compares its leases with the engine's list each second and releases what has none.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/choice.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/choice.py
@@ -1,50 +1,170 @@
-"""Choice of an upstream process by its last use and by this host's calls under way."""
+"""Choice of the upstream process for a call, from load reports and this host's own sends."""
 
+import random
 import threading
-from collections import Counter
+import time
+from collections import OrderedDict, defaultdict
 from collections.abc import Mapping
+from typing import NamedTuple
 
 from endiveworks.calls.stream import Ending
 from endiveworks.errors import Code, Failure
 from endiveworks.members.member import Member
 from endiveworks.programs.plan import Wanted
+from endiveworks.reasons import Reasons
+from endiveworks.routing.choose import Call, Costs, Held, Replica, choose
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
 _RETRY_S = 1.0
+_FIRST_COST_S = 1.0
+_EWMA_SHARE = 0.1
+_BYTES_PER_TOKEN = 4
+_STREAM_BYTES_PER_TOKEN = 100
+_LINK_BURST_S = 2.0
+_KEPT_PROGRAMS = 4_096
+_KEPT_CHOICES = 8
 
 
-class Sends:
-    """Calls that this host has under way at each upstream process."""
+class Link(NamedTuple):
+    """The link between regions.
 
-    def __init__(self) -> None:
+    Attributes:
+        bytes_per_s: Rate that this host may use.
+        delay_s: One-way delay.
+    """
+
+    bytes_per_s: float
+    delay_s: float
+
+
+class Report(NamedTuple):
+    """Load of an upstream process at a time."""
+
+    at_s: float
+    running: int
+    queued: int
+
+
+class Chosen(NamedTuple):
+    """A choice that was made, with its reasons; at_s is seconds since the epoch."""
+
+    at_s: float
+    host: str
+    cost: float
+    reasons: Reasons
+
+
+_NO_REPORT = Report(float("-inf"), 0, 0)
+
+
+class Choices:
+    """What this host knows of the upstreams' load, and the choices it has made.
+
+    Args:
+        region: Region of this host.
+        link: The link between regions.
+        prefill_tokens_per_s: Prompt tokens that an engine computes in a second.
+        source: Source of random numbers.
+    """
+
+    def __init__(
+        self, region: str, link: Link, prefill_tokens_per_s: float, source: random.Random
+    ) -> None:
+        self._region = region
+        self._link = link
+        self._prefill_tokens_per_s = prefill_tokens_per_s
+        self._source = source
         self._lock = threading.Lock()
-        self._under_way: Counter[str] = Counter()
+        self._reports: dict[str, Report] = {}
+        self._sent_s: dict[str, dict[str, float]] = defaultdict(dict)
+        self._cost_s: dict[str, float] = {}
+        self._link_bytes = link.bytes_per_s * _LINK_BURST_S
+        self._link_at_s = time.monotonic()
+        self._chosen: OrderedDict[str, tuple[Chosen, ...]] = OrderedDict()
 
     def choose(self, wanted: Wanted, members: Mapping[str, Member]) -> Result[Member, Failure]:
-        """Chooses the process that the program used last, else the one with the fewest calls."""
+        """Chooses the upstream process of least cost."""
         name = wanted.service.name
         candidates = [
             member
             for member in members.values()
-            if member.service == name and not member.draining and member.host not in wanted.refused
+            if member.service == name and member.host not in wanted.refused
         ]
-        if not candidates:
-            detail = f"no upstream of {name!r} takes the call"
-            return Err(Failure(Code.NO_UPSTREAM, "choice.choose", "", detail, True, _RETRY_S))
+        now_s = time.monotonic()
         with self._lock:
-            chosen = min(candidates, key=lambda member: self._rank(wanted, member))
-            self._under_way[chosen.host] += 1
+            views = [self._view(wanted, member, now_s) for member in candidates]
+            call = self._call(wanted)
+            choice = choose(call, views, self._costs(wanted, now_s), now_s, self._source)
+            if not choice.host:
+                detail = f"no upstream of {name!r} takes the call"
+                return Err(Failure(Code.NO_UPSTREAM, "choice.choose", "", detail, True, _RETRY_S))
+            chosen = members[choice.host]
+            self._sent_s[choice.host][wanted.program] = now_s
+            if chosen.region != self._region:
+                self._link_bytes -= call.bytes_across
+            self._keep(wanted.program, Chosen(time.time(), *choice))
         return Success(chosen)
 
     def done(self, host: str, wanted: Wanted, ending: Ending) -> None:
-        """Notes that a call has ended."""
+        """Notes that an attempt has ended."""
+        with self._lock:
+            sent_s = self._sent_s[host].pop(wanted.program, None)
+            if sent_s is None or ending.failure is not None:
+                return
+            name = wanted.service.name
+            cost_s = self._cost_s.get(name, _FIRST_COST_S)
+            self._cost_s[name] = cost_s + _EWMA_SHARE * (time.monotonic() - sent_s - cost_s)
+
+    def reported(self, host: str, report: Report) -> None:
+        """Takes a load report."""
+        with self._lock:
+            self._reports[host] = report
+
+    def explain(self, program: str) -> tuple[Chosen, ...]:
+        """Returns the last choices for a program's calls, oldest first."""
         with self._lock:
-            self._under_way[host] -= 1
+            return self._chosen.get(program, ())
 
-    def _rank(self, wanted: Wanted, member: Member) -> tuple[bool, int, str]:
-        return (
-            member.host != wanted.last_upstream,
-            self._under_way[member.host],
-            member.host,
+    def _view(self, wanted: Wanted, member: Member, now_s: float) -> Replica:
+        report = self._reports.get(member.host, _NO_REPORT)
+        per_call_s = self._cost_s.get(wanted.service.name, _FIRST_COST_S) / wanted.service.slots
+        sent = self._sent_s[member.host].values()
+        unreported = sum(sent_s > report.at_s for sent_s in sent)
+        return Replica(
+            host=member.host,
+            region=member.region,
+            wait_s=report.queued * per_call_s,
+            reported_s=report.at_s,
+            unreported_s=unreported * per_call_s,
+            running=max(report.running, len(sent)),
+            draining=member.draining,
         )
+
+    def _call(self, wanted: Wanted) -> Call:
+        held = None
+        if wanted.last_upstream and wanted.history_tokens:
+            held = Held(wanted.last_upstream, wanted.history_tokens)
+        prompt_tokens = wanted.history_tokens + wanted.new_tokens
+        answer_bytes = wanted.max_tokens * _STREAM_BYTES_PER_TOKEN
+        across = prompt_tokens * _BYTES_PER_TOKEN + answer_bytes
+        return Call(self._region, prompt_tokens, across, held)
+
+    def _costs(self, wanted: Wanted, now_s: float) -> Costs:
+        gained = (now_s - self._link_at_s) * self._link.bytes_per_s
+        most = self._link.bytes_per_s * _LINK_BURST_S
+        self._link_bytes = min(most, self._link_bytes + gained)
+        self._link_at_s = now_s
+        return Costs(
+            wanted.service.weights,
+            self._prefill_tokens_per_s,
+            self._link.delay_s,
+            self._link_bytes,
+            self._link.bytes_per_s,
+        )
+
+    def _keep(self, program: str, chosen: Chosen) -> None:
+        earlier = self._chosen.pop(program, ())
+        self._chosen[program] = (*earlier, chosen)[-_KEPT_CHOICES:]
+        if len(self._chosen) > _KEPT_PROGRAMS:
+            self._chosen.popitem(last=False)
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/entry.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/entry.py
@@ -19,10 +19,12 @@
 from returns.result import Result, Success
 
 from .callers import serve_callers
-from .choice import Sends
+from .choice import Choices, Link
 from .deployment import Deployment, join
 from .forward import Owners
+from .hold_renewal import HoldRenewal
 from .http_app import Gate, Limits, make_app
+from .load_reports import LoadReports
 from .metering import counted_app, measured_upstreams, program_observer
 from .node import Node, local_node, puller, remote_node
 from .operators import Work, program_rows, serve_operators
@@ -38,17 +40,21 @@
 def start_entry(cfg: Values) -> Callable[[], bool]:
     """Starts the process and returns the function that stops it."""
     deployment = join(cfg)
-    sends = Sends()
+    choices = _choices(cfg, deployment)
+    peers = Peers(ExecutorThrift.Client)
+    origin = deployment.identity.origin
     links = upstream_links(
         deployment.identity,
-        Peers(ExecutorThrift.Client),
+        peers,
         deployment.members,
-        lambda wanted: sends.choose(wanted, deployment.members()),
-        sends.done,
+        lambda wanted: choices.choose(wanted, deployment.members()),
+        choices.done,
     )
     metrics = Metrics(cfg.text("statsd"), cfg.text("host"))
     measured = measured_upstreams(links, metrics)
     owner = Owner(measured, deployment.bundle, program_observer(metrics))
+    LoadReports(peers, origin, deployment.members, choices).start()
+    HoldRenewal(owner, peers, origin, deployment.members).start()
     gate = Gate(cfg.integer("max_open"))
     service = OwnerService(
         deployment.identity,
@@ -87,6 +93,16 @@
     return stop
 
 
+def _choices(cfg: Values, deployment: Deployment) -> Choices:
+    link = Link(cfg.number("link_bytes_per_s"), cfg.number("link_delay_s"))
+    return Choices(
+        deployment.identity.region,
+        link,
+        cfg.number("prefill_tokens_per_s"),
+        random.Random(deployment.identity.incarnation),
+    )
+
+
 def _owners(cfg: Values, deployment: Deployment, owner: Owner) -> Owners:
     here = local_node(owner)
     peers = Peers(OwnerThrift.Client)
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/executor_service.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/executor_service.py
@@ -1,7 +1,9 @@
 """Thrift service of the process beside an upstream."""
 
+import time
 from collections.abc import Callable
 
+from endiveworks.cache.holds import Renewal
 from endiveworks.calls.executor import Executor
 from endiveworks.calls.messages import CallKey, Job
 from endiveworks.calls.stream import Stream
@@ -10,6 +12,7 @@
 from endiveworks.wire.gen import ttypes
 from returns.result import Result, Success
 
+from .engine_keeper import EngineKeeper
 from .identity import Identity
 from .node_service import MAX_WAIT_MS, NodeService, chunk_of
 
@@ -22,6 +25,7 @@
         executor: Runs the attempts.
         heard: Is told of each sender, whose configuration may be newer.
         bundle: Returns the encoded bundle in force.
+        keeper: Keeps the engine's memory.
     """
 
     def __init__(
@@ -30,9 +34,11 @@
         executor: Executor,
         heard: Callable[[ttypes.Origin], None],
         bundle: Callable[[], bytes],
+        keeper: EngineKeeper,
     ) -> None:
         super().__init__(identity, "upstream", heard, bundle)
         self._executor = executor
+        self._keeper = keeper
 
     def load(self) -> tuple[int, int]:
         """Returns how many attempts run and how many wait."""
@@ -46,6 +52,8 @@
         """Accepts an attempt."""
         self.heard(origin)
         outcome = self._executor.submit(_job(req))
+        if isinstance(outcome, Success):
+            self._keeper.touch(req.key.program, req.epoch)
         fault = None if isinstance(outcome, Success) else to_fault(outcome.failure())
         return ttypes.SubmitReply(req.key, self._executor.incarnation, fault)
 
@@ -74,9 +82,14 @@
 
     def renew(self, origin: ttypes.Origin, holds: list[ttypes.Hold]) -> None:
         """Keeps engine memory for programs."""
+        now_s = time.monotonic()
+        self._keeper.renew(
+            [Renewal(hold.program, hold.epoch, now_s + hold.keep_ms / 1000) for hold in holds]
+        )
 
     def release(self, origin: ttypes.Origin, program: str, epoch: int) -> None:
         """Frees the engine memory of a program."""
+        self._keeper.release(program, epoch)
 
 
 def _key(key: ttypes.CallKey) -> CallKey:
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/options.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/options.py
@@ -83,6 +83,22 @@
         "patience_s", 20.0, "Entry: wait for a partition's next owner.", between(0.1, 600.0)
     )
 
+    flags.define_float(
+        "link_bytes_per_s",
+        200_000.0,
+        "Entry: bytes a second that this host may send between regions.",
+        between(1.0, 1e12),
+    )
+    flags.define_float(
+        "link_delay_s", 0.02, "Entry: one-way delay between regions.", between(0.0, 10.0)
+    )
+    flags.define_float(
+        "prefill_tokens_per_s",
+        20_000.0,
+        "Entry: prompt tokens that an engine computes in a second.",
+        between(1.0, 1e9),
+    )
+
 
 def _define_upstream(flags: Flags) -> None:
     flags.define_string("service", "", "Upstream: name of the service.")
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/upstream.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/upstream.py
@@ -1,10 +1,12 @@
 """The process beside one upstream."""
 
+import random
 from collections.abc import Callable
 
+from endiveworks.admission.waiting import Admission, Surroundings, executor_queue
 from endiveworks.calls.executor import Executor
-from endiveworks.calls.fifo import fifo_queue
 from endiveworks.config.bundle import Service
+from endiveworks.engines.memory import engine_memory
 from endiveworks.links import server
 from endiveworks.members.member import Member
 from endiveworks.settings.flags import Values
@@ -13,6 +15,7 @@
 from endiveworks.wire.gen import Executor as ExecutorThrift
 
 from .deployment import Deployment, join
+from .engine_keeper import EngineKeeper
 from .executor_service import ExecutorService
 from .metering import measured_queue
 from .operators import Work, serve_operators
@@ -26,14 +29,27 @@
     deployment = join(cfg)
     identity = deployment.identity
     metrics = Metrics(cfg.text("statsd"), cfg.text("host"))
+    keeper = EngineKeeper(
+        engine_memory(cfg.text("upstream_url")), lambda: _is_model(deployment, cfg.text("service"))
+    )
+    around = Surroundings(
+        identity.host,
+        lambda: _service(deployment, cfg.text("service")),
+        keeper.memory_tokens,
+        cfg.integer("max_waiting"),
+    )
+    admission = Admission(around, random.Random(identity.incarnation))
     executor = Executor(
         host=identity.host,
         incarnation=identity.incarnation,
-        queue=measured_queue(fifo_queue(identity.host, cfg.integer("max_waiting")), metrics),
+        queue=measured_queue(executor_queue(admission), metrics),
         run=runner(cfg.text("upstream_url"), cfg.number("silence_s")),
         slots=lambda: _slots(deployment, cfg.text("service")),
     )
-    service = ExecutorService(identity, executor, deployment.heard, deployment.encoded_bundle)
+    service = ExecutorService(
+        identity, executor, deployment.heard, deployment.encoded_bundle, keeper
+    )
+    keeper.start()
     listening = server.serve(
         ExecutorThrift.Processor(service), cfg.text("listen"), cfg.integer("max_connections")
     )
@@ -52,8 +68,17 @@
     return stop
 
 
+def _service(deployment: Deployment, name: str) -> Service | None:
+    return deployment.bundle().services.get(name)
+
+
+def _is_model(deployment: Deployment, name: str) -> bool:
+    service = _service(deployment, name)
+    return service is not None and service.kind == "model"
+
+
 def _slots(deployment: Deployment, name: str) -> int:
-    service: Service | None = deployment.bundle().services.get(name)
+    service = _service(deployment, name)
     return service.slots if service is not None else _SLOTS_BEFORE_CONFIG
 
 
--- a/packages/endiveworks/src/endiveworks/cache/holds.py
+++ b/packages/endiveworks/src/endiveworks/cache/holds.py
@@ -3,7 +3,8 @@
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
-UNKNOWN_GRACE_S = 10.0
+# Longer than the period in which owners renew.
+UNKNOWN_GRACE_S = 15.0
 
 
 class Lease(NamedTuple):
--- /dev/null
+++ b/packages/endiveworks/src/endiveworks/engines/memory.py
@@ -0,0 +1,87 @@
+"""Orders to an engine about its memory, and what it reports of it."""
+
+from collections.abc import Callable, Mapping
+from typing import NamedTuple, TypedDict, TypeVar
+
+import msgspec
+import urllib3
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+from ..errors import Code, Failure
+
+_TIMEOUT_S = 2.0
+
+T = TypeVar("T")
+
+
+class Load(TypedDict):
+    """Load of an engine, which lags."""
+
+    running: int
+    waiting: int
+    running_tokens: int
+    cached_tokens: int
+    memory_tokens: int
+
+
+class _Cached(TypedDict):
+    prefixes: dict[str, int]
+
+
+class EngineMemory(NamedTuple):
+    """Access to an engine's memory.
+
+    Attributes:
+        load: Reads the load report.
+        cached: Lists the tokens of each cached prefix by program.
+        release: Drops the prefix of a program.
+    """
+
+    load: Callable[[], Result[Load, Failure]]
+    cached: Callable[[], Result[Mapping[str, int], Failure]]
+    release: Callable[[str], Result[None, Failure]]
+
+
+def engine_memory(base_url: str) -> EngineMemory:
+    """Returns access to the memory of the engine at a URL."""
+    http = urllib3.PoolManager(num_pools=1, maxsize=2)
+
+    def request(step: str, method: str, path: str, body: object, wanted: type[T]) -> T | Failure:
+        try:
+            response = http.request(
+                method,
+                base_url + path,
+                body=msgspec.json.encode(body) if body is not None else None,
+                headers={"Content-Type": "application/json"},
+                retries=False,
+                redirect=False,
+                timeout=_TIMEOUT_S,
+            )
+        except urllib3.exceptions.HTTPError as exc:
+            return Failure(Code.UNREACHABLE, step, base_url, str(exc))
+        if response.status != 200:
+            detail = f"the engine answered {response.status}"
+            return Failure(Code.UPSTREAM_FAILED, step, base_url, detail)
+        try:
+            return msgspec.json.decode(response.data, type=wanted)
+        except msgspec.MsgspecError as exc:
+            return Failure(Code.UPSTREAM_FAILED, step, base_url, str(exc))
+
+    def load() -> Result[Load, Failure]:
+        return _result(request("engines.load", "GET", "/load", None, Load))
+
+    def cached() -> Result[Mapping[str, int], Failure]:
+        found = _result(request("engines.cached", "GET", "/cache/list", None, _Cached))
+        return found.map(lambda listed: listed["prefixes"])
+
+    def release(program: str) -> Result[None, Failure]:
+        body = {"cache_salt": program}
+        outcome = request("engines.release", "POST", "/cache/release", body, dict)
+        return _result(outcome).map(lambda answer: None)
+
+    return EngineMemory(load, cached, release)
+
+
+def _result(outcome: T | Failure) -> Result[T, Failure]:
+    return Err(outcome) if isinstance(outcome, Failure) else Success(outcome)
--- a/packages/endiveworks/src/endiveworks/programs/owner.py
+++ b/packages/endiveworks/src/endiveworks/programs/owner.py
@@ -195,6 +195,12 @@
             rows += view(partition.ref, look).value_or([])
         return rows[:limit]
 
+    def view_owned(self, look: Callable[[Partition], list[T]]) -> list[tuple[int, list[T]]]:
+        """Returns what a function finds in each partition of this host, with its epoch."""
+        with self._lock:
+            held = tuple(self._held.values())
+        return [(partition.epoch, view(partition.ref, look).value_or([])) for partition in held]
+
     def submit(self, req: CallRequest) -> Result[None, Failure]:
         """Accepts a call, or finds it accepted before; its answer is then read."""
         start = self._start_of(req)
