--- /dev/null
+++ b/bench/decisions.py
@@ -0,0 +1,207 @@
+"""Measures the decisions against two baselines and prints one JSON line for each figure.
+
+Replays the generated traces under the whole policy, the baselines and the policy without each of
+its parts, all with the same traces and seeds; then times single decisions.
+"""
+
+import json
+import random
+import statistics
+import sys
+import time
+from collections.abc import Callable, Iterable
+from concurrent.futures import ProcessPoolExecutor
+from typing import NamedTuple
+
+import traces
+from absl import app, flags
+from endiveworks.admission.queue import Queue, Rules, Waiting, offer, take
+from endiveworks.config.bundle import CostWeights
+from endiveworks.replay.measures import Measures
+from endiveworks.replay.policy import (
+    BASELINES,
+    FULL,
+    PARTS,
+    ROUND_ROBIN,
+    STICKY,
+    Policy,
+    with_routing,
+    without,
+)
+from endiveworks.replay.run import replay
+from endiveworks.routing.choose import Call, Costs, Held, Replica, choose
+
+_SEEDS = flags.DEFINE_integer("seeds", 3, "Number of seeds, from 1.")
+_DURATION = flags.DEFINE_float("duration_s", 600.0, "Time over which programs arrive.")
+_WORKERS = flags.DEFINE_integer("workers", 3, "Replays run at once.")
+_PARTS = flags.DEFINE_bool("parts", True, "Whether each part is switched off in turn.")
+
+DEPLOYMENTS = {deployment.name: deployment for deployment in traces.DEPLOYMENTS}
+LOADS = (0.5, 0.8, 1.0, 1.3)
+LOSS = "loss"
+COMPARED = (
+    "mean_s",
+    "calls_mean_s",
+    "front_p95_s",
+    "front_calls_p95_s",
+    "wasted_tokens",
+    "goodput",
+)
+REPORTED = ("done_share", "tenant_share", "link_share", "refusals", "preempted", "moved_tokens")
+TIMED_ROUNDS = 2_000
+
+
+class Task(NamedTuple):
+    """One replay."""
+
+    deployment: str
+    load: float
+    loss: bool
+    seed: int
+    policy: Policy
+    duration_s: float
+
+
+def run(task: Task) -> Measures:
+    """Replays one generated trace."""
+    trace = traces.generate(DEPLOYMENTS[task.deployment], task.load, task.seed, task.duration_s)
+    if task.loss:
+        trace = traces.with_loss(trace, task.duration_s)
+    return replay(trace, task.policy, task.seed)
+
+
+def tasks(seeds: Iterable[int], duration_s: float, parts: bool) -> list[Task]:
+    """Lists all replays."""
+    found = []
+    for name in DEPLOYMENTS:
+        for seed in seeds:
+            for policy in (FULL, *BASELINES):
+                for load in LOADS:
+                    found.append(Task(name, load, False, seed, policy, duration_s))
+                found.append(Task(name, traces.LOSS_LOAD, True, seed, policy, duration_s))
+            if parts:
+                changed = [*map(without, PARTS), with_routing("sticky")]
+                found += [Task(name, 1.0, False, seed, p, duration_s) for p in changed]
+    return found
+
+
+def report(results: dict[Task, Measures]) -> None:
+    """Prints the figures of every policy beside the better baseline of the same runs."""
+    cells = sorted({(task.deployment, task.load, task.loss) for task in results})
+    for cell in cells:
+        runs: dict[str, list[Measures]] = {}
+        for task, measures in results.items():
+            if (task.deployment, task.load, task.loss) == cell:
+                runs.setdefault(task.policy.name, []).append(measures)
+        for name, found in runs.items():
+            _report_policy(cell, name, found, runs)
+
+
+def _report_policy(
+    cell: tuple[str, float, bool],
+    name: str,
+    found: list[Measures],
+    runs: dict[str, list[Measures]],
+) -> None:
+    place = {"deployment": cell[0], "load": cell[1], "replica_lost": cell[2], "policy": name}
+    for figure in COMPARED:
+        values = [float(getattr(measures, figure)) for measures in found]
+        better = max if figure == "goodput" else min
+        baseline, reference = better(
+            (_mean(runs[policy.name], figure), policy.name) for policy in (ROUND_ROBIN, STICKY)
+        )
+        mean = statistics.mean(values)
+        line = {
+            **place,
+            "figure": figure,
+            "value": round(mean, 3),
+            "lowest": round(min(values), 3),
+            "highest": round(max(values), 3),
+            "seeds": len(values),
+            "baseline": reference,
+            "baseline_value": round(baseline, 3),
+            "ratio": round(mean / baseline, 3) if baseline else None,
+        }
+        print(json.dumps(line), flush=True)
+    for figure in REPORTED:
+        values = [float(getattr(measures, figure)) for measures in found]
+        line = {
+            **place,
+            "figure": figure,
+            "value": round(statistics.mean(values), 3),
+            "lowest": round(min(values), 3),
+            "highest": round(max(values), 3),
+            "seeds": len(values),
+        }
+        print(json.dumps(line), flush=True)
+
+
+def _mean(runs: list[Measures], figure: str) -> float:
+    return statistics.mean(float(getattr(measures, figure)) for measures in runs)
+
+
+def time_choices() -> None:
+    """Prints the time of a choice of upstream by the number of replicas."""
+    costs = Costs(CostWeights(1.0, 1.0), 20_000.0, 0.02, 1e6, 1e6)
+    source = random.Random(1)
+    for count in (10, 60, 600):
+        replicas = [Replica(f"r{at}", "east", source.random(), 0.0) for at in range(count)]
+        call = Call("east", 4_000, 20_000, Held(f"r{count - 1}", 3_000))
+        each_us = _time_us(lambda: choose(call, replicas, costs, 1.0, source))
+        print(json.dumps({"figure": "choose_us", "replicas": count, "value": each_us}), flush=True)
+
+
+def time_queue() -> None:
+    """Prints the time of taking one call and offering another by the length of the queue."""
+    for length in (100, 1_000, 20_000):
+        source = random.Random(1)
+        queue = Queue(Rules())
+        for at in range(length):
+            offer(queue, _waiting(source, at))
+        numbers = iter(range(length, length + 10 * TIMED_ROUNDS))
+
+        def turn() -> None:
+            take(queue, 1.0)
+            offer(queue, _waiting(source, next(numbers)))
+
+        print(
+            json.dumps({"figure": "take_offer_us", "queued": length, "value": _time_us(turn)}),
+            flush=True,
+        )
+
+
+def _waiting(source: random.Random, number: int) -> Waiting:
+    return Waiting(
+        key=str(number),
+        tenant=f"t{source.randrange(100)}",
+        weight=1.0,
+        priority=source.randrange(3),
+        attained_tokens=source.randrange(100_000),
+        cost_s=source.random(),
+        arrived_s=number / 1_000,
+    )
+
+
+def _time_us(act: Callable[[], object]) -> float:
+    laps = []
+    for _ in range(5):
+        began = time.perf_counter()
+        for _ in range(TIMED_ROUNDS):
+            act()
+        laps.append((time.perf_counter() - began) / TIMED_ROUNDS)
+    return round(statistics.median(laps) * 1e6, 2)
+
+
+def main(argv: list[str]) -> None:
+    """Runs all replays and timings."""
+    del argv
+    time_choices()
+    time_queue()
+    todo = tasks(range(1, _SEEDS.value + 1), _DURATION.value, _PARTS.value)
+    with ProcessPoolExecutor(_WORKERS.value) as pool:
+        results = dict(zip(todo, pool.map(run, todo), strict=True))
+    report(results)
+
+
+if __name__ == "__main__":
+    sys.exit(app.run(main))
--- a/packages/endiveworks-ctl/src/endiveworks_ctl/main.py
+++ b/packages/endiveworks-ctl/src/endiveworks_ctl/main.py
@@ -13,6 +13,7 @@
 from .output import Command, Invocation, Terminal
 from .programs import programs
 from .publish import publish
+from .replay import replay
 from .status import status
 from .version import version
 
@@ -32,7 +33,14 @@
     "check": _Entry(check, "FILE|DIR...", 1, _MANY, "Check service files and list every error."),
     "publish": _Entry(publish, "DIR", 1, 1, "Check the service files and put them in force."),
     "status": _Entry(status, "", 0, 0, "Show every process, or its histograms."),
-    "programs": _Entry(programs, "", 0, 0, "Show programs under way."),
+    "programs": _Entry(
+        programs,
+        "[explain ID]",
+        0,
+        2,
+        "Show programs under way, or why one's calls went as they did.",
+    ),
+    "replay": _Entry(replay, "FILE...", 1, _MANY, "Replay traces and check their outcomes."),
     "version": _Entry(version, "", 0, 0, "Show the version."),
 }
 
--- a/packages/endiveworks-ctl/src/endiveworks_ctl/programs.py
+++ b/packages/endiveworks-ctl/src/endiveworks_ctl/programs.py
@@ -4,7 +4,8 @@
 from returns.result import Success
 
 from .deployment import find_members
-from .exits import exit_for
+from .exits import Exit, exit_for
+from .explain import explain
 from .fetch import fetch_all
 from .output import Column, Invocation, show_failures, show_rows
 from .status import finish
@@ -22,7 +23,9 @@
 
 
 def programs(invocation: Invocation) -> int:
-    """Shows up to --limit programs of each entry."""
+    """Shows up to --limit programs of each entry, or explains one program's calls."""
+    if invocation.args:
+        return _explain(invocation)
     found = find_members(invocation.values)
     if not isinstance(found, Success):
         show_failures(invocation.terminal, [found.failure()])
@@ -34,3 +37,11 @@
     rows = sorted((row for answer in answers for row in answer), key=lambda row: row["program"])
     show_rows(invocation.terminal, rows, _COLUMNS)
     return finish(invocation, answers, failures)
+
+
+def _explain(invocation: Invocation) -> int:
+    action, *rest = invocation.args
+    if action != "explain" or len(rest) != 1:
+        print("endivectl: programs takes nothing or explain ID", file=invocation.terminal.err)
+        return Exit.USAGE
+    return explain(invocation, rest[0])
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/admin.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/admin.py
@@ -7,6 +7,7 @@
 
 import msgspec
 from endiveworks.telemetry.status import (
+    EXPLAIN_PATH,
     HEALTH_PATH,
     MAX_PROGRAM_ROWS,
     METRICS_PATH,
@@ -56,6 +57,7 @@
         METRICS_PATH: lambda _query: _json(encode_metrics(sources.metrics())),
         STATUS_PATH: lambda _query: _json(msgspec.json.encode(sources.status())),
         PROGRAMS_PATH: lambda query: _programs(sources, query),
+        EXPLAIN_PATH: lambda query: _explain(sources, query),
         HEALTH_PATH: lambda _query: _health(sources),
     }
 
@@ -87,6 +89,13 @@
     return _json(msgspec.json.encode(sources.programs(int(text))))
 
 
+def _explain(sources: Sources, query: str) -> _Answer:
+    program = parse_qs(query).get("program", [""])[0]
+    if not program:
+        return _problem("400 Bad Request", "program must be named.")
+    return _json(msgspec.json.encode(sources.explain(program)))
+
+
 def _health(sources: Sources) -> _Answer:
     if sources.status()["draining"]:
         return _Answer("503 Service Unavailable", "text/plain", b"draining\n")
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/entry.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/entry.py
@@ -21,6 +21,7 @@
 from .callers import serve_callers
 from .choice import Choices, Link
 from .deployment import Deployment, join
+from .explain import route_reasons
 from .forward import Owners
 from .hold_renewal import HoldRenewal
 from .http_app import Gate, Limits, make_app
@@ -75,6 +76,7 @@
         metrics,
         lambda: Work(owner.running(), 0, len(owner.owned())),
         lambda limit: program_rows(owner, deployment.identity.host, limit),
+        lambda program: route_reasons(deployment.identity.host, choices.explain(program)),
     )
     deployment.announce(_member(cfg, deployment, listening.address, operators.address))
     _adopt_all(cfg, deployment, owner)
--- /dev/null
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/explain.py
@@ -0,0 +1,41 @@
+"""Reasons of decisions in the form that operators see."""
+
+from collections.abc import Iterable, Mapping
+
+from endiveworks.reasons import Reason, Reasons
+from endiveworks.telemetry.status import ReasonRow
+
+from .choice import Chosen
+
+
+def route_reasons(process: str, choices: Iterable[Chosen]) -> list[ReasonRow]:
+    """Returns the reasons for the choices of upstreams."""
+    return [
+        _row(process, "route", "", chosen.at_s, chosen.host, reason)
+        for chosen in choices
+        for reason in chosen.reasons
+    ]
+
+
+def admit_reasons(process: str, attempts: Mapping[str, Reasons]) -> list[ReasonRow]:
+    """Returns the reasons for the admission of attempts."""
+    return [
+        _row(process, "admit", attempt, 0.0, "", reason)
+        for attempt, reasons in attempts.items()
+        for reason in reasons
+    ]
+
+
+def _row(
+    process: str, decision: str, attempt: str, at_s: float, chosen: str, reason: Reason
+) -> ReasonRow:
+    return ReasonRow(
+        process=process,
+        decision=decision,
+        attempt=attempt,
+        at_s=at_s,
+        chosen=chosen,
+        rule=reason.rule,
+        value=reason.value,
+        subject=reason.subject,
+    )
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/operators.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/operators.py
@@ -10,7 +10,7 @@
 from endiveworks.programs.owner import Owner, ProgramStatus
 from endiveworks.settings.flags import Values
 from endiveworks.telemetry.metrics import Metrics
-from endiveworks.telemetry.status import ProcessStatus, ProgramRow, Sources
+from endiveworks.telemetry.status import ProcessStatus, ProgramRow, ReasonRow, Sources
 
 from . import admin
 from .deployment import Deployment
@@ -44,6 +44,7 @@
     metrics: Metrics,
     work: Callable[[], Work],
     programs: Callable[[int], list[ProgramRow]],
+    explain: Callable[[str], list[ReasonRow]],
 ) -> HttpServer:
     """Starts the operators' HTTP server.
 
@@ -75,7 +76,7 @@
             uptime_s=round(time.monotonic() - started_at, 1),
         )
 
-    return admin.serve(cfg.text("admin"), Sources(status, programs, metrics.snapshot))
+    return admin.serve(cfg.text("admin"), Sources(status, programs, metrics.snapshot, explain))
 
 
 def _row(status: ProgramStatus, host: str) -> ProgramRow:
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/upstream.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/upstream.py
@@ -17,6 +17,7 @@
 from .deployment import Deployment, join
 from .engine_keeper import EngineKeeper
 from .executor_service import ExecutorService
+from .explain import admit_reasons
 from .metering import measured_queue
 from .operators import Work, serve_operators
 from .upstream_run import runner
@@ -54,7 +55,12 @@
         ExecutorThrift.Processor(service), cfg.text("listen"), cfg.integer("max_connections")
     )
     operators = serve_operators(
-        cfg, deployment, metrics, lambda: Work(*executor.load(), 0), lambda limit: []
+        cfg,
+        deployment,
+        metrics,
+        lambda: Work(*executor.load(), 0),
+        lambda limit: [],
+        lambda program: admit_reasons(identity.host, admission.explain(program)),
     )
     deployment.announce(_member(cfg, deployment, listening.address, operators.address))
     logger("daemon").info("listening", thrift=listening.address, admin=operators.address)
--- a/packages/endiveworks/src/endiveworks/telemetry/status.py
+++ b/packages/endiveworks/src/endiveworks/telemetry/status.py
@@ -13,6 +13,7 @@
 METRICS_PATH = "/metrics.json"
 STATUS_PATH = "/status"
 PROGRAMS_PATH = "/programs"
+EXPLAIN_PATH = "/explain"
 HEALTH_PATH = "/healthz"
 MAX_PROGRAM_ROWS = 1000
 
@@ -70,6 +71,30 @@
     owner: str
 
 
+class ReasonRow(TypedDict):
+    """One consideration behind a decision on a call of a program.
+
+    Attributes:
+        process: Process that decided.
+        decision: "route" or "admit".
+        attempt: The attempt at a call; empty where the decision came before there was one.
+        at_s: Time of the decision in seconds since the epoch; 0 where it is not kept.
+        chosen: Upstream process chosen; empty for "admit".
+        rule: Name of the rule; its suffix is the unit of the value.
+        value: The number that was weighed.
+        subject: Host, class, tenant or tool concerned.
+    """
+
+    process: str
+    decision: str
+    attempt: str
+    at_s: float
+    chosen: str
+    rule: str
+    value: float
+    subject: str
+
+
 class CounterBody(TypedDict):
     """A counter as served; group is "tenant", "class" or empty for the whole process."""
 
@@ -115,6 +140,7 @@
     status: Callable[[], ProcessStatus]
     programs: Callable[[int], list[ProgramRow]]
     metrics: Callable[[], MetricsSnapshot]
+    explain: Callable[[str], list[ReasonRow]] = lambda program: []
 
 
 def encode_metrics(snapshot: MetricsSnapshot) -> bytes:
@@ -143,6 +169,11 @@
     return _decode(data, list[ProgramRow], peer)
 
 
+def decode_reasons(data: bytes, peer: str) -> Result[list[ReasonRow], Failure]:
+    """Returns the reasons that a peer served, or a Failure with code CORRUPT."""
+    return _decode(data, list[ReasonRow], peer)
+
+
 def _decode(data: bytes, form: type[_T], peer: str) -> Result[_T, Failure]:
     try:
         return Success(msgspec.json.decode(data, type=form))
