--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -13,7 +13,7 @@
 from concurrent.futures import ProcessPoolExecutor
 from typing import NamedTuple
 
-import traces
+import workloads
 from absl import app, flags
 from endiveworks.admission.queue import Queue, Rules, Waiting, offer, take
 from endiveworks.config.bundle import CostWeights
@@ -36,7 +36,7 @@
 _WORKERS = flags.DEFINE_integer("workers", 3, "Replays run at once.")
 _PARTS = flags.DEFINE_bool("parts", True, "Whether each part is switched off in turn.")
 
-DEPLOYMENTS = {deployment.name: deployment for deployment in traces.DEPLOYMENTS}
+DEPLOYMENTS = {deployment.name: deployment for deployment in workloads.DEPLOYMENTS}
 LOADS = (0.5, 0.8, 1.0, 1.3)
 LOSS = "loss"
 COMPARED = (
@@ -64,9 +64,9 @@
 
 def run(task: Task) -> Measures:
     """Replays one generated trace."""
-    trace = traces.generate(DEPLOYMENTS[task.deployment], task.load, task.seed, task.duration_s)
+    trace = workloads.generate(DEPLOYMENTS[task.deployment], task.load, task.seed, task.duration_s)
     if task.loss:
-        trace = traces.with_loss(trace, task.duration_s)
+        trace = workloads.with_loss(trace, task.duration_s)
     return replay(trace, task.policy, task.seed)
 
 
@@ -78,7 +78,7 @@
             for policy in (FULL, *BASELINES):
                 for load in LOADS:
                     found.append(Task(name, load, False, seed, policy, duration_s))
-                found.append(Task(name, traces.LOSS_LOAD, True, seed, policy, duration_s))
+                found.append(Task(name, workloads.LOSS_LOAD, True, seed, policy, duration_s))
             if parts:
                 changed = [*map(without, PARTS), with_routing("sticky")]
                 found += [Task(name, 1.0, False, seed, p, duration_s) for p in changed]
@@ -140,34 +140,38 @@
     return statistics.mean(float(getattr(measures, figure)) for measures in runs)
 
 
-def time_choices() -> None:
-    """Prints the time of a choice of upstream by the number of replicas."""
+def time_choice(count: int) -> float:
+    """Returns the microseconds that a choice among a number of replicas takes."""
     costs = Costs(CostWeights(1.0, 1.0), 20_000.0, 0.02, 1e6, 1e6)
     source = random.Random(1)
-    for count in (10, 60, 600):
-        replicas = [Replica(f"r{at}", "east", source.random(), 0.0) for at in range(count)]
-        call = Call("east", 4_000, 20_000, Held(f"r{count - 1}", 3_000))
-        each_us = _time_us(lambda: choose(call, replicas, costs, 1.0, source))
-        print(json.dumps({"figure": "choose_us", "replicas": count, "value": each_us}), flush=True)
+    replicas = [Replica(f"r{at}", "east", source.random(), 0.0) for at in range(count)]
+    call = Call("east", 4_000, 20_000, Held(f"r{count - 1}", 3_000))
+    return _time_us(lambda: choose(call, replicas, costs, 1.0, source))
+
+
+def time_queue(length: int) -> float:
+    """Returns the microseconds to take one call and offer another, by the queue's length."""
+    source = random.Random(1)
+    queue = Queue(Rules())
+    for at in range(length):
+        offer(queue, _waiting(source, at))
+    numbers = iter(range(length, length + 10 * TIMED_ROUNDS))
+
+    def turn() -> None:
+        take(queue, 1.0)
+        offer(queue, _waiting(source, next(numbers)))
 
+    return _time_us(turn)
 
-def time_queue() -> None:
-    """Prints the time of taking one call and offering another by the length of the queue."""
+
+def time_decisions() -> None:
+    """Prints the time of single decisions by the size of what they decide on."""
+    for count in (10, 60, 600):
+        line = {"figure": "choose_us", "replicas": count, "value": time_choice(count)}
+        print(json.dumps(line), flush=True)
     for length in (100, 1_000, 20_000):
-        source = random.Random(1)
-        queue = Queue(Rules())
-        for at in range(length):
-            offer(queue, _waiting(source, at))
-        numbers = iter(range(length, length + 10 * TIMED_ROUNDS))
-
-        def turn() -> None:
-            take(queue, 1.0)
-            offer(queue, _waiting(source, next(numbers)))
-
-        print(
-            json.dumps({"figure": "take_offer_us", "queued": length, "value": _time_us(turn)}),
-            flush=True,
-        )
+        line = {"figure": "take_offer_us", "queued": length, "value": time_queue(length)}
+        print(json.dumps(line), flush=True)
 
 
 def _waiting(source: random.Random, number: int) -> Waiting:
@@ -195,8 +199,7 @@
 def main(argv: list[str]) -> None:
     """Runs all replays and timings."""
     del argv
-    time_choices()
-    time_queue()
+    time_decisions()
     todo = tasks(range(1, _SEEDS.value + 1), _DURATION.value, _PARTS.value)
     with ProcessPoolExecutor(_WORKERS.value) as pool:
         results = dict(zip(todo, pool.map(run, todo), strict=True))
