--- a/packages/endiveworks-daemon/src/endiveworks_daemon/entry.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/entry.py
@@ -1,5 +1,6 @@
 """An entry: the callers' HTTP interface and the owner of programs."""
 
+import random
 from collections.abc import Callable
 
 from endiveworks.links import server
@@ -13,11 +14,14 @@
 from endiveworks.wire.gen import Owner as OwnerThrift
 
 from .callers import serve_callers
-from .choice import Sends
+from .choice import Choices, Link
 from .copy_links import CopyLinks
 from .deployment import Deployment, join
+from .explain import route_reasons
+from .hold_renewal import HoldRenewal
 from .http_app import Gate, Limits, make_app
 from .journal_folder import open_folder
+from .load_reports import LoadReports
 from .metering import counted_app, measured_upstreams, program_observer
 from .operators import Work, program_rows, serve_operators
 from .owner_service import OwnerService
@@ -32,22 +36,26 @@
 def start_entry(cfg: Values) -> Callable[[], bool]:
     """Starts the process and returns the function that stops it."""
     deployment = join(cfg)
-    sends = Sends()
+    choices = _choices(cfg, deployment)
+    peers = Peers(ExecutorThrift.Client)
+    origin = deployment.identity.origin
     links = upstream_links(
         deployment.identity,
-        Peers(ExecutorThrift.Client),
+        peers,
         deployment.members,
-        lambda wanted: sends.choose(wanted, deployment.usable()),
-        sends.done,
+        lambda wanted: choices.choose(wanted, deployment.usable()),
+        choices.done,
         deployment.contacted,
     )
     metrics = Metrics(cfg.text("statsd"), cfg.text("host"))
     measured = measured_upstreams(links, metrics)
     owner = Owner(measured, deployment.bundle, program_observer(metrics))
-    peers = Peers(OwnerThrift.Client)
+    LoadReports(peers, origin, deployment.members, choices).start()
+    HoldRenewal(owner, peers, origin, deployment.members).start()
+    entries = Peers(OwnerThrift.Client)
     store = open_folder(cfg.text("data_dir"), deployment.kv)
-    copies = CopyLinks(deployment.identity, store, deployment.members, peers)
-    notify = notifier(peers, deployment.identity.origin)
+    copies = CopyLinks(deployment.identity, store, deployment.members, entries)
+    notify = notifier(entries, deployment.identity.origin)
     partitions = Partitions(Parts(deployment.kv, owner, store, copies, deployment.members, notify))
     gate = Gate(cfg.integer("max_open"))
     service = OwnerService(
@@ -62,7 +70,7 @@
     listening = server.serve(
         OwnerThrift.Processor(service), cfg.text("listen"), cfg.integer("max_connections")
     )
-    owners = partition_owners(deployment, owner, partitions, peers, cfg.number("patience_s"))
+    owners = partition_owners(deployment, owner, partitions, entries, cfg.number("patience_s"))
     limits = Limits(cfg.integer("max_body_bytes"), cfg.integer("max_open"))
     http = serve_callers(cfg, counted_app(make_app(owners, gate, limits), metrics))
     operators = serve_operators(
@@ -71,6 +79,7 @@
         metrics,
         lambda: Work(owner.running(), 0, len(owner.owned())),
         lambda limit: program_rows(owner, deployment.identity.host, limit),
+        lambda program: route_reasons(deployment.identity.host, choices.explain(program)),
     )
     folder = store.folder if store is not None else ""
     me = _member(deployment, listening.address, operators.address, folder)
@@ -92,6 +101,16 @@
     return stop
 
 
+def _choices(cfg: Values, deployment: Deployment) -> Choices:
+    link = Link(cfg.number("link_bytes_per_s"), cfg.number("link_delay_s"))
+    return Choices(
+        deployment.identity.region,
+        link,
+        cfg.number("prefill_tokens_per_s"),
+        random.Random(deployment.identity.incarnation),
+    )
+
+
 def _member(deployment: Deployment, address: str, admin: str, folder: str) -> Member:
     identity = deployment.identity
     return Member(
