--- a/packages/endiveworks-daemon/src/endiveworks_daemon/entry.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/entry.py
@@ -31,6 +31,7 @@
 
 _SETTLE_S = 5.0
 _HANDOVER_S = 30.0
+_MOVE_COPIES_S = 60.0
 
 
 def start_entry(cfg: Values) -> Callable[[], bool]:
@@ -93,6 +94,7 @@
         deployment.leave()
         gate.close()
         partitions.hand_over_all(_HANDOVER_S)
+        partitions.move_copies(_MOVE_COPIES_S)
         drained = gate.wait_empty(cfg.number("drain_s"))
         http.settle(_SETTLE_S)
         deployment.forget()
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/partitions.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/partitions.py
@@ -110,6 +110,24 @@
             time.sleep(_TICK_S / 20)
         return not self.held()
 
+    def move_copies(self, timeout_s: float) -> bool:
+        """Waits until the owners have moved the copies kept here; returns whether they have."""
+        deadline = time.monotonic() + timeout_s
+        while self._is_copy_movable() and time.monotonic() < deadline:
+            time.sleep(_TICK_S / 20)
+        return not self._is_copy_movable()
+
+    def _is_copy_movable(self) -> bool:
+        """Tells whether a copy here is in a set and there is another host that could keep it."""
+        me = self._self()
+        here = CopyId(me.host, me.folder)
+        members = [one for one in self._parts.members().values() if one.host != me.host]
+        return any(
+            here in record.copies
+            and placement.next_copy(record.partition, me.region, members, record.copies)
+            for record in self.table.records().values()
+        )
+
     def _has_successor(self) -> bool:
         return any(
             member.role == "entry" and not member.draining and member.host != self._self().host
@@ -311,12 +329,15 @@
             _log_failure("partition_lost", partition, epoch, failure)
             self.refresh(partition)
 
-        return CopySet(change, replacement, lost)
+        def surplus(present: Sequence[CopyId]) -> CopyId | None:
+            return placement.surplus_copy(tuple(self._parts.members().values()), present)
+
+        return CopySet(change, replacement, surplus, lost)
 
     def _replacement(self, partition: int, present: Sequence[CopyId]) -> Peer | None:
-        if len(present) >= placement.WANTED_COPIES:
-            return None
         members = tuple(self._parts.members().values())
+        if len(placement.staying(members, present)) >= placement.WANTED_COPIES:
+            return None
         member = placement.next_copy(partition, self._self().region, members, present)
         if member is None:
             return None
--- a/packages/endiveworks/src/endiveworks/journal/repair.py
+++ b/packages/endiveworks/src/endiveworks/journal/repair.py
@@ -1,4 +1,4 @@
-"""Keeps an open log's set of copies whole: drops failed copies and fills new ones."""
+"""Keeps an open log's set of copies whole: drops failed or surplus copies, fills new ones."""
 
 import time
 from collections.abc import Callable, Sequence
@@ -44,6 +44,10 @@
         return False
     if failures:
         return _change(state, copy_set, patience, whole)
+    surplus = copy_set.surplus(present)
+    if surplus is not None:
+        kept = tuple(copy for copy in present if copy != surplus)
+        return _change(state, copy_set, patience, kept)
     replacement = copy_set.replacement(present)
     if replacement is None:
         return False
--- a/packages/endiveworks/src/endiveworks/journal/replication.py
+++ b/packages/endiveworks/src/endiveworks/journal/replication.py
@@ -28,11 +28,13 @@
             told.
         replacement: Returns a host to copy to, given the present set, or None if there is none
             or there are enough copies.
+        surplus: Returns a copy that may leave the present set, or None.
         lost: Is told once why a log takes no more records; it must not block.
     """
 
     change: Callable[[Sequence[CopyId]], Result[None, Failure]]
     replacement: Callable[[Sequence[CopyId]], Peer | None]
+    surplus: Callable[[Sequence[CopyId]], CopyId | None]
     lost: Callable[[Failure], None]
 
 
--- a/packages/endiveworks/src/endiveworks/journal/tests/fake_hosts.py
+++ b/packages/endiveworks/src/endiveworks/journal/tests/fake_hosts.py
@@ -92,6 +92,7 @@
         self.epoch = 0
         self.copies = tuple(host.copy for host in hosts[:WANTED_COPIES])
         self.fault = ""
+        self.leaving = ""
         self.work: list[Callable[[], None]] = []
         self.losses: list[Failure] = []
         for host in hosts[:WANTED_COPIES]:
@@ -103,7 +104,10 @@
         epoch = self.epoch
         peers = [self.hosts[copy.host].peer(copy) for copy in self.copies]
         copy_set = CopySet(
-            lambda copies: self._change(epoch, tuple(copies)), self._replacement, self.losses.append
+            lambda copies: self._change(epoch, tuple(copies)),
+            self._replacement,
+            self._surplus,
+            self.losses.append,
         )
         patience = Patience(retry_s=0.0, give_up_s=0.0)
         return open_replicated_log(PARTITION, epoch, peers, copy_set, patience, self.work.append)
@@ -127,9 +131,14 @@
             return Err(down("table.change"))
         return Success(None)
 
+    def _surplus(self, present: Sequence[CopyId]) -> CopyId | None:
+        leaving = [copy for copy in present if copy.host == self.leaving]
+        return leaving[0] if leaving and len(present) > WANTED_COPIES else None
+
     def _replacement(self, present: Sequence[CopyId]) -> Peer | None:
         used = {copy.host for copy in present}
         free = [host for name, host in sorted(self.hosts.items()) if name not in used and host.up]
-        if not free or len(present) >= WANTED_COPIES:
+        staying = [copy for copy in present if copy.host != self.leaving]
+        if not free or len(staying) >= WANTED_COPIES:
             return None
         return free[0].peer(free[0].copy)
--- a/packages/endiveworks/src/endiveworks/journal/tests/test_replicated_log.py
+++ b/packages/endiveworks/src/endiveworks/journal/tests/test_replicated_log.py
@@ -99,6 +99,20 @@
         table.hosts["a"].up = False
         assert list(table.take_over().unwrap().opened.records) == [b"1", b"2", b"3", b"4", b"5"]
 
+    def test_copy_on_a_leaving_host_is_made_elsewhere_first(self) -> None:
+        table = table_of("a", "b", "c")
+        replica = table.take_over().unwrap()
+        replica.opened.log.append([b"1"])
+        table.leaving = "a"
+        changes = []
+        change = table._change
+        table._change = lambda epoch, copies: changes.append(copies) or change(epoch, copies)
+        replica.check()
+        table.run_repairs()
+        hosts = ["".join(copy.host for copy in copies) for copies in changes]
+        assert hosts == ["abc", "bc"]
+        assert table.hosts["c"].records == table.hosts["b"].records
+
     def test_snapshot_is_copied(self) -> None:
         table = table_of("a", "b", "c")
         log = table.take_over().unwrap().opened.log
--- a/packages/endiveworks/src/endiveworks/ownership/placement.py
+++ b/packages/endiveworks/src/endiveworks/ownership/placement.py
@@ -58,6 +58,21 @@
     return order[0] if order else None
 
 
+def staying(members: Iterable[Member], present: Sequence[CopyId]) -> list[CopyId]:
+    """Returns the copies whose host is not leaving."""
+    leaving = {member.host for member in members if member.draining}
+    return [copy for copy in present if copy.host not in leaving]
+
+
+def surplus_copy(members: Sequence[Member], present: Sequence[CopyId]) -> CopyId | None:
+    """Returns a copy that can go because there are enough others, one on a leaving host first."""
+    if len(present) <= WANTED_COPIES:
+        return None
+    kept = staying(members, present)
+    leaving = [copy for copy in present if copy not in kept]
+    return leaving[0] if leaving else present[-1]
+
+
 def first_copies(partition: int, region: str, members: Sequence[Member]) -> tuple[CopyId, ...]:
     """Returns where a new partition's copies should be, as many as there are hosts for."""
     chosen: list[CopyId] = []
--- a/packages/endiveworks/src/endiveworks/ownership/tests/test_placement.py
+++ b/packages/endiveworks/src/endiveworks/ownership/tests/test_placement.py
@@ -54,6 +54,12 @@
         members = [host(1), host(4), host(2, folder="")]
         assert len(placement.first_copies(5, "r1", members)) == 2
 
+    def test_copy_on_a_leaving_host_goes_first(self) -> None:
+        members = [host(1), host(2, draining=True), host(4)]
+        copies = [CopyId(member.host, member.folder) for member in members]
+        assert placement.surplus_copy(members, copies) == copies[1]
+        assert placement.surplus_copy(members, copies[:2]) is None
+
     def test_present_and_draining_hosts_are_left_out(self) -> None:
         members = [host(1), host(2, draining=True), host(4)]
         present = [CopyId("h1", "f1")]
--- a/tests/ownership/test_partitions.py
+++ b/tests/ownership/test_partitions.py
@@ -17,13 +17,15 @@
     "entry-1": Place("east", "east-1"),
     "entry-2": Place("east", "east-2"),
     "entry-3": Place("east", "east-1"),
+    "entry-4": Place("east", "east-2"),
 }
+AT_FIRST = ("entry-1", "entry-2", "entry-3")
 WITHOUT_DISK = "entry-3"
 FLAGS = ("--lease_s=2", "--patience_s=40")
 
 
 class Deployment(Fleet):
-    """Three entries, the last without a disk, and a plain service."""
+    """Three entries at first, the last without a disk, and a plain service."""
 
     def __init__(self, folder: Path) -> None:
         super().__init__(folder)
@@ -31,7 +33,7 @@
         self.kv = connect_kv(self.kv_address, 2.0)
         self.publish(SERVICES)
         self.start_upstream("up-shop-1", PLACES["entry-1"], "shop", self.start_plain("shop-1"))
-        self.addresses = {name: self.add_entry(name) for name in PLACES}
+        self.addresses = {name: self.add_entry(name) for name in AT_FIRST}
 
     def add_entry(self, name: str) -> str:
         return self.start_entry(name, PLACES[name], *FLAGS, disk=name != WITHOUT_DISK)
@@ -91,7 +93,7 @@
     COUNT = 12
 
     def test_programs_outlive_hosts_and_disks(self, deployment: Deployment) -> None:
-        deployment.wait_settled(set(PLACES), copies=2)
+        deployment.wait_settled(set(AT_FIRST), copies=2)
         programs = deployment.programs(self.COUNT)
         deployment.order(programs, "first")
 
@@ -112,11 +114,15 @@
         assert deployment.ordered() == expected(self.COUNT, *keys)
 
     def test_planned_stop_hands_over(self, deployment: Deployment) -> None:
-        deployment.restart_entry("entry-2")
+        for name in ("entry-2", "entry-4"):
+            deployment.restart_entry(name)
         deployment.wait_settled(set(PLACES), copies=2)
         programs = deployment.programs(self.COUNT)
         assert deployment.procs["entry-2"].terminate() == 0
-        assert "entry-2" not in {record.owner.host for record in deployment.records()}
+        records = deployment.records()
+        assert "entry-2" not in {record.owner.host for record in records}
+        copies = {copy.host for record in records for copy in record.copies}
+        assert copies == {"entry-1", "entry-4"}
         deployment.order(programs, "after-stop")
         ordered = [item for item in deployment.ordered() if item.startswith("after-stop")]
         assert ordered == expected(self.COUNT, "after-stop")
