Take partitions over from an owner that does not answer before its lease lapses

A call to a killed owner waited for the lease, the members' grace and a tick: about 13 s by the sums at the default lease of 10 s. Sealing makes a takeover from a live owner safe, so an entry whose calls to an owner fail asks it for a sign of life, and counts it as gone after 3 s without one.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/entry.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/entry.py
@@ -25,8 +25,9 @@
 from .metering import counted_app, measured_upstreams, program_observer
 from .operators import Work, program_rows, serve_operators
 from .owner_service import OwnerService
-from .partition_owners import notifier, partition_owners
+from .partition_owners import notifier, partition_owners, pinger
 from .partitions import Partitions, Parts
+from .suspects import Suspects
 from .upstream_links import upstream_links
 
 _SETTLE_S = 5.0
@@ -56,8 +57,11 @@
     entries = Peers(OwnerThrift.Client)
     store = open_folder(cfg.text("data_dir"), deployment.kv)
     copies = CopyLinks(deployment.identity, store, deployment.members, entries)
-    notify = notifier(entries, deployment.identity.origin)
-    partitions = Partitions(Parts(deployment.kv, owner, store, copies, deployment.members, notify))
+    notify = notifier(entries, origin)
+    suspects = Suspects(pinger(entries, origin))
+    partitions = Partitions(
+        Parts(deployment.kv, owner, store, copies, deployment.members, notify, suspects)
+    )
     gate = Gate(cfg.integer("max_open"))
     service = OwnerService(
         deployment.identity,
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/partition_owners.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/partition_owners.py
@@ -49,7 +49,7 @@
     return Owners(
         node_for=node_for,
         pick=pick,
-        moved=lambda partition, failure: partitions.refresh(partition),
+        moved=partitions.owner_failed,
         patience_s=patience_s,
     )
 
@@ -71,6 +71,21 @@
     return notify
 
 
+def pinger(peers: Peers, origin: Callable[[], ttypes.Origin]) -> Callable[[Member], bool]:
+    """Returns the function that asks a process for a sign of life."""
+
+    def ping(member: Member) -> bool:
+        answered = peers.call(
+            member.address,
+            "ownership.ping",
+            _NOTIFY_TIMEOUT_S,
+            lambda client: client.ping(origin()),
+        )
+        return isinstance(answered, Success)
+
+    return ping
+
+
 def _ownerless(partition: int) -> Failure:
     detail = f"partition {partition:04x} has no owner yet"
     return Failure(Code.NOT_OWNER, "entry.find", "", detail, True, _RETRY_S)
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/partitions.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/partitions.py
@@ -8,7 +8,7 @@
 from concurrent.futures import ThreadPoolExecutor
 from typing import NamedTuple
 
-from endiveworks.errors import Failure
+from endiveworks.errors import Code, Failure
 from endiveworks.journal import copy_state
 from endiveworks.journal.peer import CopyId, Peer
 from endiveworks.journal.replicated_log import OpenedReplica, open_replicated_log
@@ -26,6 +26,7 @@
 from returns.result import Result, Success
 
 from .copy_links import CopyLinks
+from .suspects import Suspects
 
 _TICK_S = 1.0
 _WORKERS = 8
@@ -44,6 +45,7 @@
         links: Access to all copies.
         members: Returns the live processes by host.
         notify: Tells a process that a partition has been handed to it.
+        suspects: Processes that did not answer.
     """
 
     kv: Kv
@@ -52,6 +54,7 @@
     links: CopyLinks
     members: Callable[[], Mapping[str, Member]]
     notify: Callable[[Member, int], None]
+    suspects: Suspects
 
 
 class Partitions:
@@ -99,6 +102,16 @@
             self._stale.add(partition)
         self._wake.set()
 
+    def owner_failed(self, partition: int, failure: Failure) -> None:
+        """Notes that the owner of a partition did not answer or does not own it any more."""
+        self.refresh(partition)
+        record = self.table.records().get(partition)
+        if record is None or failure.code not in (Code.UNREACHABLE, Code.TIMEOUT):
+            return
+        member = self._parts.members().get(record.owner.host)
+        if member is not None and _id(member) == record.owner != _id(self._self()):
+            self._parts.suspects.note(member)
+
     def hand_over_all(self, timeout_s: float) -> bool:
         """Hands every partition to another host; returns whether that was done in time."""
         if self._me is None:
@@ -158,7 +171,10 @@
         self._check_copies()
 
     def _situation(self, terms: Terms) -> keeper.Situation:
-        members = {**self._parts.members(), self._self().host: self._self()}
+        suspects = self._parts.suspects
+        suspects.check(self._parts.members())
+        there = suspects.without_gone(self._parts.members())
+        members = {**there, self._self().host: self._self()}
         store = self._parts.store
         copies = {}
         for partition in store.partitions() if store is not None else ():
