Write tokens to callers' sockets from the thread that receives them

Cause: at 120 streams each token woke the thread of its request, at about 90 us of processor time (120 threads waiting on a condition; a queue took 83 us, a write by the appending thread 4 us). Ruled out: cheaper conditions and queues, since the wake-up itself is the cost. Change: once an answer has begun, the appending thread writes its chunks without waiting; the request's thread takes over when a caller reads too slowly, and at the end.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/forward.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/forward.py
@@ -15,6 +15,7 @@
 from returns.result import Result, Success
 
 from .node import Command, Node
+from .outlet import Outlet
 
 _FIRST_PAUSE_S = 0.05
 _LONGEST_PAUSE_S = 0.5
@@ -63,11 +64,16 @@
     return _at_owner(owners, command.program, lambda node: node.manage(command))
 
 
-def follow(owners: Owners, req: CallRequest) -> Iterator[Piece]:
+def follow(owners: Owners, req: CallRequest, outlet: Outlet) -> Iterator[Piece]:
     """Hands a call to its owner and yields its answer as it grows; the last piece has an ending.
 
     When the owner changes in the middle, the answer goes on if the new owner has the same bytes.
     If they differ, the answer ends with a failure: the caller asks again and gets it whole.
+
+    Args:
+        owners: Where owners are.
+        req: The call.
+        outlet: Where bytes go directly once it is open; pieces then have what is left to send.
     """
     offset = generation = 0
     deadline = time.monotonic() + owners.patience_s
@@ -76,16 +82,18 @@
         if not isinstance(submitted, Success):
             yield _failed(offset, submitted.failure())
             return
-        for piece in _read(owners, req, offset):
+        for piece in _read(owners, req, offset, outlet):
             if generation and piece.generation not in (0, generation):
                 yield _failed(offset, _differs(req))
                 return
             if _is_moved(piece):
                 break
-            generation = generation or piece.generation
-            offset += len(piece.data)
-            if piece.data or piece.ending is not None:
+            generation = outlet.generation = generation or piece.generation
+            grown = piece.offset + len(piece.data) > offset
+            offset = piece.offset + len(piece.data)
+            if grown:
                 deadline = time.monotonic() + owners.patience_s
+            if piece.data or piece.ending is not None:
                 yield piece
             if piece.ending is not None:
                 return
@@ -101,13 +109,13 @@
     return f"auto-{secrets.token_hex(16)}"
 
 
-def _read(owners: Owners, req: CallRequest, offset: int) -> Iterator[Piece]:
+def _read(owners: Owners, req: CallRequest, offset: int, outlet: Outlet) -> Iterator[Piece]:
     """Yields pieces until the owner fails to give one."""
     partition = partition_of(req.program) or 0
     found = owners.node_for(partition)
     if not isinstance(found, Success):
         return
-    with closing(found.unwrap().pieces(req.program, req.call, offset)) as pieces:
+    with closing(found.unwrap().pieces(req.program, req.call, offset, outlet)) as pieces:
         for outcome in pieces:
             if not isinstance(outcome, Success):
                 if outcome.failure().code in _MOVED:
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/http_app.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/http_app.py
@@ -2,13 +2,14 @@
 
 import re
 import threading
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from http import HTTPStatus
 from typing import Annotated, Any, NamedTuple, Required, TypedDict
 
 import msgspec
+from endiveworks.calls.stream import Piece
 from endiveworks.errors import Code, Failure
-from endiveworks.programs.owner import OpenRequest
+from endiveworks.programs.owner import CallRequest, OpenRequest
 from endiveworks.telemetry.logs import logger
 from returns.result import Failure as Err
 from returns.result import Result, Success
@@ -26,6 +27,7 @@
     request_key,
 )
 from .node import Command
+from .outlet import Outlet
 
 _PROGRAMS = re.compile(r"/v1/programs")
 _PROGRAM = re.compile(r"/v1/programs/([^/]{1,64})")
@@ -147,8 +149,8 @@
 def _route(owners: Owners, req: Request) -> Answer:
     """Finds the handler for the path and method."""
 
-    def follow(call: Any) -> Any:
-        return forward.follow(owners, call)
+    def follow(call: CallRequest, outlet: Outlet) -> Iterator[Piece]:
+        return forward.follow(owners, call, outlet)
 
     routes: tuple[tuple[str, re.Pattern[str], Handler], ...] = (
         ("POST", _CHAT, lambda: http_calls.chat(req, follow)),
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/http_calls.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/http_calls.py
@@ -14,6 +14,7 @@
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
+from .http_protocol import CHUNK_WRITER
 from .http_request import (
     PROGRAM,
     Answer,
@@ -25,9 +26,10 @@
     problem_answer,
     request_key,
 )
+from .outlet import Outlet
 from .problems import details
 
-Follow = Callable[[CallRequest], Iterator[Piece]]
+Follow = Callable[[CallRequest, Outlet], Iterator[Piece]]
 
 
 class TruncatedError(Exception):
@@ -50,8 +52,9 @@
     call = _call_request(req, service, CHAT)
     if not isinstance(call, Success):
         return problem_answer(call.failure())
-    pieces = follow(call.unwrap())
-    return _streamed(pieces) if parsed.unwrap().stream else _whole(pieces)
+    outlet = Outlet(req.environ[CHUNK_WRITER])
+    pieces = follow(call.unwrap(), outlet)
+    return _streamed(pieces, outlet) if parsed.unwrap().stream else _whole(pieces)
 
 
 def plain(req: Request, service: str, operation: str, follow: Follow) -> Answer:
@@ -59,7 +62,7 @@
     call = _call_request(req, service, operation)
     if not isinstance(call, Success):
         return problem_answer(call.failure())
-    return _whole(follow(call.unwrap()))
+    return _whole(follow(call.unwrap(), Outlet(lambda: None)))
 
 
 def _call_request(req: Request, service: str, operation: str) -> Result[CallRequest, Failure]:
@@ -79,18 +82,19 @@
     )
 
 
-def _streamed(pieces: Iterator[Piece]) -> Answer:
+def _streamed(pieces: Iterator[Piece], outlet: Outlet) -> Answer:
     first = next(pieces)
     if not first.data and first.ending is not None:
         return _ended(first.ending, b"")
     if first.ending is not None and first.ending.content_type != EVENT_STREAM:
         return _ended(first.ending, first.data)
     headers = (("Content-Type", EVENT_STREAM), ("Cache-Control", "no-store"))
-    return Answer(HTTPStatus.OK, headers, _body(first, pieces))
+    return Answer(HTTPStatus.OK, headers, _body(first, pieces, outlet))
 
 
-def _body(first: Piece, pieces: Iterator[Piece]) -> Iterator[bytes]:
+def _body(first: Piece, pieces: Iterator[Piece], outlet: Outlet) -> Iterator[bytes]:
     yield first.data
+    outlet.open()
     ending = first.ending
     for piece in pieces if ending is None else ():
         ending = piece.ending
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/http_protocol.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/http_protocol.py
@@ -13,10 +13,13 @@
 from cheroot.wsgi import Gateway_10
 from endiveworks.errors import Code, Failure
 
+from .outlet import ChunkWriter
 from .problems import MEDIA_TYPE, problem
 
 # Key of the WSGI environment: registers a function to call once the answer has been sent whole.
 AFTER_SENT = "endiveworks.after_sent"
+# Key of the WSGI environment: returns a writer for an answer that has begun, or None.
+CHUNK_WRITER = "endiveworks.chunk_writer"
 
 _LINGER_S = 1.0
 _LINGER_BYTES = 1024 * 1024
@@ -229,8 +232,15 @@
         """Returns the WSGI environment of the request."""
         environ: dict[str, Any] = super().get_environ()
         environ[AFTER_SENT] = self.req.conn.after_sent
+        environ[CHUNK_WRITER] = self._chunk_writer
         return environ
 
+    def _chunk_writer(self) -> ChunkWriter | None:
+        req = self.req
+        if not (req.sent_headers and req.chunked_write) or req.conn.socket.gettimeout() is None:
+            return None
+        return ChunkWriter(req.conn.socket)
+
 
 def _is_length(value: bytes) -> bool:
     return value.isdigit() and len(value) <= _MAX_LENGTH_DIGITS
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/node.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/node.py
@@ -1,13 +1,12 @@
 """Commands on programs at the host that owns them, here or on another host."""
 
 from collections.abc import Callable, Generator, Sequence
-from queue import Empty, SimpleQueue
 from typing import NamedTuple
 
 import msgspec
 from endiveworks.calls.messages import CallKey
 from endiveworks.calls.pull import Listener, Pulled, Puller, Want
-from endiveworks.calls.stream import Piece
+from endiveworks.calls.stream import Ending, Piece, Stream
 from endiveworks.errors import Code, Failure
 from endiveworks.links.client import Peers
 from endiveworks.programs.owner import CallRequest, OpenRequest, Owner
@@ -18,8 +17,11 @@
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
+from .outlet import Outlet
+
 ANSWER_TIMEOUT_S = 5.0
 READ_WAIT_S = 1.0
+FLOW_WAIT_S = 5.0
 _SILENCE_MARGIN_S = 2.0
 
 
@@ -50,22 +52,27 @@
         manage: Runs a command and returns its answer as JSON.
         submit: Hands a call over.
         pieces: Yields a call's answer from an offset on, or why there is no more of it. A piece
-            without bytes comes about once a second while there is no news.
+            without bytes comes now and then while there is no news. Bytes go directly to the
+            outlet while it is open.
     """
 
     manage: Callable[[Command], Result[bytes, Failure]]
     submit: Callable[[CallRequest], Result[None, Failure]]
-    pieces: Callable[[str, int, int], Pieces]
+    pieces: Callable[[str, int, int, Outlet], Pieces]
 
 
 def local_node(owner: Owner) -> Node:
     """Returns the node of this process."""
 
-    def pieces(program: str, number: int, offset: int) -> Pieces:
+    def pieces(program: str, number: int, offset: int, outlet: Outlet) -> Pieces:
         while True:
-            outcome = owner.read(program, number, offset, READ_WAIT_S)
-            yield outcome
-            offset += len(outcome.unwrap().data) if isinstance(outcome, Success) else 0
+            found = owner.find(program, number)
+            if not isinstance(found, Success):
+                yield Err(found.failure())
+                return
+            piece = _advance(found.unwrap(), offset, outlet)
+            offset = piece.offset + len(piece.data)
+            yield Success(piece)
 
     return Node(lambda command: manage(owner, command), owner.submit, pieces)
 
@@ -120,35 +127,60 @@
         )
         return answered.bind(read_reply)
 
-    def pieces(program: str, number: int, offset: int) -> Pieces:
+    def pieces(program: str, number: int, offset: int, outlet: Outlet) -> Pieces:
         key = CallKey(program, number, 0)
         data = b""
         while not data:
             outcome = read_there(key, offset)
             yield outcome
             data = outcome.unwrap().data if isinstance(outcome, Success) else b""
-        yield from _tail(pull, address, Want(key, offset + len(data)))
+        yield from _tail(pull, address, Want(key, offset + len(data)), outlet)
 
     return Node(manage_there, submit_there, pieces)
 
 
-def _tail(pull: Puller, address: str, want: Want) -> Pieces:
+def _tail(pull: Puller, address: str, want: Want, outlet: Outlet) -> Pieces:
     """Yields the rest of an answer, whose pieces come in messages shared with other answers."""
-    news: SimpleQueue[Result[Piece, Failure]] = SimpleQueue()
-    listener = Listener(
-        take=lambda piece: news.put(Success(piece)), lost=lambda failure: news.put(Err(failure))
-    )
-    end = pull.follow(address, want, listener)
+    rest = Stream()
+    lost: list[Failure] = []
+
+    def take(piece: Piece) -> None:
+        rest.append(piece.data, piece.generation)
+        if piece.ending is not None:
+            rest.finish(piece.ending)
+
+    def lose(failure: Failure) -> None:
+        lost.append(failure)
+        rest.finish(Ending(503, "", failure=failure))
+
+    end = pull.follow(address, want, Listener(take, lose))
+    offset = 0
     try:
         while True:
-            try:
-                yield news.get(timeout=READ_WAIT_S)
-            except Empty:
-                yield Success(Piece(want.offset, b"", None))
+            piece = _advance(rest, offset, outlet)
+            offset = piece.offset + len(piece.data)
+            if lost:
+                yield Success(piece._replace(offset=want.offset + piece.offset, ending=None))
+                yield Err(lost[0])
+                return
+            yield Success(piece._replace(offset=want.offset + piece.offset))
     finally:
         end()
 
 
+def _advance(stream: Stream, offset: int, outlet: Outlet) -> Piece:
+    """Returns the next piece of a stream, of which bytes may go directly to the outlet."""
+    writer = outlet.writer
+    if writer is None:
+        return stream.read(offset, READ_WAIT_S)
+    piece = stream.flow(offset, outlet.generation, writer.write, FLOW_WAIT_S)
+    writer.flush()
+    if piece.offset == offset and not piece.data and piece.ending is None:
+        # Nothing flows, for example because another generation began.
+        return stream.read(offset, READ_WAIT_S)
+    return piece
+
+
 def manage(owner: Owner, command: Command) -> Result[bytes, Failure]:
     """Runs a command on this host's programs."""
     match command.action:
--- a/packages/endiveworks/src/endiveworks/calls/stream.py
+++ b/packages/endiveworks/src/endiveworks/calls/stream.py
@@ -1,6 +1,7 @@
 """Bytes of one answer as they arrive, read by offset by any number of readers."""
 
 import threading
+from collections.abc import Callable
 from typing import NamedTuple
 
 from ..errors import Failure
@@ -46,6 +47,21 @@
 STORED_GENERATION = -1
 
 
+class _Tap:
+    """A reader whose bytes are written by the thread that appends them."""
+
+    def __init__(self, offset: int, write: Callable[[bytes], bool]) -> None:
+        self.offset = offset
+        self.done = threading.Event()
+        self._write = write
+
+    def push(self, data: bytes) -> None:
+        """Writes bytes that follow those written before."""
+        self.offset += len(data)
+        if not self._write(data):
+            self.done.set()
+
+
 class Stream:
     """An answer that grows until it is finished."""
 
@@ -55,6 +71,7 @@
         self._ending: Ending | None = None
         self._changed = threading.Condition()
         self._watchers: list[threading.Event] = []
+        self._taps: list[_Tap] = []
 
     def append(self, data: bytes, generation: int = 0) -> None:
         """Adds bytes and wakes the readers; a finished stream takes none.
@@ -69,6 +86,8 @@
             if self._ending is None:
                 self._generation = self._generation or generation
                 self._data += data
+                for tap in self._taps:
+                    tap.push(data)
                 self._wake()
 
     def finish(self, ending: Ending) -> None:
@@ -76,6 +95,8 @@
         with self._changed:
             if self._ending is None:
                 self._ending = ending
+                for tap in self._taps:
+                    tap.done.set()
                 self._wake()
 
     def read(self, offset: int, wait_s: float) -> Piece:
@@ -87,8 +108,31 @@
         """
         with self._changed:
             self._changed.wait_for(lambda: self._has_news(offset), wait_s)
-            data = bytes(self._data[offset:])
-            return Piece(offset, data, self._ending, self._generation)
+            return self._piece(offset)
+
+    def flow(
+        self, offset: int, generation: int, write: Callable[[bytes], bool], wait_s: float
+    ) -> Piece:
+        """Has bytes written as they are appended, which spares waking this thread for each.
+
+        Args:
+            offset: Number of bytes written before.
+            generation: Generation of those bytes; a stream with another one is only read.
+            write: Takes bytes, and returns False when it can't take more for now. It is called on
+                the appending thread and must not block.
+            wait_s: Seconds to wait at most for the end.
+
+        Returns:
+            What has not been written, with the offset up to which it has.
+        """
+        tap = _Tap(offset, write)
+        with self._changed:
+            if self._generation != generation or not self._attach(tap):
+                return self._piece(offset)
+        tap.done.wait(wait_s)
+        with self._changed:
+            self._taps.remove(tap)
+            return self._piece(tap.offset)
 
     def watch(self, news: threading.Event) -> None:
         """Sets an event at every change, until it is unwatched."""
@@ -105,6 +149,18 @@
         with self._changed:
             return len(self._data)
 
+    def _attach(self, tap: _Tap) -> bool:
+        """Has a tap write what is there, and adds it if more is to come."""
+        if self._ending is not None:
+            return False
+        if len(self._data) > tap.offset:
+            tap.push(bytes(self._data[tap.offset :]))
+        self._taps.append(tap)
+        return True
+
+    def _piece(self, offset: int) -> Piece:
+        return Piece(offset, bytes(self._data[offset:]), self._ending, self._generation)
+
     def _wake(self) -> None:
         self._changed.notify_all()
         for news in self._watchers:
