--- a/packages/endiveworks-standins/src/endiveworks_standins/plain.py
+++ b/packages/endiveworks-standins/src/endiveworks_standins/plain.py
@@ -5,6 +5,7 @@
 """
 
 import argparse
+import errno
 import itertools
 import json
 import sys
@@ -64,7 +65,8 @@
         receipt = self.execute(path.strip("/"), environ.get("HTTP_IDEMPOTENCY_KEY", ""), body)
         time.sleep(self.faults.get("delay_ms", 0) / 1000)
         if self.faults.get("lose_answers"):
-            raise ConnectionAbortedError("the answer is lost by a fault in force")
+            # The server closes the connection silently on an error with this number only.
+            raise ConnectionAbortedError(errno.ECONNABORTED, "the answer is lost on order")
         status = self.faults.get("status", 0)
         start_response(f"{status} Fault" if status else "200 OK", _JSON)
         return [receipt]
