--- a/tests/failures/conftest.py
+++ b/tests/failures/conftest.py
@@ -237,6 +237,18 @@
     {"killed": proc.kill, "frozen": proc.freeze, "thawed": proc.thaw}[done]()
 
 
+@when("the order is stored as started")
+def _started(deployment: Deployment, world: World) -> None:
+    url = f"http://{deployment.entries['entry-1']}/v1/programs/{world.program}"
+    headers = {"Endive-Tenant": TENANT}
+
+    def running() -> bool:
+        resp = deployment.http.request("GET", url, headers=headers, timeout=10.0)
+        return bool(json.loads(resp.data).get("running"))
+
+    wait_until(running)
+
+
 @when("the caller has its answer")
 @then("the caller has its answer")
 def _answered(world: World) -> None:
--- a/tests/failures/test_orders.py
+++ b/tests/failures/test_orders.py
@@ -8,21 +8,6 @@
 scenarios("orders.feature")
 
 
-@when("the order is stored as started")
-def _started(deployment: Any, world: Any) -> None:
-    def running() -> bool:
-        status = program_status(deployment, world)
-        return bool(status.get("running"))
-
-    wait_until(running)
-
-
-def program_status(deployment: Any, world: Any) -> dict[str, Any]:
-    url = f"http://{deployment.entries['entry-1']}/v1/programs/{world.program}"
-    resp = deployment.http.request("GET", url, headers={"Endive-Tenant": "signs"}, timeout=10.0)
-    return dict(json.loads(resp.data))
-
-
 @when("the caller sends the same order to both entries at once")
 def _both(deployment: Any, world: Any, make_order: Any) -> None:
     world.request = make_order(world.program)
