--- a/tests/failures/conftest.py
+++ b/tests/failures/conftest.py
@@ -137,7 +137,7 @@
     def owner_of(self, program: str) -> str:
         """Returns the entry that the table names for a program's partition."""
         entry = self.kv.read(f"/endiveworks/partitions/{program[:4]}").unwrap()
-        return str(json.loads(entry.value)["owner"][0]) if entry is not None else ""
+        return str(json.loads(entry.value)[1][0]) if entry is not None else ""
 
     def other_entry(self, name: str) -> str:
         return next(entry for entry in self.entries if entry != name)
