--- /dev/null
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/copy_links.py
@@ -0,0 +1,61 @@
+"""How an owner reaches the journal copies of its partitions."""
+
+import threading
+from collections.abc import Callable, Mapping
+from concurrent.futures import ThreadPoolExecutor
+
+from endiveworks.journal.peer import CopyId, Peer, local_peer
+from endiveworks.journal.remote import remote_peer
+from endiveworks.journal.store import Store
+from endiveworks.links.client import Peers
+from endiveworks.members.member import Member
+
+from .identity import Identity
+
+_THREADS_PER_HOST = 4
+
+
+class CopyLinks:
+    """Access to copies, with a few threads for each host that wait for its answers.
+
+    Args:
+        identity: This process.
+        store: The copies of this host, if it keeps any.
+        members: Returns the live processes by host.
+        peers: Connections to entries.
+    """
+
+    def __init__(
+        self,
+        identity: Identity,
+        store: Store | None,
+        members: Callable[[], Mapping[str, Member]],
+        peers: Peers,
+    ) -> None:
+        self._identity = identity
+        self._store = store
+        self._members = members
+        self._peers = peers
+        self._lock = threading.Lock()
+        self._pools: dict[str, ThreadPoolExecutor] = {}
+
+    def peer(self, copy: CopyId) -> Peer:
+        """Returns the peer of a copy."""
+        store = self._store
+        if store is not None and copy == CopyId(self._identity.host, store.folder):
+            return local_peer(copy.host, store)
+
+        def address() -> str | None:
+            member = self._members().get(copy.host)
+            return member.address if member is not None else None
+
+        origin = self._identity.origin
+        return remote_peer(copy, address, self._peers, origin, self._pool(copy.host))
+
+    def _pool(self, host: str) -> ThreadPoolExecutor:
+        with self._lock:
+            pool = self._pools.get(host)
+            if pool is None:
+                pool = ThreadPoolExecutor(_THREADS_PER_HOST, f"copies-{host}")
+                self._pools[host] = pool
+            return pool
--- a/packages/endiveworks/src/endiveworks/journal/api.py
+++ b/packages/endiveworks/src/endiveworks/journal/api.py
@@ -17,7 +17,9 @@
     Attributes:
         append: Queues encoded records and returns a future that completes with the index of the
             last one once every copy has it on disk, or with a Failure. After a Failure the log
-            takes no more records: its holder has lost the partition or its copies.
+            takes no more records: its holder has lost the partition or its copies. Without
+            records it is a barrier: its success shows that the epoch was still in force on every
+            copy after the call.
         close: Finishes queued appends and releases the files.
         snapshot: Stores records that stand for every record appended so far, stored or not yet,
             then lets those go. The future completes once the snapshot is stored.
--- a/packages/endiveworks/src/endiveworks/journal/entries.py
+++ b/packages/endiveworks/src/endiveworks/journal/entries.py
@@ -15,6 +15,7 @@
 _BEGIN = b"b"
 _PART = b"p"
 _END = b"e"
+NO_RECORD = b"n"
 _INDEX = struct.Struct("<Q")
 
 
--- a/packages/endiveworks/src/endiveworks/journal/identity.py
+++ b/packages/endiveworks/src/endiveworks/journal/identity.py
@@ -56,6 +56,31 @@
     return Success((result.unwrap(), lock))
 
 
+def deployment_of(data_dir: Path) -> str:
+    """Returns the deployment that a data folder belongs to; empty if it names none."""
+    try:
+        data = (data_dir / _IDENTITY_FILE).read_bytes()
+        return msgspec.json.decode(data, type=_Fields)["deployment"]
+    except (OSError, msgspec.DecodeError):
+        return ""
+
+
+def set_aside(data_dir: Path) -> Path:
+    """Moves the files of a damaged folder into a folder of their own, and returns that.
+
+    What is left is an empty folder, which gets a new identity: its copies are filled again from
+    the other hosts, and nobody takes it for the damaged one.
+    """
+    number = 1 + sum(1 for _ in data_dir.glob("damaged-*"))
+    target = data_dir / f"damaged-{number}"
+    target.mkdir()
+    for path in [data_dir / _IDENTITY_FILE, *sorted(data_dir.glob("*.wal"))]:
+        if path.exists():
+            path.rename(target / path.name)
+    sync_dir(data_dir)
+    return target
+
+
 def sync_dir(folder: Path) -> None:
     """Makes the names in a folder durable."""
     handle = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
--- a/packages/endiveworks/src/endiveworks/journal/sequence.py
+++ b/packages/endiveworks/src/endiveworks/journal/sequence.py
@@ -49,7 +49,7 @@
     state = _Sequence(last_index + 1, lock or threading.RLock())
 
     def append(records: Sequence[bytes]) -> AppendFuture:
-        batch = [entries.record(data) for data in records]
+        batch = [entries.record(data) for data in records] or [entries.NO_RECORD]
         return _write(state, batch, write)
 
     def snapshot(records: Iterable[bytes]) -> AppendFuture:
--- a/packages/endiveworks/src/endiveworks/journal/tests/test_file_log.py
+++ b/packages/endiveworks/src/endiveworks/journal/tests/test_file_log.py
@@ -46,6 +46,13 @@
         assert open_log(3, 1).failure().code is Code.STALE_EPOCH
         assert list(open_log(3, 3).unwrap().records) == []
 
+    def test_append_of_nothing_confirms_the_epoch(self, open_log) -> None:
+        log = open_log(3, 1).unwrap().log
+        assert isinstance(log.append([]).result(10), Success)
+        open_log(3, 2).unwrap()
+        assert log.append([]).result(10).failure().code is Code.STALE_EPOCH
+        assert list(open_log(3, 3).unwrap().records) == []
+
     def test_snapshot_replaces_the_records_it_covers(self, open_log) -> None:
         log = open_log(3, 1).unwrap().log
         log.append([b"a", b"b"])
--- a/packages/endiveworks/src/endiveworks/members/member.py
+++ b/packages/endiveworks/src/endiveworks/members/member.py
@@ -17,6 +17,7 @@
         has_disk: Whether it keeps journal copies.
         draining: Whether it is leaving and takes no new work.
         admin: IP number and port of its HTTP server for operators, as "ip:port".
+        folder: Id of the data folder for journal copies; empty without one.
     """
 
     host: str
@@ -29,3 +30,4 @@
     has_disk: bool = False
     draining: bool = False
     admin: str = ""
+    folder: str = ""
--- /dev/null
+++ b/packages/endiveworks/src/endiveworks/ownership/placement.py
@@ -0,0 +1,69 @@
+"""Which host should own each partition and which should keep its copies."""
+
+from collections.abc import Iterable, Sequence
+
+import xxhash
+
+from ..journal.peer import CopyId
+from ..members.member import Member
+
+WANTED_COPIES = 2
+
+
+def ranked(partition: int, duty: str, hosts: Iterable[Member]) -> list[Member]:
+    """Returns hosts in the order in which they should serve a partition.
+
+    Each host has a pseudo-random weight for each partition, so a host that comes or goes moves
+    only the partitions in which it is first.
+
+    Args:
+        partition: Number of the partition.
+        duty: What it is for; different duties give different orders.
+        hosts: The hosts to choose from.
+    """
+
+    def weight(member: Member) -> tuple[int, str]:
+        text = f"{duty}/{partition}/{member.host}"
+        return xxhash.xxh64_intdigest(text), member.host
+
+    return sorted(hosts, key=weight, reverse=True)
+
+
+def owners(partition: int, members: Iterable[Member]) -> list[Member]:
+    """Returns the hosts that may own a partition, the one that should first."""
+    entries = (member for member in members if member.role == "entry" and not member.draining)
+    return ranked(partition, "owner", entries)
+
+
+def next_copy(
+    partition: int, region: str, members: Iterable[Member], present: Sequence[CopyId]
+) -> Member | None:
+    """Returns the host that should get another copy of a partition.
+
+    Hosts in a failure domain without a copy go first, then those in the owner's region, because
+    the link between regions is slow.
+
+    Args:
+        partition: Number of the partition.
+        region: Region of the owner.
+        members: The hosts of the deployment.
+        present: The copies there are.
+    """
+    known = {member.host: member for member in members if member.folder}
+    used = {copy.host for copy in present}
+    domains = {known[host].failure_domain for host in used if host in known}
+    free = [member for host, member in known.items() if host not in used and not member.draining]
+    order = ranked(partition, "copy", free)
+    order.sort(key=lambda member: (member.failure_domain in domains, member.region != region))
+    return order[0] if order else None
+
+
+def first_copies(partition: int, region: str, members: Sequence[Member]) -> tuple[CopyId, ...]:
+    """Returns where a new partition's copies should be, as many as there are hosts for."""
+    chosen: list[CopyId] = []
+    while len(chosen) < WANTED_COPIES:
+        member = next_copy(partition, region, members, chosen)
+        if member is None:
+            break
+        chosen.append(CopyId(member.host, member.folder))
+    return tuple(chosen)
