Give every partition an owner and copies by the table, and move them by themselves

The table in the key-value service names each partition's owner, epoch and copies, and changes by compare-and-swap only; a lost answer is settled by reading back a unique id. Each entry claims partitions without an owner, takes over those of hosts that are gone, hands over to the host that rendezvous hashing prefers, and on a planned stop hands over all it holds. An owner has copies made anew where hosts or folders are gone.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/deployment.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/deployment.py
@@ -16,6 +16,7 @@
 from endiveworks.members.membership import Membership
 from endiveworks.platform.etcd import connect
 from endiveworks.platform.host_list import read_host_list
+from endiveworks.platform.kv import Kv
 from endiveworks.settings.flags import Values
 from endiveworks.telemetry.logs import logger
 from endiveworks.wire.gen import Node, ttypes
@@ -69,6 +70,11 @@
             self._rng,
         )
 
+    @property
+    def kv(self) -> Kv:
+        """Access to the key-value service."""
+        return self._kv
+
     def members(self) -> Mapping[str, Member]:
         """Returns the live processes by host, those that are leaving included."""
         return self._membership.members()
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/entry.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/entry.py
@@ -1,11 +1,7 @@
 """An entry: the callers' HTTP interface and the owner of programs."""
 
-import random
 from collections.abc import Callable
-from pathlib import Path
 
-from endiveworks.errors import Code, Failure
-from endiveworks.journal.file_log import open_journal
 from endiveworks.links import server
 from endiveworks.links.client import Peers
 from endiveworks.members.member import Member
@@ -15,24 +11,22 @@
 from endiveworks.telemetry.metrics import Metrics
 from endiveworks.wire.gen import Executor as ExecutorThrift
 from endiveworks.wire.gen import Owner as OwnerThrift
-from returns.result import Failure as Err
-from returns.result import Result, Success
 
 from .callers import serve_callers
 from .choice import Sends
+from .copy_links import CopyLinks
 from .deployment import Deployment, join
-from .forward import Owners
 from .http_app import Gate, Limits, make_app
+from .journal_folder import open_folder
 from .metering import counted_app, measured_upstreams, program_observer
-from .node import Node, local_node, puller, remote_node
 from .operators import Work, program_rows, serve_operators
 from .owner_service import OwnerService
+from .partition_owners import notifier, partition_owners
+from .partitions import Partitions, Parts
 from .upstream_links import upstream_links
 
 _SETTLE_S = 5.0
-_PARTITIONS = 16
-_FIRST_EPOCH = 1
-_RETRY_S = 0.5
+_HANDOVER_S = 30.0
 
 
 def start_entry(cfg: Values) -> Callable[[], bool]:
@@ -50,6 +44,11 @@
     metrics = Metrics(cfg.text("statsd"), cfg.text("host"))
     measured = measured_upstreams(links, metrics)
     owner = Owner(measured, deployment.bundle, program_observer(metrics))
+    peers = Peers(OwnerThrift.Client)
+    store = open_folder(cfg.text("data_dir"), deployment.kv)
+    copies = CopyLinks(deployment.identity, store, deployment.members, peers)
+    notify = notifier(peers, deployment.identity.origin)
+    partitions = Partitions(Parts(deployment.kv, owner, store, copies, deployment.members, notify))
     gate = Gate(cfg.integer("max_open"))
     service = OwnerService(
         deployment.identity,
@@ -57,11 +56,13 @@
         deployment.heard,
         deployment.encoded_bundle,
         lambda: deployment.leaving,
+        store,
+        partitions.refresh,
     )
     listening = server.serve(
         OwnerThrift.Processor(service), cfg.text("listen"), cfg.integer("max_connections")
     )
-    owners = _owners(cfg, deployment, owner)
+    owners = partition_owners(deployment, owner, partitions, peers, cfg.number("patience_s"))
     limits = Limits(cfg.integer("max_body_bytes"), cfg.integer("max_open"))
     http = serve_callers(cfg, counted_app(make_app(owners, gate, limits), metrics))
     operators = serve_operators(
@@ -71,8 +72,10 @@
         lambda: Work(owner.running(), 0, len(owner.owned())),
         lambda limit: program_rows(owner, deployment.identity.host, limit),
     )
-    deployment.announce(_member(cfg, deployment, listening.address, operators.address))
-    _adopt_all(cfg, deployment, owner)
+    folder = store.folder if store is not None else ""
+    me = _member(deployment, listening.address, operators.address, folder)
+    deployment.announce(me)
+    partitions.start(me)
     logger("daemon").info(
         "listening", thrift=listening.address, http=http.address, admin=operators.address
     )
@@ -80,6 +83,7 @@
     def stop() -> bool:
         deployment.leave()
         gate.close()
+        partitions.hand_over_all(_HANDOVER_S)
         drained = gate.wait_empty(cfg.number("drain_s"))
         http.settle(_SETTLE_S)
         deployment.forget()
@@ -88,44 +92,7 @@
     return stop
 
 
-def _owners(cfg: Values, deployment: Deployment, owner: Owner) -> Owners:
-    here = local_node(owner)
-    peers = Peers(OwnerThrift.Client)
-    identity = deployment.identity
-    pull = puller(peers, identity.origin)
-
-    def node_for(partition: int) -> Result[Node, Failure]:
-        holder = _holder(deployment)
-        if holder is None:
-            detail = f"partition {partition:04x} has no owner yet"
-            return Err(Failure(Code.NOT_OWNER, "entry.find", "", detail, True, _RETRY_S))
-        if holder.host == identity.host:
-            return Success(here)
-        return Success(remote_node(peers, pull, identity.origin, holder.address))
-
-    return Owners(
-        node_for=node_for,
-        pick=lambda: Success(random.randrange(_PARTITIONS)),
-        moved=lambda partition, failure: None,
-        patience_s=cfg.number("patience_s"),
-    )
-
-
-def _holder(deployment: Deployment) -> Member | None:
-    entries = [member for member in deployment.members().values() if member.role == "entry"]
-    return min(entries, default=None)
-
-
-def _adopt_all(cfg: Values, deployment: Deployment, owner: Owner) -> None:
-    if not cfg.text("data_dir"):
-        return
-    journal = open_journal(Path(cfg.text("data_dir")), "local").unwrap()
-    for partition in range(_PARTITIONS):
-        opened = journal.open_log(partition, _FIRST_EPOCH).unwrap()
-        owner.adopt(partition, _FIRST_EPOCH, opened).unwrap()
-
-
-def _member(cfg: Values, deployment: Deployment, address: str, admin: str) -> Member:
+def _member(deployment: Deployment, address: str, admin: str, folder: str) -> Member:
     identity = deployment.identity
     return Member(
         host=identity.host,
@@ -135,6 +102,7 @@
         region=identity.region,
         failure_domain=identity.failure_domain,
         incarnation=identity.incarnation,
-        has_disk=bool(cfg.text("data_dir")),
+        has_disk=bool(folder),
         admin=admin,
+        folder=folder,
     )
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/owner_service.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/owner_service.py
@@ -4,6 +4,9 @@
 
 from endiveworks.calls.stream import Stream
 from endiveworks.errors import Failure
+from endiveworks.journal import remote
+from endiveworks.journal.copy_state import Append, Reset, Seal, Trim
+from endiveworks.journal.store import Store
 from endiveworks.programs.owner import CallRequest, Owner
 from endiveworks.wire.faults import to_fault
 from endiveworks.wire.gen import ttypes
@@ -23,6 +26,8 @@
         heard: Is told of each sender, whose configuration may be newer.
         bundle: Returns the encoded bundle in force.
         leaving: Returns whether the process takes no new work.
+        store: Journal copies of this host, if it keeps any.
+        handed: Is told of each partition that another host hands to this one.
     """
 
     def __init__(
@@ -32,10 +37,14 @@
         heard: Callable[[ttypes.Origin], None],
         bundle: Callable[[], bytes],
         leaving: Callable[[], bool],
+        store: Store | None,
+        handed: Callable[[int], None],
     ) -> None:
         super().__init__(identity, "entry", heard, bundle)
         self._owner = owner
         self._leaving = leaving
+        self._store = store
+        self._handed = handed
 
     def load(self) -> tuple[int, int]:
         """Returns how many calls this host's programs have under way."""
@@ -81,3 +90,57 @@
     def find(self, key: ttypes.CallKey) -> Result[Stream, Failure]:
         """Returns the stream of a call's answer."""
         return self._owner.find(key.program, key.call)
+
+    def append(
+        self,
+        origin: ttypes.Origin,
+        folder: str,
+        partition: int,
+        epoch: int,
+        first_index: int,
+        records: list[bytes],
+    ) -> ttypes.CopyReply:
+        """Adds records to a journal copy."""
+        req = Append(partition, epoch, first_index, records)
+        return remote.handle(self._store, folder, req)
+
+    def seal(
+        self, origin: ttypes.Origin, folder: str, partition: int, epoch: int
+    ) -> ttypes.CopyReply:
+        """Makes a journal copy refuse lower epochs."""
+        return remote.handle(self._store, folder, Seal(partition, epoch))
+
+    def reset(
+        self,
+        origin: ttypes.Origin,
+        folder: str,
+        partition: int,
+        epoch: int,
+        generation: int,
+        first_index: int,
+    ) -> ttypes.CopyReply:
+        """Starts an empty journal copy."""
+        req = Reset(partition, epoch, generation, first_index)
+        return remote.handle(self._store, folder, req)
+
+    def trim(
+        self, origin: ttypes.Origin, folder: str, partition: int, epoch: int, first_index: int
+    ) -> ttypes.CopyReply:
+        """Lets old records of a journal copy go."""
+        return remote.handle(self._store, folder, Trim(partition, epoch, first_index))
+
+    def fetch(
+        self,
+        origin: ttypes.Origin,
+        folder: str,
+        partition: int,
+        first_index: int,
+        max_bytes: int,
+    ) -> ttypes.FetchReply:
+        """Reads records of a journal copy."""
+        return remote.handle_fetch(self._store, folder, partition, first_index, max_bytes)
+
+    def take_over(self, origin: ttypes.Origin, partition: int, epoch: int) -> ttypes.ManageReply:
+        """Looks at once at a partition that its owner has handed to this host."""
+        self._handed(partition)
+        return ttypes.ManageReply(b"")
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/partitions.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/partitions.py
@@ -66,7 +66,6 @@
         self._lock = threading.Lock()
         self._held: dict[int, tuple[int, OpenedReplica]] = {}
         self._spent: dict[int, int] = {}
-        self._lost: set[int] = set()
         self._busy: set[int] = set()
         self._stale: set[int] = set()
         self._ownerless_since: dict[int, float] = {}
@@ -76,6 +75,7 @@
         """Begins to act on partitions as a process that the others know."""
         self._me = me
         self.table.load(self._parts.kv)
+        self._terms = agree_terms(self._parts.kv).value_or(None)
         rng = random.Random(me.incarnation)
         threading.Thread(
             target=lambda: self.table.follow(self._parts.kv, time.sleep, rng),
@@ -84,6 +84,10 @@
         ).start()
         threading.Thread(target=self._run, name="keeper", daemon=True).start()
 
+    def count(self) -> int:
+        """Returns the number of partitions of the deployment; 0 while it is not known."""
+        return self._terms.partitions if self._terms is not None else 0
+
     def held(self) -> tuple[int, ...]:
         """Returns the partitions on which this host acts."""
         with self._lock:
@@ -192,8 +196,8 @@
         started = [copy for copy in copies if self._send(copy, reset)]
         if not started:
             return
-        record = PartitionRecord(partition, _id(me), _FIRST_EPOCH, tuple(started), "", _change_id())
-        self._swap_and_open(Located(None, 0), self._with_next_owner(record))
+        record = PartitionRecord(partition, _id(me), _FIRST_EPOCH, tuple(started), _change_id())
+        self._swap_and_open(Located(None, 0), record)
 
     def _take_over(self, record: PartitionRecord) -> None:
         before = self.table.find(record.partition)
@@ -202,7 +206,7 @@
         taken = record._replace(
             owner=_id(self._self()), epoch=record.epoch + 1, change=_change_id()
         )
-        self._swap_and_open(before, self._with_next_owner(taken))
+        self._swap_and_open(before, taken)
 
     def _swap_and_open(self, before: Located, record: PartitionRecord) -> None:
         swapped = table.swap(self._parts.kv, before, record)
@@ -226,9 +230,7 @@
         else:
             _log_failure("partition_not_opened", partition, epoch, adopted.failure())
 
-    def _adopt(
-        self, partition: int, epoch: int, replica: OpenedReplica
-    ) -> Result[None, Failure]:
+    def _adopt(self, partition: int, epoch: int, replica: OpenedReplica) -> Result[None, Failure]:
         adopted = self._parts.owner.adopt(partition, epoch, replica.opened)
         if isinstance(adopted, Success):
             with self._lock:
@@ -243,8 +245,8 @@
         given = self._update(
             record.partition,
             record.epoch,
-            lambda now: self._with_next_owner(
-                now._replace(owner=_id(successor), epoch=now.epoch + 1, change=_change_id())
+            lambda now: now._replace(
+                owner=_id(successor), epoch=now.epoch + 1, change=_change_id()
             ),
         )
         if isinstance(given, Success):
@@ -266,10 +268,12 @@
             self._parts.store.submit(copy_state.Drop(record.partition, record.epoch - 1))
 
     def _drop_lost(self) -> None:
+        """Stops acting on partitions whose log takes no more records."""
         with self._lock:
-            lost, self._lost = self._lost, set()
-        for partition in lost:
-            self._give_up(partition)
+            held = dict(self._held)
+        for partition, (_, replica) in held.items():
+            if replica.is_closed():
+                self._give_up(partition)
 
     def _refresh_stale(self) -> None:
         with self._lock:
@@ -305,9 +309,6 @@
 
         def lost(failure: Failure) -> None:
             _log_failure("partition_lost", partition, epoch, failure)
-            with self._lock:
-                if self._spent.get(partition) == epoch:
-                    self._lost.add(partition)
             self.refresh(partition)
 
         return CopySet(change, replacement, lost)
@@ -332,11 +333,6 @@
             self.table.put(partition, updated.unwrap())
         return updated
 
-    def _with_next_owner(self, record: PartitionRecord) -> PartitionRecord:
-        order = placement.owners(record.partition, self._parts.members().values())
-        others = [member.host for member in order if member.host != record.owner.host]
-        return record._replace(next_owner=others[0] if others else "")
-
     def _send(self, copy: CopyId, req: copy_state.Request) -> bool:
         return isinstance(self._parts.links.peer(copy).send(req).result(), Success)
 
--- a/packages/endiveworks/src/endiveworks/journal/replicated_log.py
+++ b/packages/endiveworks/src/endiveworks/journal/replicated_log.py
@@ -29,11 +29,13 @@
         check: Replaces failed copies and adds missing ones in the background; called now and
             then, since a host to copy to may come later.
         copies: Returns the copies that appends wait for.
+        is_closed: Tells whether the log takes no more records.
     """
 
     opened: OpenedLog
     check: Callable[[], None]
     copies: Callable[[], tuple[CopyId, ...]]
+    is_closed: Callable[[], bool]
 
 
 def in_thread(work: Callable[[], None]) -> None:
@@ -99,6 +101,10 @@
         with state.lock:
             return tuple(sorted(state.required))
 
+    def is_closed() -> bool:
+        with state.lock:
+            return state.closed is not None
+
     for copy, lane in tuple(state.lanes.items()):
         lane.start(events_of(copy))
     last_index = state.last_index
@@ -110,4 +116,4 @@
         state.lock,
     )
     records = entries.replay(reader(source, state.partition), first_index, last_index)
-    return OpenedReplica(OpenedLog(log, records, last_index), check, copies)
+    return OpenedReplica(OpenedLog(log, records, last_index), check, copies, is_closed)
--- a/packages/endiveworks/src/endiveworks/ownership/keeper.py
+++ b/packages/endiveworks/src/endiveworks/ownership/keeper.py
@@ -104,7 +104,7 @@
 def _plan_one(now: Situation, partition: int) -> Action | None:
     record = now.records.get(partition)
     if record is None:
-        return None if now.me.draining or not _is_my_turn(now, partition, "") else Create(partition)
+        return None if now.me.draining or not _is_my_turn(now, partition) else Create(partition)
     if record.owner == _id_of(now.me):
         return _plan_own(now, record)
     held = now.held.get(partition)
@@ -112,7 +112,7 @@
         return GiveUp(partition) if held < record.epoch else None
     if now.me.draining or _is_live(now, record.owner):
         return None
-    return TakeOver(record) if _is_my_turn(now, partition, record.next_owner) else None
+    return TakeOver(record) if _is_my_turn(now, partition) else None
 
 
 def _plan_own(now: Situation, record: PartitionRecord) -> Action | None:
@@ -135,12 +135,9 @@
     return HandOver(record, wanted[0])
 
 
-def _is_my_turn(now: Situation, partition: int, next_owner: str) -> bool:
+def _is_my_turn(now: Situation, partition: int) -> bool:
     """The first host in order acts at once; each further one only after a while longer."""
     order = [member.host for member in placement.owners(partition, now.members.values())]
-    if next_owner in order:
-        order.remove(next_owner)
-        order.insert(0, next_owner)
     if now.me.host not in order:
         return False
     return now.ownerless_s.get(partition, 0.0) >= order.index(now.me.host) * TAKEOVER_STEP_S
--- a/packages/endiveworks/src/endiveworks/ownership/placement.py
+++ b/packages/endiveworks/src/endiveworks/ownership/placement.py
@@ -24,7 +24,7 @@
 
     def weight(member: Member) -> tuple[int, str]:
         text = f"{duty}/{partition}/{member.host}"
-        return xxhash.xxh64_intdigest(text), member.host
+        return xxhash.xxh64_intdigest(text.encode()), member.host
 
     return sorted(hosts, key=weight, reverse=True)
 
--- a/packages/endiveworks/src/endiveworks/ownership/record.py
+++ b/packages/endiveworks/src/endiveworks/ownership/record.py
@@ -27,7 +27,6 @@
         owner: The process that may act on it.
         epoch: Grows by one with each owner, also when a process takes the partition anew.
         copies: The copies that hold every acknowledged record.
-        next_owner: Host that takes the partition first if its owner goes; empty if none is named.
         change: Random id of the write, by which its writer knows it again.
     """
 
@@ -35,7 +34,6 @@
     owner: OwnerId
     epoch: int
     copies: tuple[CopyId, ...]
-    next_owner: str
     change: int
 
 
