--- /dev/null
+++ b/tests/ownership/test_partitions.py
@@ -0,0 +1,122 @@
+"""Partitions whose owners and journal hosts are killed, emptied and stopped."""
+
+import json
+import shutil
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+from endiveworks.client.caller import Program, connect, open_program
+from endiveworks.ownership.record import PARTITIONS_PREFIX, PartitionRecord, decode_record
+from endiveworks.platform.etcd import connect as connect_kv
+from endiveworks_standins.fleet import Fleet, Place, wait_until
+from returns.result import Success
+
+SERVICES = Path(__file__).parents[2] / "examples" / "services"
+PLACES = {
+    "entry-1": Place("east", "east-1"),
+    "entry-2": Place("east", "east-2"),
+    "entry-3": Place("east", "east-1"),
+}
+WITHOUT_DISK = "entry-3"
+FLAGS = ("--lease_s=2", "--patience_s=40")
+
+
+class Deployment(Fleet):
+    """Three entries, the last without a disk, and a plain service."""
+
+    def __init__(self, folder: Path) -> None:
+        super().__init__(folder)
+        self.start_kv()
+        self.kv = connect_kv(self.kv_address, 2.0)
+        self.publish(SERVICES)
+        self.start_upstream("up-shop-1", PLACES["entry-1"], "shop", self.start_plain("shop-1"))
+        self.addresses = {name: self.add_entry(name) for name in PLACES}
+
+    def add_entry(self, name: str) -> str:
+        return self.start_entry(name, PLACES[name], *FLAGS, disk=name != WITHOUT_DISK)
+
+    def restart_entry(self, name: str) -> None:
+        self.addresses[name] = self.add_entry(name)
+
+    def records(self) -> list[PartitionRecord]:
+        entries = self.kv.read_prefix(PARTITIONS_PREFIX).unwrap().entries
+        return [decode_record(entry.key, entry.value).unwrap() for entry in entries]
+
+    def wait_settled(self, hosts: set[str], copies: int) -> None:
+        """Waits until all partitions are owned by hosts and kept on as many copies."""
+
+        def settled() -> bool:
+            records = self.records()
+            owners = {record.owner.host for record in records}
+            counts = {len(record.copies) for record in records}
+            return len(records) == 64 and owners <= hosts and counts == {copies}
+
+        wait_until(settled, 60.0)
+
+    def programs(self, count: int) -> list[Program]:
+        reached = connect(list(self.addresses.values()), "signs", 60.0, 10.0)
+        opened = []
+
+        def try_open() -> bool:
+            outcome = open_program(reached, "shop", "", 1000)
+            opened.extend([outcome.unwrap()] if isinstance(outcome, Success) else [])
+            return len(opened) >= count
+
+        wait_until(try_open, 60.0)
+        return opened
+
+    def order(self, programs: list[Program], key: str) -> None:
+        """Has each program send an order, of which none may be lost or repeated."""
+        for number, program in enumerate(programs):
+            reply = program.call("shop", "order", {"item": f"{key}-{number}"}, key=key).unwrap()
+            assert reply.status == 200
+
+    def ordered(self) -> list[str]:
+        lines = [line for line in self.executed("shop-1") if line["operation"] == "order"]
+        return sorted(json.loads(line["body"])["item"] for line in lines)
+
+
+@pytest.fixture(scope="class")
+def deployment(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Deployment]:
+    with Deployment(tmp_path_factory.mktemp("fleet")) as started:
+        yield started
+
+
+def expected(count: int, *keys: str) -> list[str]:
+    return sorted(f"{key}-{number}" for key in keys for number in range(count))
+
+
+class TestHostsGone:
+    COUNT = 12
+
+    def test_programs_outlive_hosts_and_disks(self, deployment: Deployment) -> None:
+        deployment.wait_settled(set(PLACES), copies=2)
+        programs = deployment.programs(self.COUNT)
+        deployment.order(programs, "first")
+
+        deployment.procs["entry-1"].kill()
+        deployment.order(programs, "owner-killed")
+        deployment.wait_settled({"entry-2", "entry-3"}, copies=1)
+
+        shutil.rmtree(deployment.folder / "data" / "entry-1")
+        deployment.restart_entry("entry-1")
+        deployment.wait_settled(set(PLACES), copies=2)
+
+        # Every copy on this host was made anew from the other one.
+        deployment.procs["entry-2"].kill()
+        deployment.order(programs, "other-copy-killed")
+
+        assert [program.status().unwrap()["next_call"] for program in programs] == [4] * self.COUNT
+        keys = ("first", "owner-killed", "other-copy-killed")
+        assert deployment.ordered() == expected(self.COUNT, *keys)
+
+    def test_planned_stop_hands_over(self, deployment: Deployment) -> None:
+        deployment.restart_entry("entry-2")
+        deployment.wait_settled(set(PLACES), copies=2)
+        programs = deployment.programs(self.COUNT)
+        assert deployment.procs["entry-2"].terminate() == 0
+        assert "entry-2" not in {record.owner.host for record in deployment.records()}
+        deployment.order(programs, "after-stop")
+        ordered = [item for item in deployment.ordered() if item.startswith("after-stop")]
+        assert ordered == expected(self.COUNT, "after-stop")
