--- a/packages/endiveworks/src/endiveworks/ownership/keeper.py
+++ b/packages/endiveworks/src/endiveworks/ownership/keeper.py
@@ -81,7 +81,7 @@
     actions: list[Action] = []
     handovers = 0
     for partition in range(now.partitions):
-        action = _plan_one(now, partition)
+        action = plan_one(now, partition)
         if isinstance(action, HandOver):
             handovers += 1
             if handovers > HANDOVERS_PER_TICK and not now.me.draining:
@@ -101,7 +101,8 @@
     )
 
 
-def _plan_one(now: Situation, partition: int) -> Action | None:
+def plan_one(now: Situation, partition: int) -> Action | None:
+    """Returns what to do about one partition."""
     record = now.records.get(partition)
     if record is None:
         return None if now.me.draining or not _is_my_turn(now, partition) else Create(partition)
--- /dev/null
+++ b/packages/endiveworks/src/endiveworks/ownership/tests/test_placement.py
@@ -0,0 +1,61 @@
+from endiveworks.journal.peer import CopyId
+from endiveworks.members.member import Member
+from endiveworks.ownership import placement
+
+PARTITIONS = 1024
+
+
+def host(number: int, **fields) -> Member:
+    base = Member(
+        host=f"h{number}",
+        address="",
+        role="entry",
+        service="",
+        region="r1" if number % 3 else "r2",
+        failure_domain=f"d{number % 3}",
+        incarnation=number,
+        folder=f"f{number}",
+    )
+    return base._replace(**fields)
+
+
+def owners(members) -> list[str]:
+    return [placement.owners(partition, members)[0].host for partition in range(PARTITIONS)]
+
+
+class TestOwners:
+    def test_only_partitions_of_the_host_that_goes_move(self) -> None:
+        members = [host(number) for number in range(8)]
+        before, after = owners(members), owners(members[:-1])
+        moved = [one for one, two in zip(before, after, strict=True) if one != two]
+        assert set(moved) == {"h7"}
+        assert len(moved) < 2 * PARTITIONS / 8
+
+    def test_spread_is_even(self) -> None:
+        found = owners([host(number) for number in range(8)])
+        counts = [found.count(f"h{number}") for number in range(8)]
+        assert max(counts) < 1.5 * PARTITIONS / 8
+        assert min(counts) > 0.5 * PARTITIONS / 8
+
+    def test_draining_and_other_roles_own_nothing(self) -> None:
+        members = [host(0), host(1, draining=True), host(2, role="upstream")]
+        assert set(owners(members)) == {"h0"}
+
+
+class TestCopies:
+    def test_two_failure_domains_and_the_owners_region(self) -> None:
+        members = [host(number) for number in range(9)]
+        for partition in range(64):
+            first, second = placement.first_copies(partition, "r1", members)
+            domains = {int(copy.host[1:]) % 3 for copy in (first, second)}
+            assert domains == {1, 2}
+
+    def test_same_domain_rather_than_one_copy(self) -> None:
+        members = [host(1), host(4), host(2, folder="")]
+        assert len(placement.first_copies(5, "r1", members)) == 2
+
+    def test_present_and_draining_hosts_are_left_out(self) -> None:
+        members = [host(1), host(2, draining=True), host(4)]
+        present = [CopyId("h1", "f1")]
+        assert placement.next_copy(5, "r1", members, present) == members[2]
+        assert placement.next_copy(5, "r1", members[:2], present) is None
