Confirm the epoch before a refusal is passed on

A refusal, and a look that finds nothing, now waits for an empty append, which succeeds only while no later epoch is open.

--- a/packages/endiveworks/src/endiveworks/programs/partition.py
+++ b/packages/endiveworks/src/endiveworks/programs/partition.py
@@ -49,6 +49,13 @@
     durable: Durable
 
 
+class Refused(NamedTuple):
+    """A refusal, and the future that completes once the epoch it was decided in is confirmed."""
+
+    failure: Failure
+    durable: Durable
+
+
 class PartitionActor(pykka.ThreadingActor):
     """Holds the state of one partition and its open log.
 
@@ -77,23 +84,32 @@
         """Finishes the appends under way."""
         self._log.close()
 
-    def _commit(self, decide: Decide) -> Result[Committed, Failure]:
+    def _commit(self, decide: Decide) -> Result[Committed | Refused, Failure]:
         lost = self._lost()
         if lost is not None:
             return Err(lost)
         outcome = decide(self._state)
         if not isinstance(outcome, Success):
-            return Err(outcome.failure())
+            return Success(self._refuse(outcome.failure()))
         decision = outcome.unwrap()
         if decision.records:
             self._append(decision.records)
         return Success(Committed(decision, self._last))
 
-    def _view(self, look: Callable[[Partition], Any]) -> Result[Seen, Failure]:
+    def _view(self, look: Callable[[Partition], Any]) -> Result[Seen | Refused, Failure]:
         lost = self._lost()
         if lost is not None:
             return Err(lost)
-        return Success(Seen(look(self._state), self._last))
+        value = look(self._state)
+        if isinstance(value, Err):
+            return Success(self._refuse(value.failure()))
+        return Success(Seen(value, self._last))
+
+    def _refuse(self, failure: Failure) -> Refused:
+        # A process that was paused may hold an old state, in which a call that ran elsewhere is
+        # missing. The empty append succeeds only while no later epoch has been opened.
+        self._last = self._log.append([])
+        return Refused(failure, self._last)
 
     def _append(self, records: Sequence[Record]) -> None:
         self._last = self._log.append([encode(record) for record in records])
@@ -164,6 +180,8 @@
     if not isinstance(stored, Success):
         # The records may be stored on some copies, and the next owner may act on them.
         return Err(stored.failure()._replace(not_run=False))
+    if isinstance(reply, Refused):
+        return Err(reply.failure)
     return Success(pick(reply))
 
 
--- /dev/null
+++ b/packages/endiveworks/src/endiveworks/programs/tests/test_partition.py
@@ -0,0 +1,46 @@
+from collections.abc import Iterator
+
+import pytest
+from endiveworks.config.bundle import EMPTY
+from endiveworks.errors import Code
+from endiveworks.journal.api import OpenLog
+from endiveworks.journal.memory_log import open_memory_logs
+from endiveworks.programs.decide import Start, find_program, start_call
+from endiveworks.programs.partition import PartitionActor, commit, start_actor, view
+from pykka import ActorRef
+
+START = Start("0001-a", 1, "t", "m", "chat", "", b"{}", 1, 1)
+
+
+@pytest.fixture
+def open_log() -> OpenLog:
+    return open_memory_logs()
+
+
+@pytest.fixture
+def actor(open_log: OpenLog) -> Iterator["ActorRef[PartitionActor]"]:
+    ref = start_actor(1, 1, open_log(1, 1).unwrap()).unwrap()
+    yield ref
+    ref.stop()
+
+
+class TestRefusal:
+    def test_is_not_run_while_the_epoch_is_in_force(
+        self, actor: "ActorRef[PartitionActor]"
+    ) -> None:
+        failure = commit(actor, lambda state: start_call(state, START, EMPTY.services)).failure()
+        assert failure.code is Code.UNKNOWN_PROGRAM and failure.not_run
+
+    def test_says_nothing_once_another_epoch_is_in_force(
+        self, actor: "ActorRef[PartitionActor]", open_log: OpenLog
+    ) -> None:
+        open_log(1, 2).unwrap()
+        failure = commit(actor, lambda state: start_call(state, START, EMPTY.services)).failure()
+        assert failure.code is Code.STALE_EPOCH and not failure.not_run
+
+    def test_a_look_that_finds_nothing_says_nothing_once_another_epoch_is_in_force(
+        self, actor: "ActorRef[PartitionActor]", open_log: OpenLog
+    ) -> None:
+        open_log(1, 2).unwrap()
+        found = view(actor, lambda state: find_program(state, "0001-a", "t", "look"))
+        assert found.failure().code is Code.STALE_EPOCH
