--- a/packages/endiveworks-daemon/src/endiveworks_daemon/entry.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/entry.py
@@ -129,7 +129,7 @@
     identity = deployment.identity
     return Member(
         host=identity.host,
-        address=address,
+        address=cfg.text("advertise") or address,
         role="entry",
         service="",
         region=identity.region,
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/options.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/options.py
@@ -30,6 +30,12 @@
         optional_address,
     )
     flags.define_string("listen", "127.0.0.1:0", "Address for the other processes.", address)
+    flags.define_string(
+        "advertise",
+        "",
+        "Address that other processes use instead of --listen; empty for the same.",
+        optional_address,
+    )
     flags.define_string("admin", "127.0.0.1:0", "Address for operators.", address)
     flags.define_string("statsd", "", "Address of statsd; empty sends nothing.", optional_address)
     flags.define_choice("log_level", "info", LOG_LEVELS, "Lowest level logged.")
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/upstream.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/upstream.py
@@ -61,7 +61,7 @@
     identity = deployment.identity
     return Member(
         host=identity.host,
-        address=address,
+        address=cfg.text("advertise") or address,
         role="upstream",
         service=cfg.text("service"),
         region=identity.region,
--- /dev/null
+++ b/packages/endiveworks-standins/src/endiveworks_standins/forwarder.py
@@ -0,0 +1,147 @@
+"""Forwards TCP connections and lets them go silent in either direction, for good.
+
+Run as `python -m endiveworks_standins.forwarder --port=0`. The address to forward to is set by
+POST /standin/target at the control address, the faults by POST /standin/faults.
+"""
+
+import argparse
+import contextlib
+import json
+import socket
+import sys
+import threading
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any, NamedTuple
+
+from cheroot import wsgi
+
+_READ_BYTES = 65536
+_BACKLOG_CONNECTIONS = 256
+
+
+class Faults(NamedTuple):
+    """Faults in force.
+
+    A connection that is open while a direction is silent stays silent in it for good, although
+    neither end is told.
+
+    Attributes:
+        to_target: Whether bytes to the target are dropped.
+        to_caller: Whether bytes to the caller are dropped.
+        refused: Whether new connections are closed at once.
+    """
+
+    to_target: bool = False
+    to_caller: bool = False
+    refused: bool = False
+
+
+class Link:
+    """One forwarded connection."""
+
+    def __init__(self) -> None:
+        self.drops_to_target = False
+        self.drops_to_caller = False
+
+
+class Forwarder:
+    """The connections of one forwarder.
+
+    Attributes:
+        target: Address to forward to, as "ip:port".
+        accepted: Connections accepted so far.
+    """
+
+    def __init__(self) -> None:
+        self.target = ""
+        self.accepted = 0
+        self._faults = Faults()
+        self._links: list[Link] = []
+        self._lock = threading.Lock()
+
+    def set_faults(self, faults: Faults) -> None:
+        """Puts faults in force for the open connections and for new ones."""
+        with self._lock:
+            self._faults = faults
+            for link in self._links:
+                _silence(link, faults)
+
+    def serve(self, listener: socket.socket) -> None:
+        """Accepts connections until the process is ended."""
+        while True:
+            conn, _ = listener.accept()
+            self.accepted += 1
+            if self._faults.refused:
+                conn.close()
+                continue
+            threading.Thread(target=self._open, args=(conn,), daemon=True).start()
+
+    def _open(self, caller: socket.socket) -> None:
+        link = Link()
+        with self._lock:
+            _silence(link, self._faults)
+            self._links.append(link)
+        host, _, port = self.target.rpartition(":")
+        try:
+            target = socket.create_connection((host, int(port)))
+        except OSError:
+            caller.close()
+            return
+        directions = (
+            (caller, target, lambda: link.drops_to_target),
+            (target, caller, lambda: link.drops_to_caller),
+        )
+        for direction in directions:
+            threading.Thread(target=_copy, args=direction, daemon=True).start()
+
+
+def _silence(link: Link, faults: Faults) -> None:
+    link.drops_to_target = link.drops_to_target or faults.to_target
+    link.drops_to_caller = link.drops_to_caller or faults.to_caller
+
+
+def _copy(source: socket.socket, sink: socket.socket, drops: Callable[[], bool]) -> None:
+    """Copies bytes one way until an end closes; a silent direction hides the close too."""
+    with contextlib.suppress(OSError):
+        while data := source.recv(_READ_BYTES):
+            if not drops():
+                sink.sendall(data)
+    if not drops():
+        with contextlib.suppress(OSError):
+            sink.shutdown(socket.SHUT_WR)
+
+
+def _control(forwarder: Forwarder) -> Callable[..., Iterable[bytes]]:
+    def answer(environ: Mapping[str, Any], start_response: Callable[..., Any]) -> Iterable[bytes]:
+        length = int(environ.get("CONTENT_LENGTH") or 0)
+        body = json.loads(environ["wsgi.input"].read(length) or b"{}")
+        if environ["PATH_INFO"] == "/standin/target":
+            forwarder.target = body["target"]
+        elif environ["PATH_INFO"] == "/standin/faults":
+            forwarder.set_faults(Faults(**body))
+        start_response("200 OK", [("Content-Type", "application/json")])
+        return [json.dumps({"accepted": forwarder.accepted}).encode()]
+
+    return answer
+
+
+def main() -> None:
+    """Forwards until the process is ended."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--port", type=int, default=0)
+    port = parser.parse_args().port
+    listener = socket.create_server(("127.0.0.1", port), backlog=_BACKLOG_CONNECTIONS)
+    forwarder = Forwarder()
+    control = wsgi.Server(("127.0.0.1", 0), _control(forwarder), numthreads=2)
+    control.prepare()
+    threading.Thread(target=control.serve, daemon=True).start()
+    addresses = {
+        "address": f"127.0.0.1:{listener.getsockname()[1]}",
+        "control": f"127.0.0.1:{control.bind_addr[1]}",
+    }
+    print(json.dumps({"event": "listening", **addresses}), file=sys.stderr, flush=True)
+    forwarder.serve(listener)
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/endiveworks/src/endiveworks/settings/shared.py
+++ b/packages/endiveworks/src/endiveworks/settings/shared.py
@@ -8,6 +8,7 @@
     "kv",
     "host_list",
     "listen",
+    "advertise",
     "admin",
     "statsd",
     "log_level",
--- a/tests/fleet/conftest.py
+++ b/tests/fleet/conftest.py
@@ -41,6 +41,21 @@
     def add_upstream(self, name: str, *flags: str, shop: str = "") -> None:
         self.start_upstream(name, EAST, "shop", shop or self.shop, *flags)
 
+    def add_forwarded_upstream(self, name: str) -> None:
+        """Starts an upstream process that the others reach through a forwarder."""
+        address = self.start_standin(f"forward-{name}", "forwarder")
+        self.add_upstream(name, f"--advertise={address}")
+        target = self.procs[name].wait_event("listening")["thrift"]
+        self._standin("POST", self._control(name), "/standin/target", {"target": target})
+
+    def set_link_faults(self, name: str, **faults: bool) -> int:
+        """Sets faults of a forwarder and returns how many connections it has accepted."""
+        answer = self._standin("POST", self._control(name), "/standin/faults", faults)
+        return int(answer["accepted"])
+
+    def _control(self, name: str) -> str:
+        return str(self.procs[f"forward-{name}"].wait_event("listening")["control"])
+
     def set_faults(self, **faults: Any) -> None:
         self._standin("POST", self.kv_address, "/standin/faults", faults)
 
