--- a/packages/endiveworks/src/endiveworks/links/client.py
+++ b/packages/endiveworks/src/endiveworks/links/client.py
@@ -14,14 +14,22 @@
 from thrift.transport.TTransport import TFramedTransport, TTransportException
 
 from ..errors import Code, Failure
+from .retry import RetryBudget, deposit, full_budget, withdraw
 
 _MAX_IDLE_CONNECTIONS = 64
 _CONNECT_TIMEOUT_S = 1.0
+# Every idle connection may be lost at once, and each loss is worth a repeat.
+_MAX_SAVED_REPEATS = 2.0 * _MAX_IDLE_CONNECTIONS
+_REPEATS_PER_CALL = 0.1
 _PROTOCOLS = TBinaryProtocolAcceleratedFactory()
 
 T = TypeVar("T")
 
 
+def _full_budget() -> RetryBudget:
+    return full_budget(_MAX_SAVED_REPEATS, _REPEATS_PER_CALL)
+
+
 class _Conn:
     """One connection to a peer."""
 
@@ -48,6 +56,7 @@
     def __init__(self, client_type: Callable[[Any], Any]) -> None:
         self._client_type = client_type
         self._idle: dict[str, deque[_Conn]] = defaultdict(deque)
+        self._budgets: dict[str, RetryBudget] = defaultdict(_full_budget)
         self._lock = threading.Lock()
 
     def call(
@@ -56,7 +65,8 @@
         """Calls a method of the peer at an address.
 
         A connection that was idle may have been lost unnoticed, so a failure on one is repeated
-        once on a fresh connection. Every method of the protocol allows this.
+        once on a fresh connection. Every method of the protocol allows this. The retry budget of
+        the peer bounds the repeats, so that a slow peer does not get its load doubled.
 
         Args:
             address: "ip:port" of the peer.
@@ -68,12 +78,15 @@
             What the method returns, or UNREACHABLE when no connection was made, or TIMEOUT when
             the peer may have received the request but did not answer.
         """
+        self._note_call(address)
         conn = self._take(address)
         if conn is not None:
             outcome = self._attempt(conn, address, step, timeout_s, method)
             if isinstance(outcome, Success):
                 return outcome
             self._drop_idle(address)
+            if not self._may_repeat(address):
+                return outcome
             # The peer may have received the request on the connection that was lost.
             repeated = self._call_fresh(address, step, timeout_s, method)
             return repeated.alt(lambda failure: failure._replace(not_run=False))
@@ -133,6 +146,15 @@
             conn.transport.close()
         return Success(value)
 
+    def _note_call(self, address: str) -> None:
+        with self._lock:
+            self._budgets[address] = deposit(self._budgets[address])
+
+    def _may_repeat(self, address: str) -> bool:
+        with self._lock:
+            self._budgets[address], allowed = withdraw(self._budgets[address])
+        return allowed
+
     def _drop_idle(self, address: str) -> None:
         with self._lock:
             conns = self._idle.pop(address, deque())
--- a/packages/endiveworks/src/endiveworks/links/retry.py
+++ b/packages/endiveworks/src/endiveworks/links/retry.py
@@ -1,8 +1,7 @@
-"""Retry budget, backoff with full jitter, and the circuit of a peer."""
+"""Retry budget, and backoff with full jitter."""
 
 from typing import NamedTuple
 
-_OPEN_AFTER_FAILURES = 3
 _MAX_EXPONENT = 30
 
 
@@ -27,18 +26,6 @@
     allowed: bool
 
 
-class Circuit(NamedTuple):
-    """What is known of a peer's answers.
-
-    Attributes:
-        failures: Failures since the last success.
-        closed_from_s: Monotonic time from which the next attempt is allowed, in seconds.
-    """
-
-    failures: int = 0
-    closed_from_s: float = 0.0
-
-
 def full_budget(capacity: float, per_request: float) -> RetryBudget:
     """Returns a budget that is full."""
     return RetryBudget(capacity, capacity, per_request)
@@ -68,20 +55,3 @@
     """
     exponent = min(max(attempt - 1, 0), _MAX_EXPONENT)
     return min(cap_s, base_s * 2.0**exponent) * random
-
-
-def allows(circuit: Circuit, now_s: float) -> bool:
-    """Returns whether a peer may be called now."""
-    return now_s >= circuit.closed_from_s
-
-
-def after_success(circuit: Circuit) -> Circuit:
-    """Returns the circuit after an answer."""
-    return Circuit() if circuit.failures else circuit
-
-
-def after_failure(circuit: Circuit, now_s: float, wait_s: float) -> Circuit:
-    """Returns the circuit after a failure; several in a row open it for a time in seconds."""
-    failures = circuit.failures + 1
-    closed_from_s = now_s + wait_s if failures >= _OPEN_AFTER_FAILURES else circuit.closed_from_s
-    return Circuit(failures, closed_from_s)
--- a/packages/endiveworks/src/endiveworks/links/tests/test_client.py
+++ b/packages/endiveworks/src/endiveworks/links/tests/test_client.py
@@ -13,7 +13,7 @@
 
 @pytest.fixture
 def listener() -> Iterator[socket.socket]:
-    with socket.create_server(("127.0.0.1", 0)) as sock:
+    with socket.create_server(("127.0.0.1", 0), backlog=512) as sock:
         yield sock
 
 
@@ -75,3 +75,13 @@
         assert method.sent == 1
         listener.accept()
         listener.accept()
+
+    def test_repeats_stay_within_the_retry_budget(self, listener: socket.socket) -> None:
+        peers = peers_with_idle_connection(listener)
+        calls = 200
+        repeats = 0
+        for _ in range(calls):
+            method = Method(lost=1)
+            peers.call(address(listener), "t", TIMEOUT_S, method)
+            repeats += method.sent - 1
+        assert 0 < repeats <= 2 * 64 + 0.1 * (calls + 1)
--- a/packages/endiveworks/src/endiveworks/links/tests/test_retry.py
+++ b/packages/endiveworks/src/endiveworks/links/tests/test_retry.py
@@ -1,8 +1,4 @@
 from endiveworks.links.retry import (
-    Circuit,
-    after_failure,
-    after_success,
-    allows,
     backoff_s,
     deposit,
     full_budget,
@@ -31,15 +27,3 @@
         bounds = [backoff_s(attempt, 0.1, 1.0, 1.0) for attempt in range(1, 7)]
         assert bounds == [0.1, 0.2, 0.4, 0.8, 1.0, 1.0]
         assert backoff_s(10_000, 0.1, 1.0, 0.0) == 0.0
-
-
-class TestCircuit:
-    def test_opens_after_failures_in_a_row_and_closes_on_a_success(self) -> None:
-        circuit = Circuit()
-        for _ in range(2):
-            circuit = after_failure(circuit, now_s=10.0, wait_s=1.0)
-        assert allows(circuit, 10.0)
-        circuit = after_failure(circuit, now_s=10.0, wait_s=1.0)
-        assert not allows(circuit, 10.9)
-        assert allows(circuit, 11.0)
-        assert allows(after_success(circuit), 10.0)
