Let a region that lost the key-value service ask in another one

Only its first three hosts do, and only when what they know is stale, so that the link carries few copies; the others wait for them as before. Tests a region that is cut off for longer than its lease and then joined.

--- a/packages/endiveworks/src/endiveworks/config/follower.py
+++ b/packages/endiveworks/src/endiveworks/config/follower.py
@@ -106,7 +106,7 @@
         place = place_of(self._host, self._region, found)
         newer_at, self._newer_at = self._newer_at, ""
         heard_from = found.get(newer_at)
-        if heard_from is not None and heard_from.region == self._region:
+        if heard_from is not None and self._may_pull_from(heard_from, place, now_s):
             self._pull(heard_from.address, now_s)
         for source in place.sources if place is not None else ():
             if self._pull_from_source(source, now_s):
@@ -153,6 +153,16 @@
             if ended.failure().code is not Code.TIMEOUT:
                 return ended.failure()
 
+    def _may_pull_from(self, peer: Member, place: Place | None, now_s: float) -> bool:
+        """Whether a peer with a newer version is asked for it.
+
+        The first hosts of a region that has lost the key-value service ask in another region; the
+        others wait for them, so that the link between the regions carries few copies.
+        """
+        if peer.region == self._region or place is None:
+            return True
+        return place.rank < WATCHERS and now_s - self._known_at_s > STALE_S
+
     def _offer_published(self, encoded: bytes) -> None:
         if self._adoption.offer(encoded, BUNDLE_KEY).value_or(False):
             self._spread()
--- a/packages/endiveworks/src/endiveworks/config/tests/test_follower.py
+++ b/packages/endiveworks/src/endiveworks/config/tests/test_follower.py
@@ -131,6 +131,25 @@
         hosts.run_rounds(1)
         assert not watching[1].should_watch(hosts.now_s)
 
+    def test_only_the_first_hosts_of_a_region_without_the_service_ask_in_another(self) -> None:
+        hosts = Hosts(10)
+        hosts.members["far"] = member("far", "west")
+        hosts.adoptions["far"] = Adoption()
+        hosts.adoptions["far"].offer(published(4).value, "kv")
+        hosts.followers["far"] = hosts.followers["h0"]
+        first, last = hosts.by_index(0), hosts.by_index(9)
+        hosts.watch_once(first, published(3))
+
+        def version_after_hearing(host: str) -> int:
+            hosts.followers[host].heard("far", 4, hosts.now_s)
+            hosts.followers[host].run_round(hosts.now_s)
+            return hosts.adoptions[host].in_force().bundle.version
+
+        assert version_after_hearing(first) == 3
+        hosts.now_s += 10.0
+        assert version_after_hearing(last) == 3
+        assert version_after_hearing(first) == 4
+
     def test_a_watch_that_ends_in_silence_goes_on_from_the_last_revision(self) -> None:
         hosts = Hosts(1)
         asked: list[int] = []
--- a/tests/fleet/conftest.py
+++ b/tests/fleet/conftest.py
@@ -48,6 +48,13 @@
         target = self.procs[name].wait_event("listening")["thrift"]
         self._standin("POST", self._control(name), "/standin/target", {"target": target})
 
+    def add_entry_behind_link(self, name: str, place: Place, *flags: str) -> None:
+        """Starts an entry that reaches the key-value service through a forwarder."""
+        address = self.start_standin(f"forward-{name}", "forwarder")
+        body = {"target": self.kv_address}
+        self._standin("POST", self._control(name), "/standin/target", body)
+        self.add_entry(name, place, f"--kv={address}", *flags)
+
     def set_link_faults(self, name: str, **faults: bool) -> int:
         """Sets faults of a forwarder and returns how many connections it has accepted."""
         answer = self._standin("POST", self._control(name), "/standin/faults", faults)
--- a/tests/fleet/test_links.py
+++ b/tests/fleet/test_links.py
@@ -4,8 +4,10 @@
 from typing import Any
 
 import pytest
+from endiveworks_standins.fleet import Place
 from returns.result import Success
 
+WEST = Place("west", "west-1")
 Until = Callable[..., None]
 
 
@@ -36,5 +38,23 @@
         assert len(cluster.executed("shop-1")) == executed + 1
 
 
+class TestRegionCutOff:
+    def test_keeps_its_version_and_catches_up_when_joined(self, cluster: Any, until: Until) -> None:
+        cluster.publish_slots(4, expected=0).unwrap()
+        cluster.add_entry("entry-1")
+        cluster.add_entry_behind_link("entry-2", WEST, "--lease_s=2")
+        until(lambda: cluster.versions("entry-1", "entry-2") == [1, 1])
+        before = cluster.members()["entry-2"]
+        cluster.set_link_faults("entry-2", to_target=True, to_caller=True, refused=True)
+        # Longer than the lease and the grace after it.
+        until(lambda: cluster.events("entry-1", "host_removed"))
+        cluster.publish_slots(5, expected=1).unwrap()
+        until(lambda: cluster.versions("entry-1") == [2])
+        assert cluster.versions("entry-2") == [1]
+        cluster.set_link_faults("entry-2")
+        until(lambda: cluster.versions("entry-2") == [2])
+        until(lambda: cluster.members().get("entry-2") == before)
+
+
 def _order(program: Any) -> Any:
     return program.call("shop", "order", {"item": "fascia"}, key="order-1")
