--- a/packages/endiveworks-daemon/src/endiveworks_daemon/entry.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/entry.py
@@ -117,7 +117,7 @@
     identity = deployment.identity
     return Member(
         host=identity.host,
-        address=address,
+        address=cfg.text("advertise") or address,
         role="entry",
         service="",
         region=identity.region,
