--- a/packages/endiveworks-daemon/src/endiveworks_daemon/entry.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/entry.py
@@ -48,8 +48,9 @@
         deployment.identity,
         peers,
         deployment.members,
-        lambda wanted: choices.choose(wanted, deployment.members()),
+        lambda wanted: choices.choose(wanted, deployment.usable()),
         choices.done,
+        deployment.contacted,
     )
     metrics = Metrics(cfg.text("statsd"), cfg.text("host"))
     measured = measured_upstreams(links, metrics)
