Pause a running call for one of a higher class, and go on with it later

The executor cancels the attempt at the engine, puts it back in the queue and later continues its answer from what was already sent, in the same stream; its tokens are counted once. A paused call counts as started, so a revocation never says that it has not run. A cancelled call is now also cancelled at the engine, which otherwise went on until it found nobody reading. The queue's functions moved to calls/queue.py.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/metering.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/metering.py
@@ -5,8 +5,8 @@
 from collections.abc import Callable, Iterable
 from typing import Any, NamedTuple
 
-from endiveworks.calls.executor import Queue
 from endiveworks.calls.messages import CallKey, Job
+from endiveworks.calls.queue import Queue
 from endiveworks.calls.stream import Ending, Piece
 from endiveworks.errors import Failure
 from endiveworks.members.member import Member
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/upstream_run.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/upstream_run.py
@@ -7,6 +7,7 @@
 from endiveworks.calls.messages import Job
 from endiveworks.calls.stream import Ending, Stream
 from endiveworks.engines.chat import ChatJob, run_chat
+from endiveworks.engines.chat_format import continued_request, count_events
 from endiveworks.engines.plain import PlainJob, run_plain
 from endiveworks.programs.records import CHAT
 
@@ -32,7 +33,18 @@
             stream.append(event)
             return not cancelled.is_set()
 
-        return run_chat(http, ChatJob(upstream_url, str(job.key), job.body, silence_s, emit))
+        begun = stream.read(0, 0.0).data
+        if not begun:
+            return run_chat(http, ChatJob(upstream_url, str(job.key), job.body, silence_s, emit))
+        # The attempt was paused for a call of a higher class and goes on.
+        tokens = count_events(begun)
+        request_id = f"{job.key}+{tokens}"
+        body = continued_request(job.body, begun)
+        rest = run_chat(http, ChatJob(upstream_url, request_id, body, silence_s, emit))
+        return rest._replace(
+            prompt_tokens=max(0, rest.prompt_tokens - tokens),
+            completion_tokens=rest.completion_tokens + tokens,
+        )
 
     def _run_plain(job: Job, stream: Stream) -> Ending:
         answer = run_plain(
--- a/packages/endiveworks/src/endiveworks/admission/queue.py
+++ b/packages/endiveworks/src/endiveworks/admission/queue.py
@@ -86,10 +86,11 @@
     return min(MAX_LEVEL, (attained_tokens // LEVEL_BASE_TOKENS).bit_length() // LEVEL_BITS)
 
 
-def offer(queue: Queue, call: Waiting) -> bool:
+def offer(queue: Queue, call: Waiting, bounded: bool = True) -> bool:
     """Adds a call; False when its tenant has too many waiting in the class or the key is known."""
     counted = (call.tenant, call.priority)
-    if call.key in queue.waiting or queue.counts[counted] >= queue.rules.max_waiting:
+    full = bounded and queue.counts[counted] >= queue.rules.max_waiting
+    if call.key in queue.waiting or full:
         return False
     lane = queue.lanes.setdefault(call.priority, _Lane(call.arrived_s))
     if not lane.waiting:
--- a/packages/endiveworks/src/endiveworks/admission/waiting.py
+++ b/packages/endiveworks/src/endiveworks/admission/waiting.py
@@ -1,18 +1,19 @@
 """The queue of an executor, ordered and bounded by the decisions of this package."""
 
 import random
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
-from ..calls.executor import Queue as ExecutorQueue
 from ..calls.messages import CallKey, Job
+from ..calls.queue import Queue as ExecutorQueue
 from ..calls.stream import Ending
 from ..config.bundle import Service, TenantTerms
 from ..errors import Code, Failure
 from ..reasons import Reason, Reasons
 from . import queue
 from .limit import Running, Target, may_start, usual_calls
+from .preempt import Victim, choose_victim
 from .refuse import Expected, Refusal, judge
 
 _STEP = "admission.offer"
@@ -41,11 +42,11 @@
 
 
 class _Started(NamedTuple):
-    """A job that runs, with the memory and cost it was admitted for."""
+    """A job that runs, and the call as it was admitted."""
 
     at_s: float
-    need_tokens: int
-    cost_s: float
+    job: Job
+    call: queue.Waiting
 
 
 class Usual:
@@ -84,6 +85,8 @@
         self.jobs: dict[str, Job] = {}
         self.started: dict[str, _Started] = {}
         self.usual = Usual()
+        self.pausing: set[str] = set()
+        self.preemptions: Counter[str] = Counter()
         self.reasons: OrderedDict[str, Reasons] = OrderedDict()
 
     def offer(self, job: Job, now_s: float) -> Failure | None:
@@ -106,14 +109,14 @@
         first = queue.head(self.queue, now_s)
         if first is None:
             return None
-        reserved = sum(started.need_tokens for started in self.started.values())
+        reserved = sum(started.call.need_tokens for started in self.started.values())
         verdict = may_start(self._target(), Running(len(self.started), reserved), first.need_tokens)
         if not verdict.admitted:
             return None
         taken = queue.take(self.queue, now_s)
         assert taken is not None
         job = self.jobs.pop(first.key)
-        self.started[first.key] = _Started(now_s, first.need_tokens, first.cost_s)
+        self.started[first.key] = _Started(now_s, job, first)
         self._note(job.key, taken.reasons + verdict.reasons)
         return job
 
@@ -125,14 +128,49 @@
     def finished(self, job: Job, ending: Ending, now_s: float) -> None:
         """Frees what a job held, and learns from it."""
         started = self.started.pop(str(job.key), None)
+        self.pausing.discard(str(job.key))
         if started is None:
             return
+        if ending.failure is None:
+            self.preemptions.pop(str(job.key), None)
         took_s = now_s - started.at_s
         terms = _terms(self.around.service(), job.tenant)
-        queue.settle(self.queue, job.tenant, terms.weight, took_s - started.cost_s)
+        queue.settle(self.queue, job.tenant, terms.weight, took_s - started.call.cost_s)
         if ending.failure is None:
             self.usual.learn(job, ending, took_s)
 
+    def preempt(self, now_s: float) -> CallKey | None:
+        """Names the running job that makes way for a waiting one of a higher class."""
+        first = queue.head(self.queue, now_s)
+        if first is None or any(key in self.pausing for key in self.started):
+            return None
+        victims = [self._victim(key, started) for key, started in self.started.items()]
+        chosen = choose_victim(victims, first.priority)
+        if chosen is None:
+            return None
+        self.pausing.add(chosen.key)
+        self.preemptions[chosen.key] += 1
+        job = self.started[chosen.key].job
+        self._note(job.key, chosen.reasons)
+        return job.key
+
+    def requeue(self, job: Job, now_s: float) -> None:
+        """Takes back a job that made way."""
+        call = self._waiting(job, self.around.service(), now_s)
+        self.jobs[call.key] = job
+        # The bound on waiting calls is for new ones: this one has begun its answer.
+        queue.offer(self.queue, call, bounded=False)
+
+    def _victim(self, key: str, started: _Started) -> Victim:
+        job = started.job
+        return Victim(
+            key=key,
+            priority=started.call.priority,
+            remaining_tokens=job.max_tokens,
+            preemptions=self.preemptions[key],
+            resumable=job.max_tokens > 0 and not job.at_most_once,
+        )
+
     def explain(self, program: str) -> dict[str, Reasons]:
         """Returns the reasons for the attempts of a program that are still kept."""
         return {key: why for key, why in self.reasons.items() if key.startswith(f"{program}:")}
@@ -185,6 +223,8 @@
         admission.withdraw,
         admission.finished,
         lambda: len(admission.queue.waiting),
+        admission.preempt,
+        admission.requeue,
     )
 
 
--- a/packages/endiveworks/src/endiveworks/calls/executor.py
+++ b/packages/endiveworks/src/endiveworks/calls/executor.py
@@ -4,13 +4,13 @@
 import time
 from collections import OrderedDict
 from collections.abc import Callable
-from typing import NamedTuple
 
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
 from ..errors import Code, Failure
 from .messages import CallKey, Doubt, Job
+from .queue import Queue
 from .stream import Ending, Piece, Stream
 
 # A message about an attempt may be delayed, so its key outlives its answer.
@@ -19,24 +19,6 @@
 _BUSY_RETRY_S = 1.0
 
 
-class Queue(NamedTuple):
-    """The order in which waiting attempts run.
-
-    Attributes:
-        offer: Adds an attempt at a time, or says why it is refused.
-        take: Removes and returns the attempt to run next; None when none waits.
-        withdraw: Removes a waiting attempt.
-        finished: Is told that an attempt has ended, with its ending.
-        size: Number of waiting attempts.
-    """
-
-    offer: Callable[[Job, float], Failure | None]
-    take: Callable[[float], Job | None]
-    withdraw: Callable[[CallKey], None]
-    finished: Callable[[Job, Ending, float], None]
-    size: Callable[[], int]
-
-
 # Runs an attempt to its end, appending to the stream and stopping once the event is set.
 Run = Callable[[Job, Stream, threading.Event], Ending]
 
@@ -48,6 +30,8 @@
         self.job = job
         self.stream = Stream()
         self.cancelled = threading.Event()
+        self.revoked = False
+        self.pausing = False
         self.started = False
         self.ended_at = 0.0
         self.delivered = False
@@ -110,6 +94,7 @@
                 return Err(refusal)
             self._executions[job.key] = Execution(job)
             self._fill()
+            self._preempt()
         return Success(None)
 
     def find(self, key: CallKey) -> Result[Stream, Failure]:
@@ -203,9 +188,30 @@
 
     def _interrupt(self, execution: Execution) -> Doubt:
         if not execution.job.at_most_once:
+            execution.revoked = True
             execution.cancelled.set()
         return Doubt.RUNNING
 
+    def _preempt(self) -> None:
+        key = self._queue.preempt(time.monotonic())
+        execution = self._executions.get(key) if key is not None else None
+        if execution is not None and not execution.job.at_most_once:
+            execution.pausing = True
+            execution.cancelled.set()
+
+    def _pause(self, execution: Execution, ending: Ending) -> bool:
+        """Puts an attempt back in the queue if it was cancelled to make room for another.
+
+        It counts as started: what it has sent so far stays in its stream and is continued.
+        """
+        cut = ending.failure is not None and ending.failure.code is Code.REVOKED
+        if not cut or not execution.pausing or execution.revoked:
+            return False
+        execution.pausing = False
+        execution.cancelled = threading.Event()
+        self._queue.requeue(execution.job, time.monotonic())
+        return True
+
     def _withdraw(self, execution: Execution) -> None:
         key = execution.job.key
         self._queue.withdraw(key)
@@ -234,12 +240,15 @@
             ending = Ending(500, "", failure=failure)
         with self._lock:
             now = time.monotonic()
+            self._running -= 1
+            self._queue.finished(job, ending, now)
+            if self._pause(execution, ending):
+                self._fill()
+                return
             execution.ended_at = now
             self._ended[job.key] = now
             if not job.at_most_once:
                 self._answered[job.key] = now
-            self._running -= 1
-            self._queue.finished(job, ending, now)
             self._fill()
             self._idle.notify_all()
         execution.stream.finish(ending)
--- a/packages/endiveworks/src/endiveworks/calls/fifo.py
+++ b/packages/endiveworks/src/endiveworks/calls/fifo.py
@@ -3,8 +3,8 @@
 from collections import OrderedDict
 
 from ..errors import Code, Failure
-from .executor import Queue
 from .messages import CallKey, Job
+from .queue import Queue
 from .stream import Ending
 
 _RETRY_S = 1.0
--- a/packages/endiveworks/src/endiveworks/engines/chat.py
+++ b/packages/endiveworks/src/endiveworks/engines/chat.py
@@ -90,7 +90,7 @@
     try:
         if response.status != 200:
             return _refused(job, response)
-        return _follow(job, response, progress)
+        return _follow(http, job, response, progress)
     except urllib3.exceptions.HTTPError as exc:
         return Err(Failure(Code.UPSTREAM_FAILED, _STEP, job.base_url, str(exc)))
     finally:
@@ -112,7 +112,7 @@
 
 
 def _follow(
-    job: ChatJob, response: urllib3.BaseHTTPResponse, progress: _Progress
+    http: urllib3.PoolManager, job: ChatJob, response: urllib3.BaseHTTPResponse, progress: _Progress
 ) -> Result[Ending, Failure]:
     for event in _events(response):
         _note(event, progress)
@@ -120,11 +120,27 @@
             response.drain_conn()
             return Success(_whole(progress))
         if not job.emit(event):
+            _cancel(http, job)
             failure = Failure(Code.REVOKED, _STEP, job.base_url, "the call was cancelled")
             return Success(Ending(499, EVENT_STREAM, 0, progress.events, 0, failure))
     return Err(Failure(Code.UPSTREAM_FAILED, _STEP, job.base_url, "the engine cut the stream"))
 
 
+def _cancel(http: urllib3.PoolManager, job: ChatJob) -> None:
+    """Tells the engine to stop; one that does not hear it stops once it finds nobody reading."""
+    try:
+        http.request(
+            "POST",
+            f"{job.base_url}/v1/cancel",
+            json={"request_id": job.request_id},
+            retries=False,
+            redirect=False,
+            timeout=_CONNECT_TIMEOUT_S,
+        )
+    except urllib3.exceptions.HTTPError:
+        return
+
+
 def _events(response: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
     pending = b""
     while True:
--- a/packages/endiveworks/src/endiveworks/engines/chat_format.py
+++ b/packages/endiveworks/src/endiveworks/engines/chat_format.py
@@ -133,6 +133,22 @@
     return msgspec.json.encode({name: msgspec.Raw(value) for name, value in fields.items()})
 
 
+def continued_request(request: bytes, begun: bytes) -> bytes:
+    """Returns an engine's request that goes on where the events of a first answer ended."""
+    fields = msgspec.json.decode(request)
+    message = msgspec.json.decode(answer_message(assemble(begun)))
+    fields["messages"] = [*fields["messages"], message]
+    fields["max_tokens"] = max(1, fields["max_tokens"] - count_events(begun))
+    fields["continue_final_message"] = True
+    fields["add_generation_prompt"] = False
+    return msgspec.json.encode(fields)
+
+
+def count_events(events: bytes) -> int:
+    """Counts the events of a stream, each of which carries one token."""
+    return events.count(EVENT_END)
+
+
 def data_of(event: bytes) -> bytes:
     """Returns the data line of one event, or nothing."""
     for line in event.split(b"\n"):
