--- a/packages/endiveworks/src/endiveworks/members/membership.py
+++ b/packages/endiveworks/src/endiveworks/members/membership.py
@@ -52,7 +52,8 @@
     def answered(self, host: str, incarnation: int, draining: bool) -> None:
         """Notes that a host answered, and whether it said that it is leaving."""
         view = self._view
-        if host in view.suspicions or draining != (view.draining.get(host) == incarnation):
+        news = draining and view.draining.get(host) != incarnation
+        if news or host in view.suspicions:
             self._update(lambda view: views.answered(view, host, incarnation, draining))
 
     def listed(self, hosts: tuple[ListedHost, ...]) -> None:
--- a/packages/endiveworks/src/endiveworks/settings/shared.py
+++ b/packages/endiveworks/src/endiveworks/settings/shared.py
@@ -40,6 +40,7 @@
     "timeout_s",
     "publisher",
     "expect",
+    "wait_s",
     "histograms",
     "limit",
 )
