--- a/packages/endiveworks-daemon/src/endiveworks_daemon/entry.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/entry.py
@@ -10,6 +10,7 @@
 from endiveworks.links.client import Peers
 from endiveworks.members.member import Member
 from endiveworks.programs.owner import Owner
+from endiveworks.programs.plan import Upstreams
 from endiveworks.settings.flags import Values
 from endiveworks.telemetry.logs import logger
 from endiveworks.telemetry.metrics import Metrics
@@ -30,6 +31,7 @@
 from .node import Node, local_node, puller, remote_node
 from .operators import Work, program_rows, serve_operators
 from .owner_service import OwnerService
+from .trace_recorder import TraceRecorder, recorded_upstreams
 from .upstream_links import upstream_links
 
 _SETTLE_S = 5.0
@@ -53,7 +55,7 @@
         deployment.contacted,
     )
     metrics = Metrics(cfg.text("statsd"), cfg.text("host"))
-    measured = measured_upstreams(links, metrics)
+    measured = measured_upstreams(_recorded(cfg, deployment, links), metrics)
     owner = Owner(measured, deployment.bundle, program_observer(metrics))
     LoadReports(peers, origin, deployment.members, choices).start()
     HoldRenewal(owner, peers, origin, deployment.members).start()
@@ -96,6 +98,14 @@
     return stop
 
 
+def _recorded(cfg: Values, deployment: Deployment, links: Upstreams) -> Upstreams:
+    if not cfg.text("trace_file"):
+        return links
+    path = Path(cfg.text("trace_file"))
+    recorder = TraceRecorder(path, deployment.identity.region, deployment.members)
+    return recorded_upstreams(links, recorder)
+
+
 def _choices(cfg: Values, deployment: Deployment) -> Choices:
     link = Link(cfg.number("link_bytes_per_s"), cfg.number("link_delay_s"))
     return Choices(
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/options.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/options.py
@@ -89,6 +89,11 @@
         "patience_s", 20.0, "Entry: wait for a partition's next owner.", between(0.1, 600.0)
     )
 
+    flags.define_string(
+        "trace_file",
+        "",
+        "Entry: path of the traces to record, without prompts; empty records none.",
+    )
     flags.define_float(
         "link_bytes_per_s",
         200_000.0,
--- a/packages/endiveworks/src/endiveworks/replay/run.py
+++ b/packages/endiveworks/src/endiveworks/replay/run.py
@@ -12,7 +12,7 @@
 from .policy import Policy
 from .replica import Job, Replica
 from .router import Router
-from .trace import Call, Trace, programs
+from .trace import Call, Trace, programs, weight_of
 
 LOCAL_DELAY_S = 0.0005
 EVENT_LAG_S = 0.5
@@ -141,7 +141,7 @@
         waiting = Waiting(
             seq.request,
             call.tenant if self.policy.shares else "",
-            header.tenants[call.tenant] if self.policy.shares else 1.0,
+            weight_of(header, call.tenant) if self.policy.shares else 1.0,
             header.classes[call.class_name] if self.policy.classes else 0,
             program.attained_tokens if self.policy.order else 0,
             replica.cost_s + computed_s,
--- a/packages/endiveworks/src/endiveworks/replay/trace.py
+++ b/packages/endiveworks/src/endiveworks/replay/trace.py
@@ -15,6 +15,7 @@
 from .engine import Rates
 
 VERSION = 1
+ANY_TENANT = "*"
 
 
 class Place(NamedTuple):
@@ -34,7 +35,7 @@
         load: Offered load as a share of capacity; 0 where unknown.
         replicas: The upstreams.
         rates: Speed and memory of each.
-        tenants: Weight of each tenant.
+        tenants: Weight of each tenant; "*" stands for every tenant not named.
         classes: Priority of each class; a lower number goes first.
         weights: Cost weights of the service.
         deadline_s: Longest wait that a call bears.
@@ -150,6 +151,11 @@
     return Trace(header, tuple(calls), tuple(losses))
 
 
+def weight_of(header: Header, tenant: str) -> float:
+    """Returns the share of a tenant relative to others."""
+    return header.tenants.get(tenant, header.tenants.get(ANY_TENANT, 1.0))
+
+
 def programs(calls: Iterable[Call]) -> dict[str, list[Call]]:
     """Groups calls by program, in their order."""
     grouped: dict[str, list[Call]] = {}
--- a/packages/endiveworks/src/endiveworks/settings/shared.py
+++ b/packages/endiveworks/src/endiveworks/settings/shared.py
@@ -24,6 +24,7 @@
     "request_s",
     "caller_silence_s",
     "patience_s",
+    "trace_file",
     "link_bytes_per_s",
     "link_delay_s",
     "prefill_tokens_per_s",
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -11,6 +11,9 @@
 import urllib3
 from endiveworks.client.caller import Program, connect, open_program
 from endiveworks.client.transport import Deployment
+from endiveworks.replay.policy import FULL
+from endiveworks.replay.run import replay
+from endiveworks.replay.trace import read
 from endiveworks_ctl.main import main as endivectl
 from endiveworks_standins.fleet import Fleet, Place, wait_until
 from returns.result import Success
@@ -49,6 +52,7 @@
 
     def __init__(self, fleet: Fleet, slots: int, *engine_flags: str) -> None:
         self.fleet = fleet
+        self.trace = fleet.folder / "trace"
         services = fleet.folder / "services"
         services.mkdir()
         (services / "assistant.toml").write_text(SERVICE.replace("SLOTS", str(slots)))
@@ -57,7 +61,8 @@
         self.engine = fleet.start_engine("engine", *engine_flags)
         self.start_upstream("up-1")
         self.deployment: Deployment = connect(
-            (fleet.start_entry("entry", EAST, "--lease_s=2"),), "signs"
+            (fleet.start_entry("entry", EAST, "--lease_s=2", f"--trace_file={self.trace}"),),
+            "signs",
         )
 
     def start_upstream(self, name: str) -> None:
@@ -193,3 +198,18 @@
         assert {row["chosen"] for row in rows} == {"up-1", ""}
         assert {"wait_s", "recomputed_tokens"} <= routed
         assert {"predicted_wait_s", "class_priority", "waited_s"} <= admitted
+
+
+class TestRecording:
+    def test_recorded_trace_replays(self, site: Callable[..., Site]) -> None:
+        place = site(4, *FAST)
+        program = place.open("front")
+        for _ in range(3):
+            say(program).unwrap()
+        path = place.trace.with_name("trace.assistant")
+        wait_until(lambda: path.exists() and len(path.read_bytes().splitlines()) == 4)
+        trace = read(path)
+        assert [call.call for call in trace.calls] == [0, 1, 2]
+        assert {call.class_name for call in trace.calls} == {"front"}
+        assert b"fascia" not in path.read_bytes()
+        assert replay(trace, FULL).done_share == 1.0
