--- a/packages/endiveworks-daemon/src/endiveworks_daemon/entry.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/entry.py
@@ -2,11 +2,13 @@
 
 import random
 from collections.abc import Callable
+from pathlib import Path
 
 from endiveworks.links import server
 from endiveworks.links.client import Peers
 from endiveworks.members.member import Member
 from endiveworks.programs.owner import Owner
+from endiveworks.programs.plan import Upstreams
 from endiveworks.settings.flags import Values
 from endiveworks.telemetry.logs import logger
 from endiveworks.telemetry.metrics import Metrics
@@ -28,6 +30,7 @@
 from .partition_owners import notifier, partition_owners, pinger
 from .partitions import Partitions, Parts
 from .suspects import Suspects
+from .trace_recorder import TraceRecorder, recorded_upstreams
 from .upstream_links import upstream_links
 
 _SETTLE_S = 5.0
@@ -50,7 +53,7 @@
         deployment.contacted,
     )
     metrics = Metrics(cfg.text("statsd"), cfg.text("host"))
-    measured = measured_upstreams(links, metrics)
+    measured = measured_upstreams(_recorded(cfg, deployment, links), metrics)
     owner = Owner(measured, deployment.bundle, program_observer(metrics))
     LoadReports(peers, origin, deployment.members, choices).start()
     HoldRenewal(owner, peers, origin, deployment.members).start()
@@ -87,7 +90,7 @@
         lambda program: route_reasons(deployment.identity.host, choices.explain(program)),
     )
     folder = store.folder if store is not None else ""
-    me = _member(deployment, listening.address, operators.address, folder)
+    me = _member(cfg, deployment, listening.address, operators.address, folder)
     deployment.announce(me)
     partitions.start(me)
     logger("daemon").info(
@@ -107,6 +110,14 @@
     return stop
 
 
+def _recorded(cfg: Values, deployment: Deployment, links: Upstreams) -> Upstreams:
+    if not cfg.text("trace_file"):
+        return links
+    path = Path(cfg.text("trace_file"))
+    recorder = TraceRecorder(path, deployment.identity.region, deployment.members)
+    return recorded_upstreams(links, recorder)
+
+
 def _choices(cfg: Values, deployment: Deployment) -> Choices:
     link = Link(cfg.number("link_bytes_per_s"), cfg.number("link_delay_s"))
     return Choices(
@@ -117,11 +128,11 @@
     )
 
 
-def _member(deployment: Deployment, address: str, admin: str, folder: str) -> Member:
+def _member(cfg: Values, deployment: Deployment, address: str, admin: str, folder: str) -> Member:
     identity = deployment.identity
     return Member(
         host=identity.host,
-        address=address,
+        address=cfg.text("advertise") or address,
         role="entry",
         service="",
         region=identity.region,
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/options.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/options.py
@@ -30,6 +30,12 @@
         optional_address,
     )
     flags.define_string("listen", "127.0.0.1:0", "Address for the other processes.", address)
+    flags.define_string(
+        "advertise",
+        "",
+        "Address that other processes use instead of --listen; empty for the same.",
+        optional_address,
+    )
     flags.define_string("admin", "127.0.0.1:0", "Address for operators.", address)
     flags.define_string("statsd", "", "Address of statsd; empty sends nothing.", optional_address)
     flags.define_choice("log_level", "info", LOG_LEVELS, "Lowest level logged.")
@@ -89,6 +95,11 @@
         "patience_s", 20.0, "Entry: wait for a partition's next owner.", between(0.1, 600.0)
     )
 
+    flags.define_string(
+        "trace_file",
+        "",
+        "Entry: path of the traces to record, without prompts; empty records none.",
+    )
     flags.define_float(
         "link_bytes_per_s",
         200_000.0,
