Split the partitions' upkeep, look only at partitions that concern a host, and back off

An opening that fails waits up to 15 s before the next, since each attempt takes an epoch in the table; a failure inside an action is logged in place of vanishing with its thread. The upkeep of copies moved to copy_sets.py.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/entry.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/entry.py
@@ -63,7 +63,16 @@
     notify = notifier(entries, origin)
     suspects = Suspects(pinger(entries, origin))
     partitions = Partitions(
-        Parts(deployment.kv, owner, store, copies, deployment.members, notify, suspects)
+        Parts(
+            deployment.kv,
+            owner,
+            store,
+            copies,
+            deployment.members,
+            notify,
+            suspects,
+            deployment.identity.region,
+        )
     )
     gate = Gate(cfg.integer("max_open"))
     service = OwnerService(
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/partition_owners.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/partition_owners.py
@@ -29,7 +29,7 @@
     pull = puller(peers, identity.origin)
 
     def node_for(partition: int) -> Result[Node, Failure]:
-        record = partitions.table.records().get(partition)
+        record = partitions.table.find(partition).record
         if record is None:
             return Err(_ownerless(partition))
         if record.owner.host == identity.host:
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/partitions.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/partitions.py
@@ -1,21 +1,20 @@
 """The partitions of this host: carries out what the keeper decides."""
 
 import random
-import secrets
 import threading
 import time
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Mapping
 from concurrent.futures import ThreadPoolExecutor
 from typing import NamedTuple
 
 from endiveworks.errors import Code, Failure
 from endiveworks.journal import copy_state
-from endiveworks.journal.peer import CopyId, Peer
+from endiveworks.journal.peer import CopyId
 from endiveworks.journal.replicated_log import OpenedReplica, open_replicated_log
-from endiveworks.journal.replication import CopySet
 from endiveworks.journal.store import Store
+from endiveworks.links.retry import backoff_s
 from endiveworks.members.member import Member
-from endiveworks.ownership import keeper, placement, table
+from endiveworks.ownership import keeper, table
 from endiveworks.ownership.record import OwnerId, PartitionRecord
 from endiveworks.ownership.table import Located
 from endiveworks.ownership.terms import Terms, agree_terms
@@ -26,13 +25,24 @@
 from returns.result import Result, Success
 
 from .copy_links import CopyLinks
+from .copy_sets import (
+    FIRST_EPOCH,
+    CopySets,
+    change_id,
+    check_copies,
+    copy_set_of,
+    is_movable,
+    log_failure,
+    start_copies,
+    update_record,
+)
 from .suspects import Suspects
 
 _TICK_S = 1.0
+_POLL_S = 0.05
 _WORKERS = 8
-_FIRST_EPOCH = 1
-_FIRST_GENERATION = 1 << 20
-_CHANGE_BITS = 62
+_BASE_BACKOFF_S = 0.5
+_MAX_BACKOFF_S = 15.0
 
 
 class Parts(NamedTuple):
@@ -46,6 +56,7 @@
         members: Returns the live processes by host.
         notify: Tells a process that a partition has been handed to it.
         suspects: Processes that did not answer.
+        region: Region of this host.
     """
 
     kv: Kv
@@ -55,6 +66,14 @@
     members: Callable[[], Mapping[str, Member]]
     notify: Callable[[Member, int], None]
     suspects: Suspects
+    region: str
+
+
+class Failures(NamedTuple):
+    """Failed openings of a partition in a row, and the monotonic time of the next attempt."""
+
+    in_a_row: int
+    until_s: float
 
 
 class Partitions:
@@ -64,13 +83,16 @@
         self._parts = parts
         self._wake = threading.Event()
         self.table = TableView(self._wake.set)
+        self._sets = CopySets(parts.kv, self.table, parts.links, parts.members, parts.region)
         self._me: Member | None = None
         self._terms: Terms | None = None
         self._lock = threading.Lock()
         self._held: dict[int, tuple[int, OpenedReplica]] = {}
         self._spent: dict[int, int] = {}
         self._busy: set[int] = set()
+        self._failures: dict[int, Failures] = {}
         self._stale: set[int] = set()
+        self._placed: Mapping[str, Member] = {}
         self._ownerless_since: dict[int, float] = {}
         self._pool = ThreadPoolExecutor(_WORKERS, "partitions")
 
@@ -105,7 +127,7 @@
     def owner_failed(self, partition: int, failure: Failure) -> None:
         """Notes that the owner of a partition did not answer or does not own it any more."""
         self.refresh(partition)
-        record = self.table.records().get(partition)
+        record = self.table.find(partition).record
         if record is None or failure.code not in (Code.UNREACHABLE, Code.TIMEOUT):
             return
         member = self._parts.members().get(record.owner.host)
@@ -120,26 +142,18 @@
         deadline = time.monotonic() + timeout_s
         while self.held() and self._has_successor() and time.monotonic() < deadline:
             self._wake.set()
-            time.sleep(_TICK_S / 20)
+            time.sleep(_POLL_S)
         return not self.held()
 
     def move_copies(self, timeout_s: float) -> bool:
         """Waits until the owners have moved the copies kept here; returns whether they have."""
+        here = CopyId(self._self().host, self._self().folder)
         deadline = time.monotonic() + timeout_s
-        while self._is_copy_movable() and time.monotonic() < deadline:
-            time.sleep(_TICK_S / 20)
-        return not self._is_copy_movable()
-
-    def _is_copy_movable(self) -> bool:
-        """Tells whether a copy here is in a set and there is another host that could keep it."""
-        me = self._self()
-        here = CopyId(me.host, me.folder)
-        members = [one for one in self._parts.members().values() if one.host != me.host]
-        return any(
-            here in record.copies
-            and placement.next_copy(record.partition, me.region, members, record.copies)
-            for record in self.table.records().values()
-        )
+        while is_movable(self._sets, here):
+            if time.monotonic() > deadline:
+                return False
+            time.sleep(_POLL_S)
+        return True
 
     def _has_successor(self) -> bool:
         return any(
@@ -163,12 +177,19 @@
                 self._act(self._terms)
 
     def _act(self, terms: Terms) -> None:
-        for action in keeper.plan(self._situation(terms)):
+        now = self._situation(terms)
+        actions = keeper.plan(now)
+        settled = not any(isinstance(action, keeper.HandOver) for action in actions)
+        self._placed = now.members if settled else {}
+        for action in actions:
             if isinstance(action, keeper.Drop):
                 self._drop(action)
             else:
                 self._start_action(action)
-        self._check_copies()
+        with self._lock:
+            held = dict(self._held)
+        for partition, (_, replica) in held.items():
+            check_copies(self._sets, partition, replica)
 
     def _situation(self, terms: Terms) -> keeper.Situation:
         suspects = self._parts.suspects
@@ -185,7 +206,15 @@
             held = {partition: epoch for partition, (epoch, _) in self._held.items()}
             spent = dict(self._spent)
         now = keeper.Situation(
-            self._self(), members, self.table.records(), terms.partitions, held, spent, {}, copies
+            me=self._self(),
+            members=members,
+            records=self.table.records(),
+            partitions=terms.partitions,
+            held=held,
+            spent=spent,
+            ownerless_s={},
+            copies=copies,
+            is_placement_due=members != self._placed,
         )
         return now._replace(ownerless_s=self._ownerless_s(keeper.ownerless(now)))
 
@@ -199,6 +228,9 @@
 
     def _start_action(self, action: keeper.Action) -> None:
         partition = _partition_of(action)
+        failures = self._failures.get(partition)
+        if failures is not None and time.monotonic() < failures.until_s:
+            return
         with self._lock:
             if partition in self._busy:
                 return
@@ -218,28 +250,27 @@
                     self._hand_over(record, successor)
                 case keeper.GiveUp():
                     self._give_up(partition)
+        except Exception as exc:  # The pool would drop it, and the partition stay without an owner.
+            logger("ownership").error(
+                "partition_action_failed", partition=partition, error_type=type(exc).__name__
+            )
+            self._back_off(partition)
         finally:
             with self._lock:
                 self._busy.discard(partition)
 
     def _create(self, partition: int) -> None:
-        me = self._self()
-        members = tuple(self._parts.members().values())
-        copies = placement.first_copies(partition, me.region, members)
-        reset = copy_state.Reset(partition, _FIRST_EPOCH, _FIRST_GENERATION, 1)
-        started = [copy for copy in copies if self._send(copy, reset)]
-        if not started:
-            return
-        record = PartitionRecord(partition, _id(me), _FIRST_EPOCH, tuple(started), _change_id())
-        self._swap_and_open(Located(None, 0), record)
+        started = start_copies(self._sets, partition)
+        if started:
+            me = _id(self._self())
+            record = PartitionRecord(partition, me, FIRST_EPOCH, started, change_id())
+            self._swap_and_open(Located(None, 0), record)
 
     def _take_over(self, record: PartitionRecord) -> None:
         before = self.table.find(record.partition)
         if before.record != record:
             return
-        taken = record._replace(
-            owner=_id(self._self()), epoch=record.epoch + 1, change=_change_id()
-        )
+        taken = record._replace(owner=_id(self._self()), epoch=record.epoch + 1, change=change_id())
         self._swap_and_open(before, taken)
 
     def _swap_and_open(self, before: Located, record: PartitionRecord) -> None:
@@ -257,18 +288,28 @@
                 return
             self._spent[partition] = epoch
         peers = [self._parts.links.peer(copy) for copy in record.copies]
-        opened = open_replicated_log(partition, epoch, peers, self._copy_set(partition, epoch))
+        copy_set = copy_set_of(self._sets, partition, epoch)
+        opened = open_replicated_log(partition, epoch, peers, copy_set)
         adopted = opened.bind(lambda replica: self._adopt(partition, epoch, replica))
         if isinstance(adopted, Success):
             logger("ownership").info("partition_opened", partition=partition, epoch=epoch)
+            self._failures.pop(partition, None)
         else:
-            _log_failure("partition_not_opened", partition, epoch, adopted.failure())
+            self._back_off(partition)
+            log_failure("partition_not_opened", partition, epoch, adopted.failure())
+
+    def _back_off(self, partition: int) -> None:
+        """Waits longer after each failed opening, since each takes an epoch in the table."""
+        failures = self._failures.get(partition, Failures(0, 0.0)).in_a_row + 1
+        pause_s = backoff_s(failures, _BASE_BACKOFF_S, _MAX_BACKOFF_S, random.random())
+        self._failures[partition] = Failures(failures, time.monotonic() + pause_s)
 
     def _adopt(self, partition: int, epoch: int, replica: OpenedReplica) -> Result[None, Failure]:
         adopted = self._parts.owner.adopt(partition, epoch, replica.opened)
         if isinstance(adopted, Success):
             with self._lock:
                 self._held[partition] = (epoch, replica)
+            self._placed = {}
             replica.check()
         else:
             replica.opened.log.close()
@@ -276,12 +317,11 @@
 
     def _hand_over(self, record: PartitionRecord, successor: Member) -> None:
         self._give_up(record.partition)
-        given = self._update(
+        given = update_record(
+            self._sets,
             record.partition,
             record.epoch,
-            lambda now: now._replace(
-                owner=_id(successor), epoch=now.epoch + 1, change=_change_id()
-            ),
+            lambda now: now._replace(owner=_id(successor), epoch=now.epoch + 1, change=change_id()),
         )
         if isinstance(given, Success):
             self._parts.notify(successor, record.partition)
@@ -289,7 +329,7 @@
                 "partition_handed_over", partition=record.partition, owner=successor.host
             )
         else:
-            _log_failure("handover_failed", record.partition, record.epoch, given.failure())
+            log_failure("handover_failed", record.partition, record.epoch, given.failure())
 
     def _give_up(self, partition: int) -> None:
         with self._lock:
@@ -315,64 +355,6 @@
         for partition in stale:
             self.table.refresh(self._parts.kv, partition)
 
-    def _check_copies(self) -> None:
-        """Makes appends to copies whose host is gone, and has missing copies made."""
-        members = self._parts.members()
-        with self._lock:
-            held = dict(self._held)
-        for partition, (_, replica) in held.items():
-            copies = replica.copies()
-            if any(not _is_there(copy, members) for copy in copies):
-                replica.opened.log.append([])
-            elif self._replacement(partition, copies) is not None:
-                replica.check()
-
-    def _copy_set(self, partition: int, epoch: int) -> CopySet:
-        def change(copies: Sequence[CopyId]) -> Result[None, Failure]:
-            wanted = tuple(copies)
-            changed = self._update(
-                partition, epoch, lambda now: now._replace(copies=wanted, change=_change_id())
-            )
-            if isinstance(changed, Success):
-                hosts = [copy.host for copy in wanted]
-                logger("ownership").info("copies_changed", partition=partition, copies=hosts)
-            return changed.map(lambda _: None)
-
-        def replacement(present: Sequence[CopyId]) -> Peer | None:
-            return self._replacement(partition, present)
-
-        def lost(failure: Failure) -> None:
-            _log_failure("partition_lost", partition, epoch, failure)
-            self.refresh(partition)
-
-        def surplus(present: Sequence[CopyId]) -> CopyId | None:
-            return placement.surplus_copy(tuple(self._parts.members().values()), present)
-
-        return CopySet(change, replacement, surplus, lost)
-
-    def _replacement(self, partition: int, present: Sequence[CopyId]) -> Peer | None:
-        members = tuple(self._parts.members().values())
-        if len(placement.staying(members, present)) >= placement.WANTED_COPIES:
-            return None
-        member = placement.next_copy(partition, self._self().region, members, present)
-        if member is None:
-            return None
-        return self._parts.links.peer(CopyId(member.host, member.folder))
-
-    def _update(
-        self,
-        partition: int,
-        epoch: int,
-        change: Callable[[PartitionRecord], PartitionRecord],
-    ) -> Result[Located, Failure]:
-        updated = table.update(self._parts.kv, partition, epoch, change)
-        if isinstance(updated, Success):
-            self.table.put(partition, updated.unwrap())
-        return updated
-
-    def _send(self, copy: CopyId, req: copy_state.Request) -> bool:
-        return isinstance(self._parts.links.peer(copy).send(req).result(), Success)
-
 
 def _partition_of(action: keeper.Action) -> int:
     if isinstance(action, keeper.Create | keeper.GiveUp):
@@ -380,26 +362,5 @@
     return action.record.partition
 
 
-def _is_there(copy: CopyId, members: Mapping[str, Member]) -> bool:
-    member = members.get(copy.host)
-    return member is not None and member.folder == copy.folder
-
-
 def _id(member: Member) -> OwnerId:
     return OwnerId(member.host, member.incarnation)
-
-
-def _change_id() -> int:
-    return secrets.randbits(_CHANGE_BITS)
-
-
-def _log_failure(event: str, partition: int, epoch: int, failure: Failure) -> None:
-    logger("ownership").warning(
-        event,
-        partition=partition,
-        epoch=epoch,
-        code=failure.code.value,
-        step=failure.step,
-        peer=failure.peer,
-        detail=failure.detail,
-    )
--- a/packages/endiveworks/src/endiveworks/ownership/keeper.py
+++ b/packages/endiveworks/src/endiveworks/ownership/keeper.py
@@ -64,6 +64,7 @@
             opened twice at one epoch, as requests of the first opening may still be under way.
         ownerless_s: How long each partition has had no live owner, in seconds.
         copies: Sealed epoch of each copy kept here.
+        is_placement_due: Whether hosts may have come or gone since placement was last looked at.
     """
 
     me: Member
@@ -74,13 +75,14 @@
     spent: Mapping[int, int]
     ownerless_s: Mapping[int, float]
     copies: Mapping[int, int]
+    is_placement_due: bool = True
 
 
 def plan(now: Situation) -> tuple[Action, ...]:
     """Returns what to do now, partition by partition."""
     actions: list[Action] = []
     handovers = 0
-    for partition in range(now.partitions):
+    for partition in sorted(_concerned(now)):
         action = plan_one(now, partition)
         if isinstance(action, HandOver):
             handovers += 1
@@ -94,11 +96,16 @@
 
 def ownerless(now: Situation) -> frozenset[int]:
     """Returns the partitions whose owner is not a live process."""
-    return frozenset(
-        partition
-        for partition in range(now.partitions)
-        if partition not in now.records or not _is_live(now, now.records[partition].owner)
-    )
+    live = {_id_of(member) for member in now.members.values()}
+    owned = {partition for partition, record in now.records.items() if record.owner in live}
+    return frozenset(set(range(now.partitions)) - owned)
+
+
+def _concerned(now: Situation) -> set[int]:
+    """Returns the partitions that this host may have to do something about."""
+    me = _id_of(now.me)
+    own = {partition for partition, record in now.records.items() if record.owner == me}
+    return own | now.held.keys() | ownerless(now)
 
 
 def plan_one(now: Situation, partition: int) -> Action | None:
@@ -130,6 +137,8 @@
 
 def _hand_over(now: Situation, record: PartitionRecord) -> Action | None:
     """Gives a partition to the host that should own it, if that is another one."""
+    if not now.is_placement_due:
+        return None
     wanted = placement.owners(record.partition, now.members.values())
     if not wanted or wanted[0].host == now.me.host:
         return None
