--- a/bench/journal.py
+++ b/bench/journal.py
@@ -22,6 +22,9 @@
 from endiveworks.journal.store import Store, open_store
 from endiveworks.links import server
 from endiveworks.links.client import Peers
+from endiveworks.members.member import Member
+from endiveworks.ownership import keeper, placement
+from endiveworks.ownership.record import OwnerId, PartitionRecord
 from endiveworks.programs.partition import start_actor
 from endiveworks.programs.records import (
     CHAT,
@@ -43,6 +46,7 @@
 QUESTION_BYTES = 600
 ANSWER_BYTES = 2000
 RECOVERY_RECORDS = (1_000, 10_000, 100_000)
+KEEPER_SIZES = ((3, 64), (420, 4096))
 TAKEOVER_PROGRAMS = (1_000, 10_000, 100_000)
 GENERATION = 1 << 20
 NO_CHANGES = CopySet(
@@ -89,6 +93,7 @@
         measure_turn(folder)
         measure_recovery(folder)
         measure_takeover(folder)
+    measure_keeper()
 
 
 def measure_appends(folder: Path) -> None:
@@ -162,6 +167,37 @@
             report(name, seconds, f"{TAKEOVER_PROGRAMS[0]} programs", seconds / base)
 
 
+def measure_keeper() -> None:
+    """Measures one look at the table by one of many hosts, when nothing is to be done."""
+    base = 0.0
+    for hosts, partitions in KEEPER_SIZES:
+        now = _settled(hosts, partitions)
+        rounds = 20
+        began = time.perf_counter()
+        for _ in range(rounds):
+            keeper.plan(now)
+        milliseconds = (time.perf_counter() - began) / rounds * 1000
+        base = base or milliseconds
+        name = f"ms to look at {partitions} partitions among {hosts} hosts"
+        report(name, milliseconds, f"{KEEPER_SIZES[0][1]} partitions", milliseconds / base)
+
+
+def _settled(hosts: int, partitions: int) -> keeper.Situation:
+    members = {
+        f"h{number}": Member(f"h{number}", "", "entry", "", "r", "d", number, folder="f")
+        for number in range(hosts)
+    }
+    records = {}
+    for partition in range(partitions):
+        owner = placement.owners(partition, members.values())[0]
+        ident = OwnerId(owner.host, owner.incarnation)
+        records[partition] = PartitionRecord(partition, ident, 1, (CopyId("h1", "f"),), 1)
+    held = {number: 1 for number, record in records.items() if record.owner.host == "h0"}
+    return keeper.Situation(
+        members["h0"], members, records, partitions, held, held, {}, {}, is_placement_due=False
+    )
+
+
 def _take_over(peers: list[Peer], epoch: int) -> tuple[float, OpenedLog]:
     began = time.perf_counter()
     opened = open_replicated_log(1, epoch, peers, NO_CHANGES).unwrap().opened
