--- a/packages/endiveworks-daemon/src/endiveworks_daemon/upstream_links.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/upstream_links.py
@@ -1,6 +1,7 @@
 """How owners reach the processes beside upstreams."""
 
 from collections.abc import Callable, Mapping
+from typing import TypeVar
 
 from endiveworks.calls.messages import CallKey, Doubt, Job
 from endiveworks.calls.pull import Want, pull_to_end
@@ -19,6 +20,8 @@
 
 _SILENCE_MARGIN_S = 2.0
 
+T = TypeVar("T")
+
 
 def upstream_links(
     identity: Identity,
@@ -26,6 +29,7 @@
     members: Callable[[], Mapping[str, Member]],
     choose: Callable[..., Result[Member, Failure]],
     done: Callable[..., None],
+    contacted: Callable[[Member, Failure | None], None] = lambda member, failure: None,
 ) -> Upstreams:
     """Returns the functions that owners call.
 
@@ -35,18 +39,25 @@
         members: Returns the live processes by host.
         choose: Chooses the upstream process for a call.
         done: Is told that an attempt has ended.
+        contacted: Is told the outcome of each contact with a process.
     """
     pull = puller(peers, identity.origin)
 
+    def noted(member: Member, outcome: Result[T, Failure]) -> Result[T, Failure]:
+        contacted(member, None if isinstance(outcome, Success) else outcome.failure())
+        return outcome
+
     def submit(member: Member, job: Job) -> Result[None, Failure]:
         req = _dispatch(job)
-        answered = peers.call(
+        call = peers.call_once if job.at_most_once else peers.call
+        answered = call(
             member.address,
             "upstream.submit",
             ANSWER_TIMEOUT_S,
             lambda client: client.submit(identity.origin(), req),
         )
-        return answered.bind(_accepted)
+        accepted = noted(member, answered.bind(_accepted))
+        return accepted if job.at_most_once else accepted.alt(_unless_restarted)
 
     def read(host: str, key: CallKey, offset: int, wait_s: float) -> Result[Piece, Failure]:
         member = members().get(host)
@@ -60,7 +71,7 @@
                 identity.origin(), ttypes.CallKey(*key), offset, int(wait_s * 1000)
             ),
         )
-        return answered.bind(read_reply)
+        return noted(member, answered).bind(read_reply)
 
     def tail(
         host: str, want: Want, take: Callable[[Piece], None], each_second: Callable[[], None]
@@ -91,6 +102,14 @@
     return Success(None) if reply.fault is None else Err(from_fault(reply.fault))
 
 
+def _unless_restarted(refusal: Failure) -> Failure:
+    """Returns the refusal of a request that may have been repeated.
+
+    A process that restarted in between can't tell whether the first request ran.
+    """
+    return refusal._replace(not_run=refusal.not_run and refusal.code is not Code.CONFLICT)
+
+
 def _dispatch(job: Job) -> ttypes.Dispatch:
     return ttypes.Dispatch(
         key=ttypes.CallKey(*job.key),
