--- a/packages/endiveworks-daemon/src/endiveworks_daemon/entry.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/entry.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Callable
+from pathlib import Path
 
 from endiveworks.links import server
 from endiveworks.links.client import Peers
@@ -85,7 +86,8 @@
         lambda program: route_reasons(deployment.identity.host, choices.explain(program)),
     )
     folder = store.folder if store is not None else ""
-    me = _member(deployment, listening.address, operators.address, folder)
+    address = cfg.text("advertise") or listening.address
+    me = _member(deployment, address, operators.address, folder)
     deployment.announce(me)
     partitions.start(me)
     logger("daemon").info(
@@ -127,7 +129,7 @@
     identity = deployment.identity
     return Member(
         host=identity.host,
-        address=cfg.text("advertise") or address,
+        address=address,
         role="entry",
         service="",
         region=identity.region,
