--- a/packages/endiveworks-daemon/src/endiveworks_daemon/entry.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/entry.py
@@ -27,8 +27,9 @@
 from .metering import counted_app, measured_upstreams, program_observer
 from .operators import Work, program_rows, serve_operators
 from .owner_service import OwnerService
-from .partition_owners import notifier, partition_owners
+from .partition_owners import notifier, partition_owners, pinger
 from .partitions import Partitions, Parts
+from .suspects import Suspects
 from .trace_recorder import TraceRecorder, recorded_upstreams
 from .upstream_links import upstream_links
 
@@ -59,8 +60,20 @@
     entries = Peers(OwnerThrift.Client)
     store = open_folder(cfg.text("data_dir"), deployment.kv)
     copies = CopyLinks(deployment.identity, store, deployment.members, entries)
-    notify = notifier(entries, deployment.identity.origin)
-    partitions = Partitions(Parts(deployment.kv, owner, store, copies, deployment.members, notify))
+    notify = notifier(entries, origin)
+    suspects = Suspects(pinger(entries, origin))
+    partitions = Partitions(
+        Parts(
+            deployment.kv,
+            owner,
+            store,
+            copies,
+            deployment.members,
+            notify,
+            suspects,
+            deployment.identity.region,
+        )
+    )
     gate = Gate(cfg.integer("max_open"))
     service = OwnerService(
         deployment.identity,
@@ -86,8 +99,7 @@
         lambda program: route_reasons(deployment.identity.host, choices.explain(program)),
     )
     folder = store.folder if store is not None else ""
-    address = cfg.text("advertise") or listening.address
-    me = _member(deployment, address, operators.address, folder)
+    me = _member(cfg, deployment, listening.address, operators.address, folder)
     deployment.announce(me)
     partitions.start(me)
     logger("daemon").info(
@@ -125,11 +137,11 @@
     )
 
 
-def _member(deployment: Deployment, address: str, admin: str, folder: str) -> Member:
+def _member(cfg: Values, deployment: Deployment, address: str, admin: str, folder: str) -> Member:
     identity = deployment.identity
     return Member(
         host=identity.host,
-        address=address,
+        address=cfg.text("advertise") or address,
         role="entry",
         service="",
         region=identity.region,
