Make the tests of standby watchers and suspicion decide

Trials with one guard removed at a time: eight tests failed as they should or the guard is held by another layer; two passed although the guard was gone, since the lapse of a lease mended the fault within the test. They now use leases of 300 s. Without the standby watch the first fails; without suspicion the second did not end within 150 s, against 9 s with it.

--- a/tests/fleet/conftest.py
+++ b/tests/fleet/conftest.py
@@ -41,10 +41,10 @@
     def add_upstream(self, name: str, *flags: str, shop: str = "") -> None:
         self.start_upstream(name, EAST, "shop", shop or self.shop, *flags)
 
-    def add_forwarded_upstream(self, name: str) -> None:
+    def add_forwarded_upstream(self, name: str, *flags: str) -> None:
         """Starts an upstream process that the others reach through a forwarder."""
         address = self.start_standin(f"forward-{name}", "forwarder")
-        self.add_upstream(name, f"--advertise={address}")
+        self.add_upstream(name, f"--advertise={address}", *flags)
         target = self.procs[name].wait_event("listening")["thrift"]
         self._standin("POST", self._control(name), "/standin/target", {"target": target})
 
--- a/tests/fleet/test_configuration.py
+++ b/tests/fleet/test_configuration.py
@@ -15,7 +15,9 @@
 from endiveworks_standins.fleet import Place
 from returns.result import Success
 
+EAST = Place("east", "east-1")
 WEST = Place("west", "west-1")
+LONG_LEASE = "--lease_s=300"
 NAMES = ("entry-1", "entry-2", "up-1")
 Until = Callable[..., None]
 
@@ -24,9 +26,10 @@
 def running(cluster: Any, until: Until) -> Any:
     """Two entries in two regions and one upstream process, all at version 1."""
     cluster.publish_slots(4, expected=0).unwrap()
-    cluster.add_upstream("up-1")
-    cluster.add_entry("entry-1")
-    cluster.add_entry("entry-2", WEST)
+    # No lease lapses during a test, so that nothing here is mended by the removal of a host.
+    cluster.add_upstream("up-1", LONG_LEASE)
+    cluster.add_entry("entry-1", EAST, LONG_LEASE)
+    cluster.add_entry("entry-2", WEST, LONG_LEASE)
     until(lambda: cluster.versions(*NAMES) == [1, 1, 1])
     return cluster
 
--- a/tests/fleet/test_members.py
+++ b/tests/fleet/test_members.py
@@ -105,6 +105,32 @@
             until(lambda: running.events("entry-1", "host_removed"))
 
 
+class TestDirectSignals:
+    def test_a_dead_upstream_is_left_alone_long_before_its_lease_lapses(
+        self, cluster: Any, until: Until
+    ) -> None:
+        cluster.publish_slots(4, expected=0).unwrap()
+        cluster.shops = {"up-1": "shop-1", "up-2": "shop-2"}
+        cluster.add_forwarded_upstream("up-1", "--lease_s=300")
+        cluster.add_upstream("up-2", shop=cluster.start_plain("shop-2"))
+        cluster.add_entry("entry-1")
+        until(lambda: call_new_program(cluster) and executions(cluster, "up-1") > 3)
+        cluster.procs["up-1"].kill()
+        accepted = cluster.set_link_faults("up-1")
+        calls = 100
+        assert all(call_new_program(cluster) for _ in range(calls))
+        tried = cluster.set_link_faults("up-1") - accepted
+        assert "up-1" in cluster.members()
+        # Each try at the dead process takes several connections, until its doubt is settled.
+        assert tried < calls
+
+
+def call_new_program(cluster: Any) -> bool:
+    """Makes one call of a program that no upstream has served yet."""
+    outcome = cluster.open_program().call("shop", "lookup", {"item": "fascia"})
+    return isinstance(outcome, Success)
+
+
 class TestLease:
     def test_a_frozen_holder_is_removed_and_comes_back(self, running: Any, until: Until) -> None:
         before = running.members()["up-1"]
