--- a/packages/endiveworks-daemon/src/endiveworks_daemon/entry.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/entry.py
@@ -2,40 +2,38 @@
 
 import random
 from collections.abc import Callable
-from pathlib import Path
 
-from endiveworks.errors import Code, Failure
-from endiveworks.journal.file_log import open_journal
 from endiveworks.links import server
 from endiveworks.links.client import Peers
 from endiveworks.members.member import Member
 from endiveworks.programs.owner import Owner
+from endiveworks.programs.plan import Upstreams
 from endiveworks.settings.flags import Values
 from endiveworks.telemetry.logs import logger
 from endiveworks.telemetry.metrics import Metrics
 from endiveworks.wire.gen import Executor as ExecutorThrift
 from endiveworks.wire.gen import Owner as OwnerThrift
-from returns.result import Failure as Err
-from returns.result import Result, Success
 
 from .callers import serve_callers
 from .choice import Choices, Link
+from .copy_links import CopyLinks
 from .deployment import Deployment, join
 from .explain import route_reasons
-from .forward import Owners
 from .hold_renewal import HoldRenewal
 from .http_app import Gate, Limits, make_app
+from .journal_folder import open_folder
 from .load_reports import LoadReports
 from .metering import counted_app, measured_upstreams, program_observer
-from .node import Node, local_node, puller, remote_node
 from .operators import Work, program_rows, serve_operators
 from .owner_service import OwnerService
+from .partition_owners import notifier, partition_owners
+from .partitions import Partitions, Parts
+from .trace_recorder import TraceRecorder, recorded_upstreams
 from .upstream_links import upstream_links
 
 _SETTLE_S = 5.0
-_PARTITIONS = 16
-_FIRST_EPOCH = 1
-_RETRY_S = 0.5
+_HANDOVER_S = 30.0
+_MOVE_COPIES_S = 60.0
 
 
 def start_entry(cfg: Values) -> Callable[[], bool]:
@@ -53,10 +51,15 @@
         deployment.contacted,
     )
     metrics = Metrics(cfg.text("statsd"), cfg.text("host"))
-    measured = measured_upstreams(links, metrics)
+    measured = measured_upstreams(_recorded(cfg, deployment, links), metrics)
     owner = Owner(measured, deployment.bundle, program_observer(metrics))
     LoadReports(peers, origin, deployment.members, choices).start()
     HoldRenewal(owner, peers, origin, deployment.members).start()
+    entries = Peers(OwnerThrift.Client)
+    store = open_folder(cfg.text("data_dir"), deployment.kv)
+    copies = CopyLinks(deployment.identity, store, deployment.members, entries)
+    notify = notifier(entries, deployment.identity.origin)
+    partitions = Partitions(Parts(deployment.kv, owner, store, copies, deployment.members, notify))
     gate = Gate(cfg.integer("max_open"))
     service = OwnerService(
         deployment.identity,
@@ -64,11 +67,13 @@
         deployment.heard,
         deployment.encoded_bundle,
         lambda: deployment.leaving,
+        store,
+        partitions.refresh,
     )
     listening = server.serve(
         OwnerThrift.Processor(service), cfg.text("listen"), cfg.integer("max_connections")
     )
-    owners = _owners(cfg, deployment, owner)
+    owners = partition_owners(deployment, owner, partitions, entries, cfg.number("patience_s"))
     limits = Limits(cfg.integer("max_body_bytes"), cfg.integer("max_open"))
     http = serve_callers(cfg, counted_app(make_app(owners, gate, limits), metrics))
     operators = serve_operators(
@@ -79,8 +84,10 @@
         lambda limit: program_rows(owner, deployment.identity.host, limit),
         lambda program: route_reasons(deployment.identity.host, choices.explain(program)),
     )
-    deployment.announce(_member(cfg, deployment, listening.address, operators.address))
-    _adopt_all(cfg, deployment, owner)
+    folder = store.folder if store is not None else ""
+    me = _member(deployment, listening.address, operators.address, folder)
+    deployment.announce(me)
+    partitions.start(me)
     logger("daemon").info(
         "listening", thrift=listening.address, http=http.address, admin=operators.address
     )
@@ -88,6 +95,8 @@
     def stop() -> bool:
         deployment.leave()
         gate.close()
+        partitions.hand_over_all(_HANDOVER_S)
+        partitions.move_copies(_MOVE_COPIES_S)
         drained = gate.wait_empty(cfg.number("drain_s"))
         http.settle(_SETTLE_S)
         deployment.forget()
@@ -96,6 +105,14 @@
     return stop
 
 
+def _recorded(cfg: Values, deployment: Deployment, links: Upstreams) -> Upstreams:
+    if not cfg.text("trace_file"):
+        return links
+    path = Path(cfg.text("trace_file"))
+    recorder = TraceRecorder(path, deployment.identity.region, deployment.members)
+    return recorded_upstreams(links, recorder)
+
+
 def _choices(cfg: Values, deployment: Deployment) -> Choices:
     link = Link(cfg.number("link_bytes_per_s"), cfg.number("link_delay_s"))
     return Choices(
@@ -106,44 +123,7 @@
     )
 
 
-def _owners(cfg: Values, deployment: Deployment, owner: Owner) -> Owners:
-    here = local_node(owner)
-    peers = Peers(OwnerThrift.Client)
-    identity = deployment.identity
-    pull = puller(peers, identity.origin)
-
-    def node_for(partition: int) -> Result[Node, Failure]:
-        holder = _holder(deployment)
-        if holder is None:
-            detail = f"partition {partition:04x} has no owner yet"
-            return Err(Failure(Code.NOT_OWNER, "entry.find", "", detail, True, _RETRY_S))
-        if holder.host == identity.host:
-            return Success(here)
-        return Success(remote_node(peers, pull, identity.origin, holder.address))
-
-    return Owners(
-        node_for=node_for,
-        pick=lambda: Success(random.randrange(_PARTITIONS)),
-        moved=lambda partition, failure: None,
-        patience_s=cfg.number("patience_s"),
-    )
-
-
-def _holder(deployment: Deployment) -> Member | None:
-    entries = [member for member in deployment.members().values() if member.role == "entry"]
-    return min(entries, default=None)
-
-
-def _adopt_all(cfg: Values, deployment: Deployment, owner: Owner) -> None:
-    if not cfg.text("data_dir"):
-        return
-    journal = open_journal(Path(cfg.text("data_dir")), "local").unwrap()
-    for partition in range(_PARTITIONS):
-        opened = journal.open_log(partition, _FIRST_EPOCH).unwrap()
-        owner.adopt(partition, _FIRST_EPOCH, opened).unwrap()
-
-
-def _member(cfg: Values, deployment: Deployment, address: str, admin: str) -> Member:
+def _member(deployment: Deployment, address: str, admin: str, folder: str) -> Member:
     identity = deployment.identity
     return Member(
         host=identity.host,
@@ -153,6 +133,7 @@
         region=identity.region,
         failure_domain=identity.failure_domain,
         incarnation=identity.incarnation,
-        has_disk=bool(cfg.text("data_dir")),
+        has_disk=bool(folder),
         admin=admin,
+        folder=folder,
     )
