Export prefixes to make room before a call starts, and stop feeding evictions to routing

Before a chat starts, the process beside an engine asks for the engine's own list, and moves out the prefixes whose programs return last until the call fits; an exported prefix is brought back before its program's next call. The engine's list also names exported prefixes, so that they are released with the others.

--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -36,9 +36,13 @@
 _WORKERS = flags.DEFINE_integer("workers", 3, "Replays run at once.")
 _PARTS = flags.DEFINE_bool("parts", True, "Whether each part is switched off in turn.")
 
-DEPLOYMENTS = {deployment.name: deployment for deployment in workloads.DEPLOYMENTS}
+FLOODED = (
+    workloads.THISTLE._replace(name="thistle-flooded", flooding="perth"),
+    workloads.AUTHORITY._replace(name="authority-flooded", flooding="inspectors"),
+)
+DEPLOYMENTS = {deployment.name: deployment for deployment in (*workloads.DEPLOYMENTS, *FLOODED)}
 LOADS = (0.5, 0.8, 1.0, 1.3)
-LOSS = "loss"
+DEEP_LOAD = 2.0
 COMPARED = (
     "mean_s",
     "calls_mean_s",
@@ -72,17 +76,39 @@
 
 def tasks(seeds: Iterable[int], duration_s: float, parts: bool) -> list[Task]:
     """Lists all replays."""
-    found = []
-    for name in DEPLOYMENTS:
-        for seed in seeds:
-            for policy in (FULL, *BASELINES):
-                for load in LOADS:
-                    found.append(Task(name, load, False, seed, policy, duration_s))
-                found.append(Task(name, workloads.LOSS_LOAD, True, seed, policy, duration_s))
-            # One seed shows the worth of a part; the comparison with the baselines takes all.
-            if parts and seed == 1:
-                changed = [*map(without, PARTS), with_routing("sticky")]
-                found += [Task(name, 1.0, False, seed, p, duration_s) for p in changed]
+    names = [deployment.name for deployment in workloads.DEPLOYMENTS]
+    found = [
+        Task(name, load, loss, seed, policy, duration_s)
+        for name in names
+        for seed in seeds
+        for policy in (FULL, *BASELINES)
+        for load, loss in (*((load, False) for load in LOADS), (workloads.LOSS_LOAD, True))
+    ]
+    if parts:
+        found += _part_tasks(names, duration_s)
+    return found
+
+
+def _part_tasks(names: Iterable[str], duration_s: float) -> list[Task]:
+    # One seed shows the worth of a part; the comparison with the baselines takes all.
+    changed = [*map(without, PARTS), with_routing("sticky")]
+    found = [
+        Task(name, load, False, 1, policy, duration_s)
+        for name in names
+        for load in (1.0, 1.3)
+        for policy in changed
+    ]
+    deep = [FULL, *BASELINES, without("refuse"), without("preempt")]
+    found += [
+        Task(name, DEEP_LOAD, False, 1, policy, duration_s) for name in names for policy in deep
+    ]
+    flooded = [FULL, *BASELINES, without("shares")]
+    found += [
+        Task(deployment.name, load, False, 1, policy, duration_s)
+        for deployment in FLOODED
+        for load in (1.3, DEEP_LOAD)
+        for policy in flooded
+    ]
     return found
 
 
--- a/bench/workloads.py
+++ b/bench/workloads.py
@@ -18,6 +18,7 @@
 SUB_AGENT_SHARE = 0.1
 SYSTEM_PROMPT_TOKENS = 900
 CONTEXT_TOKENS = 32_000
+FLOOD_SHARE = 0.6
 
 # An 8B model on one 24 GB accelerator of 300 GB/s and 121 TFLOP/s: 16 GB of weights read a step,
 # 131,072 bytes of KV a token, 5.6 GB left for KV, prefill at 40% of peak.
@@ -85,6 +86,7 @@
         weights: Cost weights of the service.
         deadline_s: Longest wait that a call bears.
         capacity: Programs a second at a load of 1.
+        flooding: Tenant that sends more than half of the programs; empty for none.
     """
 
     name: str
@@ -96,6 +98,7 @@
     weights: CostWeights
     deadline_s: float
     capacity: float
+    flooding: str = ""
 
 
 def _places(**regions: int) -> tuple[Place, ...]:
@@ -189,6 +192,8 @@
 ) -> Iterator[Call]:
     kind = source.choices(deployment.kinds, [kind.share for kind in deployment.kinds])[0]
     tenant = source.choice(sorted(deployment.tenants))
+    if deployment.flooding and source.random() < FLOOD_SHARE:
+        tenant = deployment.flooding
     regions = sorted(deployment.regions)
     region = source.choices(regions, [deployment.regions[name] for name in regions])[0]
     count = _count(source, kind)
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/engine_keeper.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/engine_keeper.py
@@ -62,7 +62,9 @@
         if not isinstance(cached, Success):
             return
         with self._lock:
-            sweep = reconcile(self._holds, cached.unwrap(), time.monotonic())
+            listed = cached.unwrap()
+            present = {*listed["prefixes"], *listed["exported"]}
+            sweep = reconcile(self._holds, present, time.monotonic())
             self._holds = sweep.holds
         self._release(sweep)
 
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/options.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/options.py
@@ -106,7 +106,7 @@
     flags.define_float(
         "prefill_tokens_per_s",
         20_000.0,
-        "Entry: prompt tokens that an engine computes in a second.",
+        "Prompt tokens that an engine computes in a second.",
         between(1.0, 1e9),
     )
 
@@ -114,6 +114,12 @@
 def _define_upstream(flags: Flags) -> None:
     flags.define_string("service", "", "Upstream: name of the service.")
     flags.define_string("upstream_url", "", "Upstream: URL of the engine or plain service.")
+    flags.define_float(
+        "transfer_tokens_per_s",
+        60_000.0,
+        "Upstream: tokens that an engine exports or imports in a second; 0 never exports.",
+        between(0.0, 1e9),
+    )
     flags.define_integer("max_waiting", 1000, "Upstream: calls that may wait.", between(1, 10**6))
     flags.define_float(
         "silence_s",
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/upstream.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/upstream.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from endiveworks.admission.waiting import Admission, Surroundings, executor_queue
+from endiveworks.cache.room import Speed
 from endiveworks.calls.executor import Executor
 from endiveworks.config.bundle import Service
 from endiveworks.engines.memory import engine_memory
@@ -16,11 +17,12 @@
 
 from .deployment import Deployment, join
 from .engine_keeper import EngineKeeper
+from .engine_room import EngineRoom
 from .executor_service import ExecutorService
 from .explain import admit_reasons
 from .metering import measured_queue
 from .operators import Work, serve_operators
-from .upstream_run import runner
+from .upstream_run import runner, with_room
 
 _SLOTS_BEFORE_CONFIG = 1
 
@@ -30,9 +32,8 @@
     deployment = join(cfg)
     identity = deployment.identity
     metrics = Metrics(cfg.text("statsd"), cfg.text("host"))
-    keeper = EngineKeeper(
-        engine_memory(cfg.text("upstream_url")), lambda: _is_model(deployment, cfg.text("service"))
-    )
+    memory = engine_memory(cfg.text("upstream_url"))
+    keeper = EngineKeeper(memory, lambda: _is_model(deployment, cfg.text("service")))
     around = Surroundings(
         identity.host,
         lambda: _service(deployment, cfg.text("service")),
@@ -44,7 +45,11 @@
         host=identity.host,
         incarnation=identity.incarnation,
         queue=measured_queue(executor_queue(admission), metrics),
-        run=runner(cfg.text("upstream_url"), cfg.number("silence_s")),
+        run=with_room(
+            runner(cfg.text("upstream_url"), cfg.number("silence_s")),
+            EngineRoom(memory, keeper.memory_tokens, _speed(cfg)),
+            admission.usual.need_of,
+        ),
         slots=lambda: _slots(deployment, cfg.text("service")),
     )
     service = ExecutorService(
@@ -74,6 +79,10 @@
     return stop
 
 
+def _speed(cfg: Values) -> Speed:
+    return Speed(cfg.number("prefill_tokens_per_s"), cfg.number("transfer_tokens_per_s"))
+
+
 def _service(deployment: Deployment, name: str) -> Service | None:
     return deployment.bundle().services.get(name)
 
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/upstream_run.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/upstream_run.py
@@ -1,6 +1,7 @@
 """Runs one attempt on the upstream of this process."""
 
 import threading
+from collections.abc import Callable
 
 import urllib3
 from endiveworks.calls.executor import Run
@@ -11,9 +12,32 @@
 from endiveworks.engines.plain import PlainJob, run_plain
 from endiveworks.programs.records import CHAT
 
+from .engine_room import EngineRoom
+
 _MAX_ENGINE_CONNECTIONS = 256
 
 
+def with_room(run: Run, room: EngineRoom, need_tokens: Callable[[Job], int]) -> Run:
+    """Returns the same function, which makes room in the engine's memory before each chat.
+
+    Args:
+        run: Runs an attempt.
+        room: What is known of the engine's memory.
+        need_tokens: Returns the memory that an attempt is expected to take.
+    """
+
+    def run_in_room(job: Job, stream: Stream, cancelled: threading.Event) -> Ending:
+        if job.operation != CHAT:
+            return run(job, stream, cancelled)
+        room.begin(job.key.program, need_tokens(job))
+        try:
+            return run(job, stream, cancelled)
+        finally:
+            room.end(job.key.program)
+
+    return run_in_room
+
+
 def runner(upstream_url: str, silence_s: float) -> Run:
     """Returns the function that runs attempts.
 
--- a/packages/endiveworks-standins/src/endiveworks_standins/engine/http.py
+++ b/packages/endiveworks-standins/src/endiveworks_standins/engine/http.py
@@ -44,7 +44,7 @@
         ("POST", "/v1/cancel"): lambda env: _cancel(loop, env),
         ("GET", "/load"): lambda env: Reply(OK, loop.read_load()._asdict()),
         ("GET", "/cache/events"): lambda env: _events(loop, env),
-        ("GET", "/cache/list"): lambda env: Reply(OK, {"prefixes": loop.list_cache()}),
+        ("GET", "/cache/list"): lambda env: _list(loop),
         ("POST", "/cache/release"): lambda env: _memory(loop.release, env),
         ("POST", "/cache/export"): lambda env: _memory(loop.export_prefix, env),
         ("POST", "/cache/import"): lambda env: _memory(loop.import_prefix, env),
@@ -178,6 +178,10 @@
     return Reply(OK, {"events": [event._asdict() for event in loop.read_events(after)]})
 
 
+def _list(loop: Loop) -> Reply:
+    return Reply(OK, {"prefixes": loop.list_cache(), "exported": loop.list_exported()})
+
+
 def _memory(order: Callable[[str], int], environ: Environ) -> Reply:
     return Reply(OK, {"tokens": order(str(_body(environ)["cache_salt"]))})
 
--- a/packages/endiveworks-standins/src/endiveworks_standins/engine/loop.py
+++ b/packages/endiveworks-standins/src/endiveworks_standins/engine/loop.py
@@ -267,6 +267,11 @@
         with self.lock:
             return {salt: found.tokens for salt, found in self.engine.cache.items()}
 
+    def list_exported(self) -> dict[str, int]:
+        """Lists the tokens of each exported prefix."""
+        with self.lock:
+            return {salt: found.tokens for salt, found in self.exported.items()}
+
     def release(self, salt: str) -> int:
         """Drops a cached or exported prefix."""
         with self.lock:
--- a/packages/endiveworks-standins/src/endiveworks_standins/tests/test_engine.py
+++ b/packages/endiveworks-standins/src/endiveworks_standins/tests/test_engine.py
@@ -170,7 +170,7 @@
         peer = start()
         peer.chat("r1")
         peer.post("/standin/faults", {"restart": True})
-        assert peer.get("/cache/list") == {"prefixes": {}}
+        assert peer.get("/cache/list") == {"prefixes": {}, "exported": {}}
         assert peer.chat("r1", after=1).status == 404
 
     def test_reported_tokens_can_exceed_the_limit(self, start: Any) -> None:
@@ -183,12 +183,12 @@
     def test_prefix_is_listed_exported_imported_and_released(self, start: Any) -> None:
         peer = start()
         tokens = peer.chat("r1").usage["total_tokens"]
-        assert peer.get("/cache/list") == {"prefixes": {"p1": tokens}}
+        assert peer.get("/cache/list") == {"prefixes": {"p1": tokens}, "exported": {}}
         assert peer.post("/cache/export", {"cache_salt": "p1"}).json() == {"tokens": tokens}
-        assert peer.get("/cache/list") == {"prefixes": {}}
+        assert peer.get("/cache/list") == {"prefixes": {}, "exported": {"p1": tokens}}
         assert peer.post("/cache/import", {"cache_salt": "p1"}).json() == {"tokens": tokens}
         assert peer.post("/cache/release", {"cache_salt": "p1"}).json() == {"tokens": tokens}
-        assert peer.get("/cache/list") == {"prefixes": {}}
+        assert peer.get("/cache/list") == {"prefixes": {}, "exported": {}}
 
     def test_events_come_late_and_can_be_lost(self, start: Any) -> None:
         peer = start()
--- a/packages/endiveworks/src/endiveworks/engines/memory.py
+++ b/packages/endiveworks/src/endiveworks/engines/memory.py
@@ -1,6 +1,6 @@
 """Orders to an engine about its memory, and what it reports of it."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from typing import NamedTuple, TypedDict, TypeVar
 
 import msgspec
@@ -25,8 +25,11 @@
     memory_tokens: int
 
 
-class _Cached(TypedDict):
+class Cached(TypedDict):
+    """Tokens of each prefix by program, in the engine's memory and exported to its host."""
+
     prefixes: dict[str, int]
+    exported: dict[str, int]
 
 
 class EngineMemory(NamedTuple):
@@ -34,13 +37,17 @@
 
     Attributes:
         load: Reads the load report.
-        cached: Lists the tokens of each cached prefix by program.
-        release: Drops the prefix of a program.
+        cached: Lists the cached and the exported prefixes.
+        release: Drops the prefix of a program, wherever it is.
+        move_out: Exports the prefix of a program to the memory of the engine's host.
+        move_in: Imports the exported prefix of a program.
     """
 
     load: Callable[[], Result[Load, Failure]]
-    cached: Callable[[], Result[Mapping[str, int], Failure]]
+    cached: Callable[[], Result[Cached, Failure]]
     release: Callable[[str], Result[None, Failure]]
+    move_out: Callable[[str], Result[None, Failure]]
+    move_in: Callable[[str], Result[None, Failure]]
 
 
 def engine_memory(base_url: str) -> EngineMemory:
@@ -71,16 +78,18 @@
     def load() -> Result[Load, Failure]:
         return _result(request("engines.load", "GET", "/load", None, Load))
 
-    def cached() -> Result[Mapping[str, int], Failure]:
-        found = _result(request("engines.cached", "GET", "/cache/list", None, _Cached))
-        return found.map(lambda listed: listed["prefixes"])
+    def cached() -> Result[Cached, Failure]:
+        return _result(request("engines.cached", "GET", "/cache/list", None, Cached))
+
+    def order(name: str) -> Callable[[str], Result[None, Failure]]:
+        def send(program: str) -> Result[None, Failure]:
+            body = {"cache_salt": program}
+            outcome = request(f"engines.{name}", "POST", f"/cache/{name}", body, dict)
+            return _result(outcome).map(lambda answer: None)
 
-    def release(program: str) -> Result[None, Failure]:
-        body = {"cache_salt": program}
-        outcome = request("engines.release", "POST", "/cache/release", body, dict)
-        return _result(outcome).map(lambda answer: None)
+        return send
 
-    return EngineMemory(load, cached, release)
+    return EngineMemory(load, cached, order("release"), order("export"), order("import"))
 
 
 def _result(outcome: T | Failure) -> Result[T, Failure]:
--- a/packages/endiveworks/src/endiveworks/replay/policy.py
+++ b/packages/endiveworks/src/endiveworks/replay/policy.py
@@ -21,7 +21,6 @@
         export: Whether those that leave are exported; else they are dropped.
         release: Whether the memory of ended programs is released.
         own_sends: Whether routing counts its own unreported sends.
-        events: Whether routing learns of evictions.
     """
 
     name: str
@@ -38,7 +37,6 @@
     export: bool = True
     release: bool = True
     own_sends: bool = True
-    events: bool = True
 
 
 FULL = Policy("endiveworks")
@@ -53,7 +51,6 @@
     "export": False,
     "release": False,
     "own_sends": False,
-    "events": False,
 }
 
 ROUND_ROBIN = Policy("round_robin_fcfs", routing="round_robin", **_ENGINE_ALONE)
@@ -71,7 +68,6 @@
     "export",
     "release",
     "own_sends",
-    "events",
 )
 
 
--- a/packages/endiveworks/src/endiveworks/replay/replica.py
+++ b/packages/endiveworks/src/endiveworks/replay/replica.py
@@ -73,7 +73,6 @@
         policy: Policy,
         clock: Clock,
         spread: Callable[[], float],
-        evicted: Callable[[str, str], None],
         priorities: tuple[int, ...],
     ) -> None:
         self.host = host
@@ -82,7 +81,6 @@
         self.policy = policy
         self.clock = clock
         self.spread = spread
-        self.evicted = evicted
         self.priorities = priorities
         self.engine = Engine(rates)
         self.queue = queue.Queue(_queue_rules(policy))
@@ -231,7 +229,7 @@
         self.stepping = False
         if engine is not self.engine:
             return
-        self._note_evictions()
+        self.engine.events.clear()
         for seq in step.finished:
             started = self.started.pop(seq.request, None)
             if started is None:
@@ -245,13 +243,6 @@
             job.done(seq)
         self._pump() if self.policy.queue else self._step()
 
-    def _note_evictions(self) -> None:
-        for event in self.engine.events:
-            gone = event.salt not in self.engine.cache and event.salt not in self.exported
-            if event.kind == "evicted" and gone:
-                self.evicted(self.host, event.salt)
-        self.engine.events.clear()
-
     def _make_room(self, job: Job) -> None:
         engine = self.engine
         cached = engine.cache.get(job.seq.salt)
--- a/packages/endiveworks/src/endiveworks/replay/run.py
+++ b/packages/endiveworks/src/endiveworks/replay/run.py
@@ -15,7 +15,6 @@
 from .trace import Call, Trace, programs, weight_of
 
 LOCAL_DELAY_S = 0.0005
-EVENT_LAG_S = 0.5
 BYTES_PER_TOKEN = 4
 STREAM_BYTES_PER_TOKEN = 100
 MAX_REFUSALS = 5
@@ -57,7 +56,6 @@
                 policy,
                 self.clock,
                 self.source.random,
-                self.evicted,
                 tuple(sorted(set(header.classes.values()))) if policy.classes else (0,),
             )
             for place in header.replicas
@@ -222,18 +220,6 @@
             program.held = None
         self.clock.after(LOCAL_DELAY_S, partial(self.send, program, call, issued_s))
 
-    def evicted(self, host: str, salt: str) -> None:
-        """Learns of an eviction after the lag of cache events."""
-        if self.policy.events:
-            self.clock.after(EVENT_LAG_S, partial(self.forget, host, salt, self.clock.now_s))
-
-    def forget(self, host: str, salt: str, at_s: float) -> None:
-        """Forgets a prefix that an upstream no longer holds."""
-        del at_s
-        program = self.programs[salt]
-        if program.held is not None and program.held.host == host:
-            program.held = None
-
     def end(self, program: _Program, ending: str) -> None:
         """Ends a program and lets its parent go on."""
         first = program.calls[0]
--- a/packages/endiveworks/src/endiveworks/settings/shared.py
+++ b/packages/endiveworks/src/endiveworks/settings/shared.py
@@ -30,6 +30,7 @@
     "prefill_tokens_per_s",
     "service",
     "upstream_url",
+    "transfer_tokens_per_s",
     "max_waiting",
     "silence_s",
 )
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -88,6 +88,12 @@
     def cached(self) -> dict[str, int]:
         return self.ask("/cache/list")["prefixes"]
 
+    def exported(self) -> dict[str, int]:
+        return self.ask("/cache/list")["exported"]
+
+    def used(self, program: Program) -> int:
+        return program.status().unwrap()["attained_tokens"]
+
     def finished(self, ending: str) -> list[str]:
         lines = self.fleet.executed("engine")
         return [
@@ -213,3 +219,19 @@
         assert {call.class_name for call in trace.calls} == {"front"}
         assert b"fascia" not in path.read_bytes()
         assert replay(trace, FULL).done_share == 1.0
+
+
+class TestExport:
+    def test_prefix_of_a_paused_program_makes_room_and_comes_back(
+        self, site: Callable[..., Site]
+    ) -> None:
+        # Room for the prefix of one program beside a running call, not for two.
+        place = site(4, *FAST, "--memory_tokens=1200")
+        first, second = place.open(), place.open()
+        say(first, "a " * 1_000).unwrap()
+        say(second, "b " * 1_000).unwrap()
+        assert place.exported() == {first.id: place.used(first)}
+        say(first, "and in gold?").unwrap()
+        again = [line for line in place.fleet.executed("engine") if line["event"] == "finished"]
+        assert again[-1]["salt"] == first.id
+        assert again[-1]["cached_tokens"] >= 500
