Let a stuck or lost reader of the logs stop nobody, and log what libraries and threads report

Events were written to the error stream by the thread that logged them: a reader that hangs would have stopped requests once the pipe was full, and one that is gone would have failed them. Lines now go through a bounded queue and a thread; what does not fit is counted and reported. Warnings of libraries and exceptions that end a thread went to the error stream as plain text, which may hold what a caller sent; they become events with type and place.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/main.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/main.py
@@ -13,6 +13,7 @@
 from .options import daemon_flags, role_problems
 from .upstream import start_upstream
 
+_LOGS_TIMEOUT_S = 2.0
 EXIT_DRAINED = 0
 EXIT_CUT_OFF = 1
 _STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
@@ -28,6 +29,7 @@
     if problems or file_problem:
         raise SystemExit(EXIT_USAGE)
     logs.configure(cfg.text("host"), cfg.text("log_level"), sys.stderr)
+    logs.capture_others()
     # Blocked in every thread and taken by sigwait: a handler would run only when the main thread
     # is interrupted, and the signal may be delivered to another thread.
     signal.pthread_sigmask(signal.SIG_BLOCK, _STOP_SIGNALS)
@@ -37,7 +39,7 @@
     log.info("stopping", signal=received)
     drained = stop()
     log.info("stopped", state="drained" if drained else "cut off")
-    sys.stderr.flush()
+    logs.drain(_LOGS_TIMEOUT_S)
     # Threads that wait on peers or upstreams must not keep a stopped process alive.
     os._exit(EXIT_DRAINED if drained else EXIT_CUT_OFF)
 
--- a/packages/endiveworks/src/endiveworks/telemetry/logs.py
+++ b/packages/endiveworks/src/endiveworks/telemetry/logs.py
@@ -1,7 +1,11 @@
 """Logs: one JSON line for each event, with a fixed set of fields."""
 
+import datetime
+import json
+import logging
 import re
 import sys
+import threading
 import traceback
 from collections.abc import MutableMapping
 from types import TracebackType
@@ -11,6 +15,7 @@
 from structlog.typing import EventDict, WrappedLogger
 
 from .fields import ALLOWED
+from .writer import LineWriter
 
 LEVELS = ("debug", "info", "warning", "error", "critical")
 MAX_VALUE_CHARS = 400
@@ -20,15 +25,19 @@
 _INVALID_EVENT = "invalid_event"
 _EXCEPTION_FIELD = "exc_info"
 
+_writer: LineWriter | None = None
+
 
 def configure(host: str, level: str, stream: TextIO) -> None:
-    """Sends the logs of this process to a stream.
+    """Sends the logs of this process to a stream, without waiting for its reader.
 
     Args:
         host: Name of the process, written with every event.
         level: Lowest level written, one of LEVELS.
         stream: Open text stream, such as sys.stderr.
     """
+    global _writer
+    _writer = LineWriter(stream, lambda amount: _lost_line(host, amount))
 
     def add_host(_logger: WrappedLogger, _method: str, event: EventDict) -> EventDict:
         event["host"] = host
@@ -45,11 +54,23 @@
             structlog.processors.JSONRenderer(ensure_ascii=True),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(level),
-        logger_factory=structlog.WriteLoggerFactory(stream),
+        logger_factory=structlog.WriteLoggerFactory(_writer),  # type: ignore[arg-type]
         cache_logger_on_first_use=False,
     )
 
 
+def capture_others() -> None:
+    """Logs what libraries log and what threads end with, without texts that may hold content."""
+    handler = _LibraryHandler(logging.WARNING)
+    logging.basicConfig(handlers=[handler], level=logging.WARNING, force=True)
+    threading.excepthook = _log_ended_thread
+
+
+def drain(timeout_s: float) -> bool:
+    """Waits until all events are written; returns whether they are."""
+    return _writer is None or _writer.drain(timeout_s)
+
+
 def logger(part: str) -> Any:  # structlog's loggers have no common static type
     """Returns the logger of one part of the program, such as "journal"."""
     return structlog.get_logger(part=part)
@@ -68,6 +89,26 @@
     return kept
 
 
+class _LibraryHandler(logging.Handler):
+    """Turns a library's log records into events."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Logs the library's name and place; the text of the record is left out."""
+        exc = record.exc_info[1] if record.exc_info else None
+        place = f"{record.pathname}:{record.lineno}"
+        logger("library").warning("library_warning", reason=record.name, path=place, exc_info=exc)
+
+
+def _log_ended_thread(args: threading.ExceptHookArgs) -> None:
+    logger("threads").error("thread_failed", exc_info=args.exc_value)
+
+
+def _lost_line(host: str, amount: int) -> str:
+    time = datetime.datetime.now(datetime.UTC).isoformat()
+    event = {"event": "logs_dropped", "amount": amount, "host": host, "level": "warning"}
+    return json.dumps({**event, "part": "telemetry", "time": time}) + "\n"
+
+
 def _bounded(value: object) -> object:
     if value is None or isinstance(value, bool | int | float):
         return value
--- a/packages/endiveworks/src/endiveworks/telemetry/tests/test_logs.py
+++ b/packages/endiveworks/src/endiveworks/telemetry/tests/test_logs.py
@@ -1,9 +1,12 @@
 import io
 import json
+import logging
+import threading
 from typing import Any
 
 import pytest
-from endiveworks.telemetry.logs import configure, logger
+from endiveworks.telemetry.logs import capture_others, configure, drain, logger
+from endiveworks.telemetry.writer import MAX_WAITING_LINES
 
 
 @pytest.fixture
@@ -14,6 +17,7 @@
 
 
 def _events(stream: io.StringIO) -> list[dict[str, Any]]:
+    assert drain(20)
     return [json.loads(line) for line in stream.getvalue().splitlines()]
 
 
@@ -60,4 +64,60 @@
 
     def test_values_are_bounded(self, stream: io.StringIO) -> None:
         logger("http").info("answered", detail="x" * 10_000, peer={"a": "b"})
+        assert len(_events(stream)) == 1
         assert len(stream.getvalue()) < 1000
+
+
+class TestOthers:
+    def test_libraries_and_threads_are_logged_without_texts(
+        self, stream: io.StringIO, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(threading, "excepthook", threading.excepthook)
+        monkeypatch.setattr(logging.root, "handlers", [])
+        monkeypatch.setattr(logging.root, "level", logging.root.level)
+        capture_others()
+
+        def fail() -> None:
+            raise ValueError("prompt text")
+
+        thread = threading.Thread(target=fail)
+        thread.start()
+        thread.join()
+        logging.getLogger("urllib3").warning("prompt text %s", "of a caller")
+        failed, warned = _events(stream)
+        assert (failed["event"], failed["error_type"]) == ("thread_failed", "ValueError")
+        assert (warned["event"], warned["reason"]) == ("library_warning", "urllib3")
+        assert "prompt" not in stream.getvalue()
+
+
+class _StuckStream(io.StringIO):
+    """A stream whose reader does not read until it is released."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.released = threading.Event()
+
+    def write(self, text: str) -> int:
+        self.released.wait()
+        return super().write(text)
+
+
+class TestStuckReader:
+    def test_events_are_dropped_and_counted(self) -> None:
+        stream = _StuckStream()
+        configure("entry-1", "info", stream)
+        for number in range(MAX_WAITING_LINES + 100):
+            logger("http").info("answered", index=number)
+        assert not drain(0.01)
+        stream.released.set()
+        logger("http").info("answered", index=-1)
+        events = _events(stream)
+        lost = [event["amount"] for event in events if event["event"] == "logs_dropped"]
+        assert sum(lost) + len(events) - len(lost) == MAX_WAITING_LINES + 101
+
+    def test_a_closed_stream_fails_nothing(self) -> None:
+        stream = io.StringIO()
+        configure("entry-1", "info", stream)
+        stream.close()
+        logger("http").info("answered")
+        assert drain(20)
--- /dev/null
+++ b/packages/endiveworks/src/endiveworks/telemetry/writer.py
@@ -0,0 +1,63 @@
+"""Writes lines to a stream from a thread of its own, so that a stuck reader stops nobody."""
+
+import queue
+import threading
+import time
+from collections.abc import Callable
+from typing import TextIO
+
+MAX_WAITING_LINES = 10_000
+_POLL_S = 0.01
+
+
+class LineWriter:
+    """Takes lines without ever blocking or failing; drops them while too many wait.
+
+    Args:
+        stream: Open text stream.
+        lost: Makes the line that is written once lines were dropped, from their number.
+    """
+
+    def __init__(self, stream: TextIO, lost: Callable[[int], str]) -> None:
+        self._stream = stream
+        self._lost = lost
+        self._lines: queue.Queue[str] = queue.Queue(MAX_WAITING_LINES)
+        self._lock = threading.Lock()
+        self._dropped = 0
+        threading.Thread(target=self._run, name="logs", daemon=True).start()
+
+    def write(self, line: str) -> None:
+        """Queues a line, or drops it when the queue is full."""
+        try:
+            self._lines.put_nowait(line)
+        except queue.Full:
+            with self._lock:
+                self._dropped += 1
+
+    def flush(self) -> None:
+        """Does nothing: the thread flushes each line."""
+
+    def drain(self, timeout_s: float) -> bool:
+        """Waits until all queued lines are written; returns whether they are."""
+        deadline = time.monotonic() + timeout_s
+        while self._lines.unfinished_tasks:
+            if time.monotonic() > deadline:
+                return False
+            time.sleep(_POLL_S)
+        return True
+
+    def _run(self) -> None:
+        while True:
+            line = self._lines.get()
+            with self._lock:
+                dropped, self._dropped = self._dropped, 0
+            try:
+                if dropped:
+                    self._stream.write(self._lost(dropped))
+                self._stream.write(line)
+                self._stream.flush()
+            except (OSError, ValueError):
+                # Nobody reads any more, and there is no other place to tell it.
+                pass
+            finally:
+                self._lines.task_done()
