--- a/packages/endiveworks-daemon/src/endiveworks_daemon/engine_keeper.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/engine_keeper.py
@@ -70,7 +70,7 @@
         for program in sweep.release:
             # A release that fails is tried again: the next list still names the program.
             if isinstance(self._memory.release(program), Success):
-                logger("cache").info("released", program=program)
+                logger("cache").info("prefix_released", program=program)
 
     def _run(self) -> None:
         while True:
--- a/packages/endiveworks/src/endiveworks/calls/tests/test_executor_model.py
+++ b/packages/endiveworks/src/endiveworks/calls/tests/test_executor_model.py
@@ -71,6 +71,9 @@
         return self.claims.setdefault(key, Claim(self.incarnation, epoch))
 
     @rule(key=keys, epoch=EPOCHS)
+    def send(self, key: CallKey, epoch: int) -> None:
+        self.dispatch(key, epoch)
+
     def dispatch(self, key: CallKey, epoch: int) -> None:
         claim = self.claim(key, epoch)
         current = claim.incarnation == self.incarnation and claim.epoch >= self.newest_epoch
@@ -102,9 +105,10 @@
         else:
             assert doubt is Doubt.UNKNOWN
 
-    @rule(periods=st.integers(0, 2))
-    def wait(self, periods: int) -> None:
-        CLOCK.now_s += periods * executor._KEEP_KEY_S
+    @rule(other=keys)
+    def forget(self, other: CallKey) -> None:
+        CLOCK.now_s += 2 * executor._KEEP_KEY_S
+        self.dispatch(other, 3)
 
     @invariant()
     def each_attempt_runs_at_most_once(self) -> None:
@@ -116,7 +120,7 @@
 
 
 ExecutorModel.TestCase.settings = settings(
-    derandomize=True, deadline=None, max_examples=150, stateful_step_count=20, database=None
+    derandomize=True, deadline=None, max_examples=200, stateful_step_count=20, database=None
 )
 
 
