--- a/packages/endiveworks-daemon/src/endiveworks_daemon/entry.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/entry.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Callable
+from pathlib import Path
 
 from endiveworks.links import server
 from endiveworks.links.client import Peers
@@ -85,7 +86,7 @@
         lambda program: route_reasons(deployment.identity.host, choices.explain(program)),
     )
     folder = store.folder if store is not None else ""
-    me = _member(deployment, listening.address, operators.address, folder)
+    me = _member(cfg, deployment, listening.address, operators.address, folder)
     deployment.announce(me)
     partitions.start(me)
     logger("daemon").info(
@@ -123,7 +124,7 @@
     )
 
 
-def _member(deployment: Deployment, address: str, admin: str, folder: str) -> Member:
+def _member(cfg: Values, deployment: Deployment, address: str, admin: str, folder: str) -> Member:
     identity = deployment.identity
     return Member(
         host=identity.host,
