--- a/packages/endiveworks/src/endiveworks/journal/tests/fake_hosts.py
+++ b/packages/endiveworks/src/endiveworks/journal/tests/fake_hosts.py
@@ -35,6 +35,7 @@
         self.wipes = 0
         self.up = True
         self.loses_answers = False
+        self.full = False
         self.head: Head | None = None
         self.records: dict[int, bytes] = {}
         self.received: list[tuple[str, Request]] = []
@@ -74,6 +75,8 @@
     def handle(self, folder: str, req: Request) -> Result[Head, Failure]:
         if folder != self.copy.folder:
             return guarded(None, folder)
+        if self.full:
+            return Err(Failure(Code.STORAGE, "journal.write", "", "no space left", not_run=True))
         outcome = decide(self.head, req, lambda index: self.records[index])
         for frame in outcome.value_or(()):
             self.head = advance(self.head, frame)
--- a/packages/endiveworks/src/endiveworks/journal/tests/test_replicated_log.py
+++ b/packages/endiveworks/src/endiveworks/journal/tests/test_replicated_log.py
@@ -113,6 +113,15 @@
         assert hosts == ["abc", "bc"]
         assert table.hosts["c"].records == table.hosts["b"].records
 
+    def test_copy_on_a_full_disk_is_made_elsewhere(self) -> None:
+        table = table_of("a", "b", "c")
+        log = table.take_over().unwrap().opened.log
+        table.hosts["a"].full = True
+        fut = log.append([b"1"])
+        table.run_repairs()
+        assert fut.result(0).unwrap() == 1
+        assert [copy.host for copy in table.copies] == ["b", "c"]
+
     def test_snapshot_is_copied(self) -> None:
         table = table_of("a", "b", "c")
         log = table.take_over().unwrap().opened.log
