--- a/bench/journal.py
+++ b/bench/journal.py
@@ -50,7 +50,10 @@
 TAKEOVER_PROGRAMS = (1_000, 10_000, 100_000)
 GENERATION = 1 << 20
 NO_CHANGES = CopySet(
-    lambda copies: Success(None), lambda present: None, lambda present: None, lambda failure: None
+    lambda copies: Success(None),
+    lambda present, avoided: None,
+    lambda present: None,
+    lambda failure: None,
 )
 
 
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/copy_sets.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/copy_sets.py
@@ -1,7 +1,7 @@
 """Keeps the copies of this host's partitions where the table and the placement want them."""
 
 import secrets
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 from typing import NamedTuple
 
 from endiveworks.errors import Failure
@@ -61,7 +61,7 @@
 
     return CopySet(
         change,
-        lambda present: _replacement(sets, partition, present),
+        lambda present, avoided: _replacement(sets, partition, present, avoided),
         lambda present: placement.surplus_copy(tuple(sets.members().values()), present),
         lost,
     )
@@ -128,11 +128,13 @@
     )
 
 
-def _replacement(sets: CopySets, partition: int, present: Sequence[CopyId]) -> Peer | None:
+def _replacement(
+    sets: CopySets, partition: int, present: Sequence[CopyId], avoided: Collection[CopyId] = ()
+) -> Peer | None:
     members = tuple(sets.members().values())
     if len(placement.staying(members, present)) >= placement.WANTED_COPIES:
         return None
-    member = placement.next_copy(partition, sets.region, members, present)
+    member = placement.next_copy(partition, sets.region, members, present, avoided)
     if member is None:
         return None
     return sets.links.peer(CopyId(member.host, member.folder))
--- a/packages/endiveworks/src/endiveworks/journal/repair.py
+++ b/packages/endiveworks/src/endiveworks/journal/repair.py
@@ -48,10 +48,14 @@
     if surplus is not None:
         kept = tuple(copy for copy in present if copy != surplus)
         return _change(state, copy_set, patience, kept)
-    replacement = copy_set.replacement(present)
+    replacement = copy_set.replacement(present, state.avoided)
     if replacement is None:
+        state.avoided.clear()
         return False
-    return _join(state, copy_set, patience, replacement, events_of)
+    joined = _join(state, copy_set, patience, replacement, events_of)
+    if not joined:
+        state.avoided.add(replacement.copy)
+    return state.closed is None
 
 
 def _change(
--- a/packages/endiveworks/src/endiveworks/journal/replication.py
+++ b/packages/endiveworks/src/endiveworks/journal/replication.py
@@ -3,7 +3,7 @@
 import contextlib
 import threading
 from collections import deque
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 from concurrent.futures import Future
 from typing import NamedTuple
 
@@ -26,14 +26,14 @@
         change: Puts a set in force in the table of partitions. It succeeds only if the caller's
             epoch is still in force there, and returns TIMEOUT or UNREACHABLE while that can't be
             told.
-        replacement: Returns a host to copy to, given the present set, or None if there is none
-            or there are enough copies.
+        replacement: Returns a host to copy to, given the present set and the copies that failed
+            lately, or None if there is none or there are enough copies.
         surplus: Returns a copy that may leave the present set, or None.
         lost: Is told once why a log takes no more records; it must not block.
     """
 
     change: Callable[[Sequence[CopyId]], Result[None, Failure]]
-    replacement: Callable[[Sequence[CopyId]], Peer | None]
+    replacement: Callable[[Sequence[CopyId], Collection[CopyId]], Peer | None]
     surplus: Callable[[Sequence[CopyId]], CopyId | None]
     lost: Callable[[Failure], None]
 
@@ -52,6 +52,7 @@
         required: Copies that must have an entry before it is acknowledged: every copy that the
             set in force can contain, also while a change of the set is not settled.
         failed: Copies given up, which the set in force may still contain.
+        avoided: Copies that failed lately and are not tried again before all others.
     """
 
     def __init__(self, partition: int, epoch: int, last_index: int) -> None:
@@ -62,6 +63,7 @@
         self.lanes: dict[CopyId, Lane] = {}
         self.required: set[CopyId] = set()
         self.failed: dict[CopyId, Failure] = {}
+        self.avoided: set[CopyId] = set()
         self.waiting: deque[Waiting] = deque()
         self.closed: Failure | None = None
         self.repairing = False
@@ -87,6 +89,7 @@
         return
     with state.lock:
         state.failed[copy] = failure
+        state.avoided.add(copy)
 
 
 def lose(state: Replication, failure: Failure, copy_set: CopySet) -> None:
--- a/packages/endiveworks/src/endiveworks/journal/tests/fake_hosts.py
+++ b/packages/endiveworks/src/endiveworks/journal/tests/fake_hosts.py
@@ -1,7 +1,7 @@
 """Copies in memory and a table of one partition, for tests of the replicated log."""
 
 import contextlib
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 from concurrent.futures import Future
 
 from endiveworks.errors import Code, Failure
@@ -138,8 +138,8 @@
         leaving = [copy for copy in present if copy.host == self.leaving]
         return leaving[0] if leaving and len(present) > WANTED_COPIES else None
 
-    def _replacement(self, present: Sequence[CopyId]) -> Peer | None:
-        used = {copy.host for copy in present}
+    def _replacement(self, present: Sequence[CopyId], avoided: Collection[CopyId]) -> Peer | None:
+        used = {copy.host for copy in (*present, *avoided)}
         free = [host for name, host in sorted(self.hosts.items()) if name not in used and host.up]
         staying = [copy for copy in present if copy.host != self.leaving]
         if not free or len(staying) >= WANTED_COPIES:
--- a/packages/endiveworks/src/endiveworks/ownership/placement.py
+++ b/packages/endiveworks/src/endiveworks/ownership/placement.py
@@ -1,6 +1,6 @@
 """Which host should own each partition and which should keep its copies."""
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable, Sequence
 
 import xxhash
 
@@ -36,7 +36,11 @@
 
 
 def next_copy(
-    partition: int, region: str, members: Iterable[Member], present: Sequence[CopyId]
+    partition: int,
+    region: str,
+    members: Iterable[Member],
+    present: Sequence[CopyId],
+    avoided: Collection[CopyId] = (),
 ) -> Member | None:
     """Returns the host that should get another copy of a partition.
 
@@ -48,11 +52,13 @@
         region: Region of the owner.
         members: The hosts of the deployment.
         present: The copies there are.
+        avoided: Copies that failed lately, whose hosts are left out.
     """
     known = {member.host: member for member in members if member.folder}
     used = {copy.host for copy in present}
     domains = {known[host].failure_domain for host in used if host in known}
-    free = [member for host, member in known.items() if host not in used and not member.draining]
+    taken = used | {copy.host for copy in avoided}
+    free = [member for host, member in known.items() if host not in taken and not member.draining]
     order = ranked(partition, "copy", free)
     order.sort(key=lambda member: (member.failure_domain in domains, member.region != region))
     return order[0] if order else None
