--- a/packages/endiveworks-daemon/src/endiveworks_daemon/entry.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/entry.py
@@ -22,6 +22,7 @@
 from .explain import route_reasons
 from .hold_renewal import HoldRenewal
 from .http_app import Gate, Limits, make_app
+from .idle_sweep import start_idle_sweep
 from .journal_folder import open_folder
 from .load_reports import LoadReports
 from .metering import counted_app, measured_upstreams, program_observer
@@ -57,6 +58,7 @@
     owner = Owner(measured, deployment.bundle, program_observer(metrics))
     LoadReports(peers, origin, deployment.members, choices).start()
     HoldRenewal(owner, peers, origin, deployment.members).start()
+    start_idle_sweep(owner, cfg.number("program_idle_s"))
     entries = Peers(OwnerThrift.Client)
     store = open_folder(cfg.text("data_dir"), deployment.kv)
     copies = CopyLinks(deployment.identity, store, deployment.members, entries)
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/options.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/options.py
@@ -48,6 +48,7 @@
         "max_connections", 4096, "Connections of other processes.", between(16, 65536)
     )
     _define_entry(flags)
+    _define_lifetimes(flags)
     _define_upstream(flags)
     return flags
 
@@ -117,6 +118,15 @@
     )
 
 
+def _define_lifetimes(flags: Flags) -> None:
+    flags.define_float(
+        "program_idle_s",
+        86400.0,
+        "Entry: seconds after which a program without a call is closed.",
+        between(1.0, 30 * 86400.0),
+    )
+
+
 def _define_upstream(flags: Flags) -> None:
     flags.define_string("service", "", "Upstream: name of the service.")
     flags.define_string("upstream_url", "", "Upstream: URL of the engine or plain service.")
--- a/packages/endiveworks/src/endiveworks/settings/shared.py
+++ b/packages/endiveworks/src/endiveworks/settings/shared.py
@@ -29,6 +29,7 @@
     "link_bytes_per_s",
     "link_delay_s",
     "prefill_tokens_per_s",
+    "program_idle_s",
     "service",
     "upstream_url",
     "transfer_tokens_per_s",
