--- a/bench/path.py
+++ b/bench/path.py
@@ -1,8 +1,8 @@
 """Measures what the path through entry and upstream process adds to a direct call of an engine.
 
-Run as `.venv/bin/python bench/path.py >> FILE`. Prints one JSON line for each figure: name, value
-and unit, the baseline taken in the same run and the ratio to it. The direct call and the path use
-the same engine stand-in, and each step of the measurement uses both in turn.
+Run as `.venv/bin/python bench/path.py >> FILE`. Prints one JSON line for each figure: name, value,
+unit, load of the machine, the baseline taken in the same run and the ratio to it. The direct call
+and the path use the same engine stand-in, and each step of the measurement uses both in turn.
 """
 
 import argparse
@@ -192,7 +192,8 @@
 
 def _print(name: str, value: float, unit: str, baseline: float | None = None) -> None:
     line: dict[str, object] = {"at": int(time.time()), "figure": name}
-    line |= {"value": round(value, 3), "unit": unit}
+    # What else the machine does changes the figures, so its load stands beside them.
+    line |= {"value": round(value, 3), "unit": unit, "load": round(os.getloadavg()[0], 1)}
     if baseline is not None:
         line |= {"baseline": round(baseline, 3), "ratio": round(value / baseline, 4)}
     print(json.dumps(line), flush=True)
