--- a/packages/endiveworks-daemon/src/endiveworks_daemon/entry.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/entry.py
@@ -22,13 +22,15 @@
 from .explain import route_reasons
 from .hold_renewal import HoldRenewal
 from .http_app import Gate, Limits, make_app
+from .idle_sweep import start_idle_sweep
 from .journal_folder import open_folder
 from .load_reports import LoadReports
 from .metering import counted_app, measured_upstreams, program_observer
 from .operators import Work, program_rows, serve_operators
 from .owner_service import OwnerService
-from .partition_owners import notifier, partition_owners
+from .partition_owners import notifier, partition_owners, pinger
 from .partitions import Partitions, Parts
+from .suspects import Suspects
 from .trace_recorder import TraceRecorder, recorded_upstreams
 from .upstream_links import upstream_links
 
@@ -56,11 +58,24 @@
     owner = Owner(measured, deployment.bundle, program_observer(metrics))
     LoadReports(peers, origin, deployment.members, choices).start()
     HoldRenewal(owner, peers, origin, deployment.members).start()
+    start_idle_sweep(owner, cfg.number("program_idle_s"))
     entries = Peers(OwnerThrift.Client)
     store = open_folder(cfg.text("data_dir"), deployment.kv)
     copies = CopyLinks(deployment.identity, store, deployment.members, entries)
-    notify = notifier(entries, deployment.identity.origin)
-    partitions = Partitions(Parts(deployment.kv, owner, store, copies, deployment.members, notify))
+    notify = notifier(entries, origin)
+    suspects = Suspects(pinger(entries, origin))
+    partitions = Partitions(
+        Parts(
+            deployment.kv,
+            owner,
+            store,
+            copies,
+            deployment.members,
+            notify,
+            suspects,
+            deployment.identity.region,
+        )
+    )
     gate = Gate(cfg.integer("max_open"))
     service = OwnerService(
         deployment.identity,
