Bound a continued answer by the length of the whole

Cause: an attempt that continues an answer asked for the whole length again, so the answer could grow to twice its limit and use more than was reserved. Change: the tokens already sent are taken off. The new test failed before with 50 in place of 48.

--- a/packages/endiveworks/src/endiveworks/programs/plan.py
+++ b/packages/endiveworks/src/endiveworks/programs/plan.py
@@ -12,7 +12,7 @@
 from ..calls.pull import Want
 from ..calls.stream import Ending, Piece, Stream
 from ..config.bundle import Bundle, Service
-from ..engines.chat_format import assemble, engine_request, parse_request
+from ..engines.chat_format import EVENT_END, assemble, engine_request, parse_request
 from ..errors import Code, Failure
 from ..members.member import Member
 from .partition import PartitionActor, view
@@ -145,8 +145,13 @@
 
 
 def make_job(ctx: Context, plan: Plan, member: Member, stream: Stream) -> Job:
-    """Returns the message that dispatches the next attempt to an upstream process."""
+    """Returns the message that dispatches the next attempt to an upstream process.
+
+    An answer that was begun is continued, up to the length that the whole of it may have.
+    """
     started, wanted = plan.started, plan.wanted
+    begun = stream.read(0, 0.0).data
+    max_tokens = max(1, wanted.max_tokens - begun.count(EVENT_END)) if begun else wanted.max_tokens
     return Job(
         key=CallKey(started.program, started.call, plan.attempt),
         epoch=ctx.epoch,
@@ -159,20 +164,19 @@
         attained_tokens=wanted.attained_tokens,
         deadline_s=wanted.service.deadline_s,
         prompt_tokens=wanted.history_tokens + wanted.new_tokens,
-        max_tokens=wanted.max_tokens,
-        body=_body(plan, stream),
+        max_tokens=max_tokens,
+        body=_body(plan, begun, max_tokens),
     )
 
 
-def _body(plan: Plan, stream: Stream) -> bytes:
+def _body(plan: Plan, begun: bytes, max_tokens: int) -> bytes:
     if plan.started.operation != CHAT:
         return plan.started.body
     req = parse_request(plan.started.body).unwrap()
-    begun = stream.read(0, 0.0).data
     message = _begun_message(begun) if begun else b""
     wanted = plan.wanted
     return engine_request(
-        wanted.service.model, wanted.program, plan.history, req, wanted.max_tokens, message
+        wanted.service.model, wanted.program, plan.history, req, max_tokens, message
     )
 
 
