--- a/tests/failures/conftest.py
+++ b/tests/failures/conftest.py
@@ -10,6 +10,9 @@
 
 import pytest
 import urllib3
+from endiveworks.members.registry import read_members
+from endiveworks.ownership import placement
+from endiveworks.ownership.record import PARTITIONS_PREFIX, PartitionRecord, decode_record
 from endiveworks.platform.etcd import connect as connect_kv
 from endiveworks_standins.fleet import Fleet, Place, wait_until
 from pytest_bdd import given, parsers, then, when
@@ -81,16 +84,14 @@
     def open(self, entry: str, service: str, budget: int = 100_000, parent: str = "") -> str:
         body = {"service": service, "budget_tokens": budget}
         body |= {"parent": parent} if parent else {}
-        opened: list[str] = []
+        answers: list[Answer] = []
 
-        def attempt() -> bool:
-            answer = self.post(entry, "/v1/programs", body=json.dumps(body).encode())
-            if answer.status in (200, 201):
-                opened.append(json.loads(answer.body)["id"])
-            return bool(opened)
+        def opened() -> bool:
+            answers.append(self.post(entry, "/v1/programs", body=json.dumps(body).encode()))
+            return answers[-1].status in (200, 201)
 
-        wait_until(attempt)
-        return opened[0]
+        wait_for_answer(opened, answers)
+        return str(json.loads(answers[-1].body)["id"])
 
     def send(self, entry: str, req: Request) -> Answer:
         headers = {
@@ -122,7 +123,7 @@
             answers.append(answer)
             return answer.status != 0 and answer.code not in BUSY_CODES
 
-        wait_until(settled, ANSWER_TIMEOUT_S)
+        wait_for_answer(settled, answers)
         return answers[-1]
 
     def in_background(self, entry: str, req: Request) -> "Future[Answer]":
@@ -136,8 +137,27 @@
 
     def owner_of(self, program: str) -> str:
         """Returns the entry that the table names for a program's partition."""
-        entry = self.kv.read(f"/endiveworks/partitions/{program[:4]}").unwrap()
-        return str(json.loads(entry.value)[1][0]) if entry is not None else ""
+        partition = int(program[:4], 16)
+        return next(rec.owner.host for rec in self.records() if rec.partition == partition)
+
+    def records(self) -> list[PartitionRecord]:
+        found = self.kv.read_prefix(PARTITIONS_PREFIX).unwrap()
+        return [decode_record(entry.key, entry.value).unwrap() for entry in found.entries]
+
+    def wait_settled(self) -> None:
+        """Waits until every partition has two copies and the owner that it should have."""
+
+        def settled() -> bool:
+            members = read_members(self.kv).unwrap()
+            present = {member.host for member in members} >= set(self.entries)
+            placed = [
+                len(record.copies) == 2
+                and record.owner.host == placement.owners(record.partition, members)[0].host
+                for record in self.records()
+            ]
+            return present and bool(placed) and all(placed)
+
+        wait_until(settled)
 
     def other_entry(self, name: str) -> str:
         return next(entry for entry in self.entries if entry != name)
@@ -147,6 +167,13 @@
         self.callers.shutdown(wait=True, cancel_futures=True)
 
 
+def wait_for_answer(condition: Callable[[], bool], answers: list[Answer]) -> None:
+    try:
+        wait_until(condition, ANSWER_TIMEOUT_S)
+    except TimeoutError as exc:
+        raise TimeoutError(f"the last answer was {answers[-1]}") from exc
+
+
 class World:
     """What the steps of one scenario hand to one another."""
 
@@ -186,6 +213,7 @@
     deployment.add_upstream("up-shop", "shop", deployment.start_plain("shop-1"))
     deployment.add_entry("entry-1")
     deployment.add_entry("entry-2")
+    deployment.wait_settled()
 
 
 @given("two entries and a shop whose process has not started")
@@ -193,6 +221,7 @@
     deployment.upstreams["up-shop"] = deployment.start_plain("shop-1")
     deployment.add_entry("entry-1")
     deployment.add_entry("entry-2")
+    deployment.wait_settled()
 
 
 @given("a program")
