--- a/packages/endiveworks/src/endiveworks/settings/flags.py
+++ b/packages/endiveworks/src/endiveworks/settings/flags.py
@@ -9,6 +9,8 @@
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
+from .values import Values
+
 ENV_PREFIX = "ENDIVEWORKS_"
 EXIT_USAGE = 64
 
@@ -33,46 +35,6 @@
     help: str
 
 
-class Values:
-    """The values in force after parsing.
-
-    Attributes:
-        args: Positional arguments, in order.
-        help_wanted: Whether --help was given; the other values are then the defaults.
-    """
-
-    def __init__(
-        self, values: Mapping[str, object], args: Sequence[str] = (), help_wanted: bool = False
-    ) -> None:
-        self._values = dict(values)
-        self.args = tuple(args)
-        self.help_wanted = help_wanted
-
-    def text(self, name: str) -> str:
-        """Returns the value of a string or choice setting."""
-        value = self._values[name]
-        assert isinstance(value, str), name
-        return value
-
-    def integer(self, name: str) -> int:
-        """Returns the value of an integer setting."""
-        value = self._values[name]
-        assert isinstance(value, int), name
-        return value
-
-    def number(self, name: str) -> float:
-        """Returns the value of a float setting."""
-        value = self._values[name]
-        assert isinstance(value, float), name
-        return value
-
-    def flag(self, name: str) -> bool:
-        """Returns the value of a boolean setting."""
-        value = self._values[name]
-        assert isinstance(value, bool), name
-        return value
-
-
 class _RawParser(absl_flags.ArgumentParser):
     """Keeps the text of a flag, so that its errors are reported with all others."""
 
@@ -96,31 +58,27 @@
         self._shared = frozenset(env_name(name) for name in shared)
         self._settings: dict[str, _Setting] = {}
 
-    def define_string(
-        self, name: str, default: str, help: str, check: Check | None = None  # noqa: A002
-    ) -> None:
+    def define_string(self, name: str, default: str, help: str, check: Check | None = None) -> None:
         """Defines a text setting."""
         self._define(_Setting(name, default, help, absl_flags.ArgumentParser(), check))
 
     def define_integer(
-        self, name: str, default: int, help: str, check: Check | None = None  # noqa: A002
+        self, name: str, default: int, help: str, check: Check | None = None
     ) -> None:
         """Defines an integer setting."""
         self._define(_Setting(name, default, help, absl_flags.IntegerParser(), check))
 
     def define_float(
-        self, name: str, default: float, help: str, check: Check | None = None  # noqa: A002
+        self, name: str, default: float, help: str, check: Check | None = None
     ) -> None:
         """Defines a floating-point setting."""
         self._define(_Setting(name, float(default), help, absl_flags.FloatParser(), check))
 
-    def define_boolean(self, name: str, default: bool, help: str) -> None:  # noqa: A002
+    def define_boolean(self, name: str, default: bool, help: str) -> None:
         """Defines an on-off setting, given as --name, --noname or --name=true."""
         self._define(_Setting(name, default, help, absl_flags.BooleanParser(), None))
 
-    def define_choice(
-        self, name: str, default: str, allowed: Sequence[str], help: str  # noqa: A002
-    ) -> None:
+    def define_choice(self, name: str, default: str, allowed: Sequence[str], help: str) -> None:
         """Defines a text setting with a fixed list of values; an empty default means required."""
         parser = absl_flags.EnumParser(list(allowed))
         text = f"{help} One of: {', '.join(allowed)}."
