Pause between watches while the key-value service refuses connections

Cause: processes left running after their key-value stand-in had ended took 70 to 86% of a core each. strace of the busy thread showed refused connections without a pause between them: urllib3 counts a refused connection among its time-outs, and followers repeat a watch that timed out at once. Ruled out: the renewal of leases and the table's view, which pause after each failure. Change: a refused connection is UNREACHABLE, after which followers back off. The new test failed before with TIMEOUT.

--- a/packages/endiveworks/src/endiveworks/platform/etcd.py
+++ b/packages/endiveworks/src/endiveworks/platform/etcd.py
@@ -196,7 +196,9 @@
 
 
 def _lost(service: _Service, step: str, exc: Exception) -> Failure:
-    timed_out = isinstance(exc, TimeoutError | urllib3.exceptions.TimeoutError)
+    # urllib3 counts a refused connection among the time-outs.
+    refused = isinstance(exc, urllib3.exceptions.NewConnectionError)
+    timed_out = isinstance(exc, TimeoutError | urllib3.exceptions.TimeoutError) and not refused
     code = Code.TIMEOUT if timed_out else Code.UNREACHABLE
     return _failure(service, step, code, f"{type(exc).__name__}: {exc}")
 
--- a/packages/endiveworks/src/endiveworks/platform/tests/test_etcd.py
+++ b/packages/endiveworks/src/endiveworks/platform/tests/test_etcd.py
@@ -1,4 +1,5 @@
 import json
+import socket
 import threading
 import time
 from collections.abc import Iterator
@@ -122,3 +123,13 @@
 
     def test_a_revision_of_the_future_is_a_conflict(self, platform: Platform) -> None:
         assert platform.kv.watch("a/", 1000, lambda _: True).failure().code == Code.CONFLICT
+
+
+class TestRefusedConnection:
+    def test_is_told_from_silence(self) -> None:
+        # Followers repeat a silent watch at once, but pause while connections are refused.
+        with socket.create_server(("127.0.0.1", 0)) as closed:
+            address = f"127.0.0.1:{closed.getsockname()[1]}"
+        kv = connect(address, 1.0)
+        assert kv.watch("a", 0, lambda changes: True).failure().code is Code.UNREACHABLE
+        assert kv.read("a").failure().code is Code.UNREACHABLE
