--- a/tests/fleet/conftest.py
+++ b/tests/fleet/conftest.py
@@ -1,6 +1,7 @@
 """A deployment of one plain service, with what the tests of the fleet ask of it."""
 
 import json
+import threading
 import time
 from collections.abc import Callable, Iterator
 from pathlib import Path
@@ -24,6 +25,37 @@
 RETRIES_S = (0.1, 0.2, 0.4, 0.8, 1.6, 1.6, 1.6)
 
 
+class Load:
+    """Programs that make calls one after the other until they are told to stop."""
+
+    def __init__(self, cluster: Any, programs: int) -> None:
+        self.failures: list[Any] = []
+        self.receipts: list[int] = []
+        self._stop = threading.Event()
+        opened = [cluster.open_program() for _ in range(programs)]
+        self._threads = [threading.Thread(target=self._run, args=(each,)) for each in opened]
+        for thread in self._threads:
+            thread.start()
+
+    def __enter__(self) -> "Load":
+        return self
+
+    def __exit__(self, *exc: object) -> None:
+        self._stop.set()
+        for thread in self._threads:
+            thread.join()
+
+    def _run(self, program: Any) -> None:
+        while not self._stop.is_set():
+            outcome = program.call("shop", "lookup", {"item": "fascia"})
+            if not isinstance(outcome, Success):
+                self.failures.append(outcome.failure())
+            elif outcome.unwrap().status != 200:
+                self.failures.append(outcome.unwrap())
+            else:
+                self.receipts.append(json.loads(outcome.unwrap().body)["receipt"])
+
+
 class Cluster(Fleet):
     """Processes of one deployment and the questions that tests ask of them."""
 
@@ -96,6 +128,10 @@
     def events(self, name: str, event: str) -> list[dict[str, Any]]:
         return [line for line in self.procs[name].events if line.get("event") == event]
 
+    def load(self, programs: int) -> Load:
+        """Starts programs that make calls for as long as the returned value is open."""
+        return Load(self, programs)
+
     def open_program(self, *entries: str) -> Program:
         addresses = [self.entries[name] for name in entries or self.entries]
         deployment = connect(addresses, "signs", timeout_s=60.0, silence_s=10.0)
--- a/tests/fleet/test_members.py
+++ b/tests/fleet/test_members.py
@@ -1,5 +1,3 @@
-import json
-import threading
 import time
 from collections.abc import Callable
 from typing import Any
@@ -12,37 +10,6 @@
 Until = Callable[..., None]
 
 
-class Load:
-    """Programs that make calls one after the other until they are told to stop."""
-
-    def __init__(self, cluster: Any, programs: int) -> None:
-        self.failures: list[Any] = []
-        self.receipts: list[int] = []
-        self._stop = threading.Event()
-        opened = [cluster.open_program() for _ in range(programs)]
-        self._threads = [threading.Thread(target=self._run, args=(each,)) for each in opened]
-        for thread in self._threads:
-            thread.start()
-
-    def __enter__(self) -> "Load":
-        return self
-
-    def __exit__(self, *exc: object) -> None:
-        self._stop.set()
-        for thread in self._threads:
-            thread.join()
-
-    def _run(self, program: Any) -> None:
-        while not self._stop.is_set():
-            outcome = program.call("shop", "lookup", {"item": "fascia"})
-            if not isinstance(outcome, Success):
-                self.failures.append(outcome.failure())
-            elif outcome.unwrap().status != 200:
-                self.failures.append(outcome.unwrap())
-            else:
-                self.receipts.append(json.loads(outcome.unwrap().body)["receipt"])
-
-
 @pytest.fixture
 def running(cluster: Any) -> Any:
     """One entry and two upstream processes, each before a plain service of its own."""
@@ -76,7 +43,7 @@
     def test_a_stop_by_signal_cuts_off_nothing_and_ends_new_work(
         self, running: Any, until: Until
     ) -> None:
-        with Load(running, programs=4) as load:
+        with running.load(programs=4) as load:
             until(lambda: executions(running, "up-1") > 10 and executions(running, "up-2") > 10)
             assert running.procs["up-1"].terminate() == 0
             wait_idle(running, until, "up-1")
@@ -86,7 +53,7 @@
     def test_an_upstream_that_only_the_list_names_gets_no_new_work(
         self, running: Any, until: Until
     ) -> None:
-        with Load(running, programs=4) as load:
+        with running.load(programs=4) as load:
             until(lambda: executions(running, "up-1") > 10)
             running.set_hosts(**{"up-1": "leaving", "up-2": "live"})
             wait_idle(running, until, "up-1")
@@ -98,7 +65,7 @@
     def test_a_killed_upstream_gets_no_more_work_and_is_removed(
         self, running: Any, until: Until
     ) -> None:
-        with Load(running, programs=4):
+        with running.load(programs=4):
             until(lambda: executions(running, "up-1") > 10)
             running.procs["up-1"].kill()
             wait_idle(running, until, "up-1")
@@ -148,7 +115,7 @@
         running.procs["up-1"].kill()
         running.add_upstream("up-1", "--lease_s=2", f"--listen={old.address}")
         assert running.members()["up-1"].incarnation != old.incarnation
-        with Load(running, programs=4) as load:
+        with running.load(programs=4) as load:
             until(lambda: executions(running, "up-1") > 10)
         assert not load.failures
 
@@ -169,7 +136,7 @@
 
 class TestOutage:
     def test_requests_go_on_without_the_key_value_service(self, running: Any, until: Until) -> None:
-        with Load(running, programs=4) as load:
+        with running.load(programs=4) as load:
             until(lambda: executions(running, "up-1") > 10)
             running.set_faults(down=True)
             # Longer than every lease, so that all of them lapse.
