Answer calls that wait past their deadline, and keep the upstream's own time to ask again

A waiting call that its class was passed over for waited past its deadline without a word: the wait predicted at its arrival does not foresee later calls of a higher class. The process beside the upstream now answers it, truthfully as not run, once a second; a paused call goes on waiting. When no other upstream is left, the owner passes that refusal on with its spread Retry-After, in place of "no upstream" and one second (edit in programs/dispatch.py).

Also mended, found when test_executor_model drew other examples (once, under pytest -n 3; it drew the passing ones again after): an attempt that ran and was forgotten was refused with "not run" if its epoch was old by then, since the epoch was checked first. The check of what was forgotten now comes first; test_an_attempt_forgotten_since_may_have_run covers it.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/metering.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/metering.py
@@ -2,7 +2,7 @@
 
 import threading
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from typing import Any, NamedTuple
 
 from endiveworks.calls.messages import CallKey, Job
@@ -123,7 +123,14 @@
         offered.pop(key, None)
         queue.withdraw(key)
 
-    return queue._replace(offer=offer, take=take, withdraw=withdraw)
+    def expire(now: float) -> Sequence[tuple[Job, Failure]]:
+        expired = queue.expire(now)
+        for job, _ in expired:
+            offered.pop(job.key, None)
+            metrics.count("queue_refusals", 1, job.tenant, job.class_name)
+        return expired
+
+    return queue._replace(offer=offer, take=take, withdraw=withdraw, expire=expire)
 
 
 def program_observer(metrics: Metrics) -> Callable[[ProgramOpened, ProgramClosed], None]:
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/upstream.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/upstream.py
@@ -1,6 +1,8 @@
 """The process beside one upstream."""
 
 import random
+import threading
+import time
 from collections.abc import Callable
 
 from endiveworks.admission.waiting import Admission, Surroundings, executor_queue
@@ -25,6 +27,7 @@
 from .upstream_run import runner, with_room
 
 _SLOTS_BEFORE_CONFIG = 1
+_EXPIRE_S = 1.0
 
 
 def start_upstream(cfg: Values) -> Callable[[], bool]:
@@ -56,6 +59,7 @@
         identity, executor, deployment.heard, deployment.encoded_bundle, keeper
     )
     keeper.start()
+    threading.Thread(target=_expire, args=(executor,), name="expire", daemon=True).start()
     listening = server.serve(
         ExecutorThrift.Processor(service), cfg.text("listen"), cfg.integer("max_connections")
     )
@@ -79,6 +83,12 @@
     return stop
 
 
+def _expire(executor: Executor) -> None:
+    while True:
+        time.sleep(_EXPIRE_S)
+        executor.expire()
+
+
 def _speed(cfg: Values) -> Speed:
     return Speed(cfg.number("prefill_tokens_per_s"), cfg.number("transfer_tokens_per_s"))
 
--- a/packages/endiveworks/src/endiveworks/admission/waiting.py
+++ b/packages/endiveworks/src/endiveworks/admission/waiting.py
@@ -128,11 +128,11 @@
     def finished(self, job: Job, ending: Ending, now_s: float) -> None:
         """Frees what a job held, and learns from it."""
         started = self.started.pop(str(job.key), None)
+        if str(job.key) not in self.pausing:
+            self.preemptions.pop(str(job.key), None)
         self.pausing.discard(str(job.key))
         if started is None:
             return
-        if ending.failure is None:
-            self.preemptions.pop(str(job.key), None)
         took_s = now_s - started.at_s
         terms = _terms(self.around.service(), job.tenant)
         queue.settle(self.queue, job.tenant, terms.weight, took_s - started.call.cost_s)
@@ -161,6 +161,23 @@
         # The bound on waiting calls is for new ones: this one has begun its answer.
         queue.offer(self.queue, call, bounded=False)
 
+    def expire(self, now_s: float) -> list[tuple[Job, Failure]]:
+        """Removes the jobs that have waited past their deadline; paused ones go on waiting."""
+        late = [
+            job
+            for key, job in self.jobs.items()
+            if key not in self.preemptions
+            and now_s - self.queue.waiting[key].arrived_s > job.deadline_s
+        ]
+        refusals = []
+        for job in late:
+            self.withdraw(job.key)
+            retry_after_s = job.deadline_s * (1.0 + self.source.random())
+            refusals.append(
+                (job, self._refused("the call waited past its deadline", retry_after_s))
+            )
+        return refusals
+
     def _victim(self, key: str, started: _Started) -> Victim:
         job = started.job
         return Victim(
@@ -225,6 +242,7 @@
         lambda: len(admission.queue.waiting),
         admission.preempt,
         admission.requeue,
+        admission.expire,
     )
 
 
--- a/packages/endiveworks/src/endiveworks/calls/executor.py
+++ b/packages/endiveworks/src/endiveworks/calls/executor.py
@@ -99,6 +99,16 @@
             self._preempt()
         return Success(None)
 
+    def expire(self) -> None:
+        """Answers the attempts that have waited past their deadline; they never run."""
+        with self._idle:
+            now = time.monotonic()
+            for job, failure in self._queue.expire(now):
+                execution = self._executions[job.key]
+                execution.ended_at = now
+                self._ended[job.key] = self._answered[job.key] = now
+                execution.stream.finish(Ending(503, "", failure=failure))
+
     def find(self, key: CallKey) -> Result[Stream, Failure]:
         """Returns the stream of an attempt's answer."""
         with self._lock:
@@ -174,15 +184,17 @@
         if job.incarnation != self.incarnation:
             detail = "the attempt is meant for another incarnation"
             return Failure(Code.CONFLICT, step, self.host, detail, not_run=True)
-        if not self._note_epoch(job.key, job.epoch):
+        stale = not self._note_epoch(job.key, job.epoch)
+        # Comes first: nothing may be said not to have run whose outcome is forgotten.
+        if self._has_forgotten(job.key):
+            detail = f"the outcome of attempt {job.key} is no longer kept"
+            return Failure(Code.CONFLICT, step, self.host, detail)
+        if stale:
             detail = f"epoch {job.epoch} is older than one seen for the partition"
             return Failure(Code.STALE_EPOCH, step, self.host, detail, not_run=True)
         if job.key in self._revoked:
             detail = f"attempt {job.key} was revoked"
             return Failure(Code.REVOKED, step, self.host, detail, not_run=True)
-        if self._has_forgotten(job.key):
-            detail = f"the outcome of attempt {job.key} is no longer kept"
-            return Failure(Code.CONFLICT, step, self.host, detail)
         if self._draining:
             detail = "the upstream process is leaving"
             return Failure(Code.DRAINING, step, self.host, detail, True, _BUSY_RETRY_S)
--- a/packages/endiveworks/src/endiveworks/calls/queue.py
+++ b/packages/endiveworks/src/endiveworks/calls/queue.py
@@ -1,6 +1,6 @@
 """The order in which an executor's waiting attempts run."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
 from ..errors import Failure
@@ -19,6 +19,8 @@
         size: Number of waiting attempts.
         preempt: Names a running attempt to pause for one that waits; None when none should be.
         requeue: Takes back an attempt that was paused; it is never refused.
+        expire: Removes the attempts that have waited past their deadline and returns each with
+            its refusal.
     """
 
     offer: Callable[[Job, float], Failure | None]
@@ -28,3 +30,4 @@
     size: Callable[[], int]
     preempt: Callable[[float], CallKey | None] = lambda now: None
     requeue: Callable[[Job, float], None] = lambda job, now: None
+    expire: Callable[[float], Sequence[tuple[Job, Failure]]] = lambda now: ()
--- a/packages/endiveworks/src/endiveworks/calls/tests/test_executor.py
+++ b/packages/endiveworks/src/endiveworks/calls/tests/test_executor.py
@@ -1,12 +1,15 @@
+import random
 import threading
 import time
 
 import pytest
+from endiveworks.admission.waiting import Admission, Surroundings, executor_queue
 from endiveworks.calls import executor
 from endiveworks.calls.executor import Executor
 from endiveworks.calls.fifo import fifo_queue
 from endiveworks.calls.messages import CallKey, Doubt, Job
 from endiveworks.calls.stream import Ending, Stream
+from endiveworks.config.bundle import CostWeights, Service
 from endiveworks.errors import Code
 
 KEY = CallKey("0001-a", 1, 1)
@@ -121,6 +124,8 @@
         assert bench.executor.revoke(KEY, 7, 4) is Doubt.UNKNOWN
         failure = bench.executor.submit(JOB._replace(epoch=4)).failure()
         assert failure.code is Code.CONFLICT and not failure.not_run
+        stale = bench.executor.submit(JOB).failure()
+        assert stale.code is Code.CONFLICT and not stale.not_run
         assert bench.runs.count(KEY) == 1
         assert bench.executor.revoke(KEY._replace(attempt=2), 7, 4) is Doubt.REVOKED
 
@@ -137,3 +142,33 @@
         assert bench.executor.drain(10.0)
         failure = bench.executor.submit(JOB._replace(key=KEY._replace(attempt=2))).failure()
         assert failure.code is Code.DRAINING and failure.not_run
+
+
+class TestDeadline:
+    def test_late_attempt_is_answered_as_not_run_and_never_runs(self) -> None:
+        service = Service(
+            "s", "model", "m", {"front": 0}, "front", {}, frozenset(), False,
+            CostWeights(1.0, 1.0), 0.0, 10, 1,
+        )  # fmt: skip
+        admission = Admission(Surroundings("u", lambda: service, lambda: 0, 5), random.Random(1))
+        runs: list[CallKey] = []
+        go_on = threading.Event()
+
+        def run(job: Job, stream: Stream, cancelled: threading.Event) -> Ending:
+            runs.append(job.key)
+            go_on.wait(10)
+            return DONE
+
+        waiting = Executor("u", 7, executor_queue(admission), run, lambda: 1)
+        first, late = KEY, CallKey("0001-b", 1, 1)
+        waiting.submit(JOB._replace(key=first)).unwrap()
+        waiting.submit(JOB._replace(key=late, deadline_s=0.0)).unwrap()
+        waiting.expire()
+        ending = waiting.read(late, 0, 10.0).unwrap().ending
+        assert ending is not None and ending.failure is not None
+        assert ending.failure.code is Code.OVERLOADED and ending.failure.not_run
+        assert ending.failure.retry_after_s is not None
+        go_on.set()
+        assert waiting.read(first, 0, 10.0).unwrap().ending == DONE
+        assert waiting.load() == (0, 0)
+        assert runs == [first]
--- a/packages/endiveworks/src/endiveworks/programs/dispatch.py
+++ b/packages/endiveworks/src/endiveworks/programs/dispatch.py
@@ -49,7 +49,9 @@
     for _ in range(MAX_ATTEMPTS):
         if not last.again:
             break
+        before = last
         last, spending = attempt_call(ctx, plan, spending, stream)
+        last = _telling_when(before, last)
         plan = _next_plan(plan, last)
     if last.ending.failure is None or last.ending.failure.code is Code.OUTCOME_UNKNOWN:
         _end(ctx, plan, last, spending, stream)
@@ -57,6 +59,16 @@
         _give_up(ctx, plan, last, spending, stream)
 
 
+def _telling_when(before: Try, last: Try) -> Try:
+    """Keeps an upstream's refusal, which says when to ask again, if no other upstream is left."""
+    refused, failure = before.ending.failure, last.ending.failure
+    if failure is None or failure.code is not Code.NO_UPSTREAM:
+        return last
+    if refused is None or not refused.not_run:
+        return last
+    return before._replace(again=False)
+
+
 def _next_plan(plan: Plan, last: Try) -> Plan:
     refused = plan.wanted.refused | {last.upstream}
     return plan._replace(attempt=plan.attempt + 1, wanted=plan.wanted._replace(refused=refused))
--- a/packages/endiveworks/src/endiveworks/programs/tests/test_dispatch.py
+++ b/packages/endiveworks/src/endiveworks/programs/tests/test_dispatch.py
@@ -40,6 +40,7 @@
         self.endings: list[Result[Ending, Failure]] = []
         self.doubts: list[Result[Doubt, Failure]] = []
         self.jobs: list[Job] = []
+        self.choices: list[Result[Member, Failure]] = []
 
     def links(self) -> Upstreams:
         return Upstreams(
@@ -47,6 +48,8 @@
         )
 
     def choose(self, wanted: Wanted) -> Result[Member, Failure]:
+        if self.choices:
+            return self.choices.pop(0)
         return Success(Member("u1", "127.0.0.1:1", "upstream", "shop", "r", "d", 7))
 
     def submit(self, member: Member, job: Job) -> Result[None, Failure]:
@@ -112,6 +115,20 @@
         assert failure is not None and not failure.not_run
 
 
+class TestRetryAfter:
+    def test_is_the_upstreams_own_when_no_other_upstream_is_left(
+        self, owner: Owner, upstream: Upstream
+    ) -> None:
+        upstream.submits = [Err(BUSY._replace(retry_after_s=7.5))]
+        upstream.choices = [
+            Success(Member("u1", "127.0.0.1:1", "upstream", "shop", "r", "d", 7)),
+            Err(Failure(Code.NO_UPSTREAM, "t", "", "none left", True, 1.0)),
+        ]
+        failure = run(owner, "lookup").failure
+        assert failure is not None and failure.not_run
+        assert failure.code is Code.OVERLOADED and failure.retry_after_s == 7.5
+
+
 class TestAtMostOnce:
     def test_an_attempt_in_doubt_that_was_revoked_is_made_again(
         self, owner: Owner, upstream: Upstream
