--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -18,11 +18,12 @@
 
 _TENANT = "signs"
 _MAX_BODY_BYTES = 65536
+_MAX_OPEN = 16
 _FLAGS = (
     f"--max_body_bytes={_MAX_BODY_BYTES}",
     "--max_header_bytes=4096",
     "--max_callers=40",
-    "--max_open=16",
+    f"--max_open={_MAX_OPEN}",
     "--request_s=1",
     "--patience_s=2",
 )
@@ -335,6 +336,26 @@
             conn.close()
         assert {(status, problem["code"]) for status, problem in refused} == {(503, "overloaded")}
 
+    def test_more_open_requests_than_allowed(self, entry: Entry) -> None:
+        head = (
+            f"POST /v1/programs HTTP/1.1\r\nHost: x\r\nEndive-Tenant: {_TENANT}\r\n"
+            "Content-Length: 100\r\n\r\n{"
+        )
+        answers: list[dict[str, Any]] = []
+
+        def is_refused() -> bool:
+            conns = [entry.connect() for _ in range(_MAX_OPEN)]
+            for conn in conns:
+                conn.sendall(head.encode())
+            answers.append(_send(entry, "POST", "/v1/programs")[1])
+            for conn in conns:
+                conn.close()
+            return answers[-1]["code"] == "overloaded"
+
+        wait_until(is_refused)
+        assert answers[-1]["not_run"]
+        assert answers[-1]["retry_after_s"] > 0
+
     def test_callers_that_vanish_in_an_answer(self, entry: Entry) -> None:
         programs = _open(entry)
         for program in programs:
