Compare unknown variables by their own part, and end quietly with a reader such as head

ENDIVEWORKS_HOTS got a hint at an unrelated variable, since the prefix that all names share made them look alike and settings of the other program were left out. endivectl printed a traceback when its reader had seen enough.

--- a/packages/endiveworks-ctl/src/endiveworks_ctl/main.py
+++ b/packages/endiveworks-ctl/src/endiveworks_ctl/main.py
@@ -1,6 +1,7 @@
 """The operator's command."""
 
 import os
+import signal
 import sys
 from collections.abc import Mapping, Sequence
 from typing import NamedTuple, TextIO
@@ -47,6 +48,8 @@
 
 def run() -> None:
     """Runs the command line of this process and exits with its code."""
+    # A reader such as head that has seen enough is no error.
+    signal.signal(signal.SIGPIPE, signal.SIG_DFL)
     raise SystemExit(main(sys.argv[1:], os.environ, sys.stdout, sys.stderr))
 
 
@@ -67,8 +70,10 @@
 
 
 def _usage() -> str:
+    calls = {f"{name} {entry.arguments}": entry.help for name, entry in COMMANDS.items()}
+    width = max(len(call) for call in calls)
     lines = ["Commands:"]
-    lines += [f"  {name} {entry.arguments:12} {entry.help}" for name, entry in COMMANDS.items()]
+    lines += [f"  {call:{width}}  {text}" for call, text in calls.items()]
     lines.append("Exit codes:")
     lines += [f"  {code.value:3} {meaning}" for code, meaning in MEANING.items()]
     return "\n".join(lines)
--- a/packages/endiveworks/src/endiveworks/settings/flags.py
+++ b/packages/endiveworks/src/endiveworks/settings/flags.py
@@ -55,7 +55,7 @@
 
     def __init__(self, program: str, shared: Sequence[str] = ()) -> None:
         self.program = program
-        self._shared = frozenset(env_name(name) for name in shared)
+        self._shared = frozenset(shared)
         self._settings: dict[str, _Setting] = {}
 
     def define_string(self, name: str, default: str, help: str, check: Check | None = None) -> None:
@@ -152,13 +152,17 @@
 
     def _unknown_flag(self, word: str) -> str:
         name = word.lstrip("-").split("=")[0]
-        return f"Unknown flag --{name}{_hint(name, [*self._settings, 'help'], '--')}"
+        return f"Unknown flag --{name}{_hint(name, [*self._settings, 'help'], _flag_name)}"
 
     def _unknown_variables(self, env: Mapping[str, str]) -> list[str]:
-        known = [env_name(name) for name in self._settings]
+        known = {*self._settings, *self._shared}
         found = {name for name in env if name.startswith(ENV_PREFIX)}
-        unknown = sorted(found - set(known) - self._shared)
-        return [f"Unknown environment variable {name}{_hint(name, known)}" for name in unknown]
+        unknown = sorted(found - {env_name(name) for name in known})
+        return [
+            f"Unknown environment variable {name}"
+            f"{_hint(name.removeprefix(ENV_PREFIX).lower(), sorted(known), env_name)}"
+            for name in unknown
+        ]
 
 
 def env_name(name: str) -> str:
@@ -220,7 +224,11 @@
     return f"{source}: {problem}" if problem else None
 
 
-def _hint(name: str, known: Sequence[str], prefix: str = "") -> str:
+def _hint(name: str, known: Sequence[str], show: Callable[[str], str]) -> str:
     """Returns the end of a sentence on an unknown name: the nearest known one, if any is near."""
     matches = difflib.get_close_matches(name, known, n=1)
-    return f"; did you mean {prefix}{matches[0]}?" if matches else "."
+    return f"; did you mean {show(matches[0])}?" if matches else "."
+
+
+def _flag_name(name: str) -> str:
+    return f"--{name}"
--- a/packages/endiveworks/src/endiveworks/settings/tests/test_flags.py
+++ b/packages/endiveworks/src/endiveworks/settings/tests/test_flags.py
@@ -58,6 +58,12 @@
             "--role",
         ]
 
+    def test_hint_names_a_variable_of_another_program(self) -> None:
+        errors = _flags().parse(["--host=a", "--role=entry"], {"ENDIVEWORKS_OTEHR": "x"}).failure()
+        assert errors == (
+            "Unknown environment variable ENDIVEWORKS_OTEHR; did you mean ENDIVEWORKS_OTHER?",
+        )
+
     def test_missing_flag_value(self) -> None:
         assert "port" in _flags().parse(["--port"], {}).failure()[0]
 
