Keep the memory of metrics bounded when tenants keep changing

In a run with 19,000 tenants of five values each the process grew by 152 MB, at 187 us for a value. Cause: a newcomer took over the count of the candidate it replaced and was promoted on the strength of it, so places changed hands all the time, and the histograms left behind refer to themselves and waited for the collector.

--- a/packages/endiveworks/src/endiveworks/telemetry/metrics.py
+++ b/packages/endiveworks/src/endiveworks/telemetry/metrics.py
@@ -10,7 +10,7 @@
 from .busiest import REST, Busiest
 
 MAX_TENANTS = 256
-MAX_TENANT_CANDIDATES = 1024
+MAX_TENANT_CANDIDATES = 512
 MAX_CLASSES = 64
 MAX_VALUE = 100_000_000
 SIGNIFICANT_DIGITS = 2
@@ -87,6 +87,8 @@
         self._counters: dict[_Series, int] = {}
         self._gauges: dict[str, float] = {}
         self._histograms: dict[_Series, HdrHistogram] = {}
+        # A histogram refers to itself, so one that is dropped would stay until a collection.
+        self._spare: list[HdrHistogram] = []
         self._statsd = _open_statsd(statsd_address, host)
 
     def count(self, name: str, amount: int = 1, tenant: str = "", class_name: str = "") -> None:
@@ -147,16 +149,23 @@
             rest = series._replace(label=REST)
             self._counters[rest] = self._counters.get(rest, 0) + self._counters.pop(series)
         for series in [kept for kept in self._histograms if kept[1:] == (group, label)]:
-            self._histogram(series._replace(label=REST)).add(self._histograms.pop(series))
+            folded = self._histograms.pop(series)
+            self._histogram(series._replace(label=REST)).add(folded)
+            folded.reset()
+            self._spare.append(folded)
 
     def _histogram(self, series: _Series) -> HdrHistogram:
         histogram = self._histograms.get(series)
         if histogram is None:
-            histogram = HdrHistogram(1, MAX_VALUE, SIGNIFICANT_DIGITS, word_size=COUNTER_BYTES)
+            histogram = self._spare.pop() if self._spare else _new_histogram()
             self._histograms[series] = histogram
         return histogram
 
 
+def _new_histogram() -> HdrHistogram:
+    return HdrHistogram(1, MAX_VALUE, SIGNIFICANT_DIGITS, word_size=COUNTER_BYTES)
+
+
 def _row(series: _Series, histogram: HdrHistogram) -> HistogramRow:
     percentile: Callable[[float], int] = histogram.get_value_at_percentile
     return HistogramRow(
--- a/packages/endiveworks/src/endiveworks/telemetry/tests/test_metrics.py
+++ b/packages/endiveworks/src/endiveworks/telemetry/tests/test_metrics.py
@@ -64,6 +64,14 @@
         assert busiest.use("c")[0] == "c"
         assert busiest.use("c") == ("c", None)
 
+    def test_labels_that_come_once_displace_nobody(self) -> None:
+        busiest = Busiest(2, 4)
+        for label in ("a", "a", "b", "b"):
+            busiest.use(label)
+        places = {busiest.use(f"once-{number}")[0] for number in range(1000)}
+        assert places == {REST}
+        assert busiest.use("a") == ("a", None)
+
 
 class TestStatsd:
     def test_sends_counters_gauges_and_values(self) -> None:
