--- a/bench/path.py
+++ b/bench/path.py
@@ -51,12 +51,16 @@
 
     Attributes:
         fleet: Its processes.
-        entry: The entry's address for callers.
+        entry: Address of the entry that owns the programs.
+        callers: Address of the entry that callers use.
+        processes: Names of the processes on the path.
         engines: Addresses of the engines.
     """
 
     fleet: Fleet
     entry: str
+    callers: str
+    processes: tuple[str, ...]
     engines: tuple[str, ...]
 
 
@@ -72,15 +76,18 @@
     parser = argparse.ArgumentParser()
     parser.add_argument("--most_streams", type=int, default=192)
     parser.add_argument("--step", type=int, default=32)
+    parser.add_argument(
+        "--forwarded", action="store_true", help="Callers use an entry that is not the owner."
+    )
     args = parser.parse_args()
     sys.setswitchinterval(0.001)
     with tempfile.TemporaryDirectory() as folder, Fleet(Path(folder)) as fleet:
-        setup = _start(fleet)
+        setup = _start(fleet, args.forwarded)
         _measure_single(setup)
         _measure_streams(setup, range(args.step, args.most_streams + 1, args.step))
 
 
-def _start(fleet: Fleet) -> Setup:
+def _start(fleet: Fleet, forwarded: bool) -> Setup:
     fleet.start_kv()
     services = fleet.folder / "services"
     services.mkdir()
@@ -100,7 +107,12 @@
         fleet.start_upstream(f"up-{number}", _PLACE, "assistant", address)
     entry = fleet.start_entry("entry", _PLACE, f"--max_open={_MAX_STREAMS}")
     wait_until(lambda: isinstance(open_program(connect([entry], _TENANT), "assistant"), Success))
-    return Setup(fleet, entry, engines)
+    names = ("entry", *(f"up-{number}" for number in range(_ENGINES)))
+    if not forwarded:
+        return Setup(fleet, entry, entry, names, engines)
+    other = fleet.start_entry("entry-2", _PLACE, f"--max_open={_MAX_STREAMS}")
+    wait_until(lambda: isinstance(open_program(connect([other], _TENANT), "assistant"), Success))
+    return Setup(fleet, entry, other, (*names, "entry-2"), engines)
 
 
 def _measure_single(setup: Setup) -> None:
@@ -118,7 +130,7 @@
 
 def _measure_streams(setup: Setup, counts: Sequence[int]) -> None:
     """Measures many streams at once, up to the number at which the gap grows by a tenth."""
-    idle = {name: _usage(setup, name) for name in ("entry", "up-0", "up-1")}
+    idle = {name: _usage(setup, name) for name in setup.processes}
     tokens = int((_WARM_UP_S + _WINDOW_S) / _STEP_S)
     carried = 0
     for count in counts:
@@ -162,7 +174,7 @@
             "Endive-Program": program.id,
             "Endive-Call": "1",
         }
-        wanted.append(streams.Wanted(setup.entry, "/v1/chat/completions", headers, _body(tokens)))
+        wanted.append(streams.Wanted(setup.callers, "/v1/chat/completions", headers, _body(tokens)))
     return wanted
 
 
