Keep the rest of a full writer, and keep a refused resume out of the answer

A writer to a slow caller was given more bytes after it had said that it was full, before its rest was flushed: the rest was lost and the chunks were mixed. A tap now takes nothing more until then. A resume that the engine refused was passed on as the answer (404) or called not run (5xx) although the completion had begun.

--- a/packages/endiveworks/src/endiveworks/calls/stream.py
+++ b/packages/endiveworks/src/endiveworks/calls/stream.py
@@ -56,7 +56,9 @@
         self._write = write
 
     def push(self, data: bytes) -> None:
-        """Writes bytes that follow those written before."""
+        """Writes bytes that follow those written before, unless the writer is full."""
+        if self.done.is_set():
+            return
         self.offset += len(data)
         if not self._write(data):
             self.done.set()
--- a/packages/endiveworks/src/endiveworks/engines/chat.py
+++ b/packages/endiveworks/src/endiveworks/engines/chat.py
@@ -89,7 +89,7 @@
         return Err(failure)
     try:
         if response.status != 200:
-            return _refused(job, response)
+            return _refused(job, response, progress)
         return _follow(http, job, response, progress)
     except urllib3.exceptions.HTTPError as exc:
         return Err(Failure(Code.UPSTREAM_FAILED, _STEP, job.base_url, str(exc)))
@@ -101,11 +101,14 @@
             response.close()
 
 
-def _refused(job: ChatJob, response: urllib3.BaseHTTPResponse) -> Result[Ending, Failure]:
+def _refused(
+    job: ChatJob, response: urllib3.BaseHTTPResponse, progress: _Progress
+) -> Result[Ending, Failure]:
     body = response.read(_READ_BYTES)
-    if response.status >= 500 or response.status == 429:
+    begun = progress.events > 0
+    if begun or response.status >= 500 or response.status == 429:
         detail = f"the engine answered {response.status}"
-        return Err(Failure(Code.UPSTREAM_FAILED, _STEP, job.base_url, detail, True, 1.0))
+        return Err(Failure(Code.UPSTREAM_FAILED, _STEP, job.base_url, detail, not begun, 1.0))
     job.emit(body)
     content_type = response.headers.get("Content-Type", "application/json")
     return Success(Ending(response.status, content_type))
--- /dev/null
+++ b/packages/endiveworks/src/endiveworks/engines/tests/test_chat.py
@@ -0,0 +1,54 @@
+import threading
+from collections.abc import Callable, Iterator
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+
+import pytest
+import urllib3
+from endiveworks.calls.stream import Ending
+from endiveworks.engines.chat import ChatJob, run_chat
+
+BEGUN = b'id: 1\ndata: {"choices":[{"delta":{"content":"hi "}}]}\n\n'
+Run = Callable[[list[int]], tuple[Ending, bytes]]
+
+
+@pytest.fixture
+def run() -> Iterator[Run]:
+    """Runs a completion at an engine that answers with each status once; 200 cuts its stream."""
+    statuses: list[int] = []
+
+    class Engine(BaseHTTPRequestHandler):
+        def do_POST(self) -> None:  # noqa: N802 (name set by the library)
+            self.rfile.read(int(self.headers["Content-Length"]))
+            status = statuses.pop(0) if len(statuses) > 1 else statuses[0]
+            self.send_response(status)
+            self.end_headers()
+            self.wfile.write(BEGUN if status == 200 else b'{"error":{}}')
+
+        def log_message(self, *args: object) -> None:
+            """Keeps quiet."""
+
+    with ThreadingHTTPServer(("127.0.0.1", 0), Engine) as httpd:
+        threading.Thread(target=httpd.serve_forever, daemon=True).start()
+
+        def run_with(given: list[int]) -> tuple[Ending, bytes]:
+            statuses[:] = given
+            events: list[bytes] = []
+            url = f"http://127.0.0.1:{httpd.server_port}"
+            job = ChatJob(url, "r", b"{}", 5.0, lambda event: events.append(event) or True)
+            return run_chat(urllib3.PoolManager(), job), b"".join(events)
+
+        yield run_with
+        httpd.shutdown()
+
+
+class TestRefusedResume:
+    @pytest.mark.parametrize("status", [404, 503])
+    def test_leaves_what_was_sent_and_may_have_run(self, run: Run, status: int) -> None:
+        ending, data = run([200, status])
+        assert data == BEGUN
+        assert ending.failure is not None and not ending.failure.not_run
+
+    def test_of_a_first_request_is_passed_on_or_not_run(self, run: Run) -> None:
+        assert run([404])[0].status == 404
+        failure = run([503])[0].failure
+        assert failure is not None and failure.not_run
