Hand a partition over only while the table can be changed

In a trial with the key-value service frozen right after the start, programs whose partitions were being handed over to a new host hung for the outage: each tick gave up four partitions, and the change of the table then failed. The record is now read again before a partition is given up, so at most the handover under way when an outage begins is caught by it.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/partitions.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/partitions.py
@@ -316,6 +316,10 @@
         return adopted
 
     def _hand_over(self, record: PartitionRecord, successor: Member) -> None:
+        # In an outage the table could not be changed, and nobody would act on the partition.
+        found = table.read(self._parts.kv, record.partition)
+        if not isinstance(found, Success) or found.unwrap().record != record:
+            return
         self._give_up(record.partition)
         given = update_record(
             self._sets,
