Follow the members and the table by one piece of code

Cause: the two followers repeated one loop, and the table's never forgot its failures, so that after many silent watches each new one waited up to 5 s. Change: platform/following.py serves both; a watch that was silent for long is begun anew at once. The client takes the form of a program's status from the programs slice.

--- a/packages/endiveworks/src/endiveworks/client/caller.py
+++ b/packages/endiveworks/src/endiveworks/client/caller.py
@@ -11,6 +11,7 @@
 from returns.result import Result, Success
 
 from ..errors import Code, Failure
+from ..programs.views import ProgramStatus
 from .events import Answer, OnText, read_events
 from .transport import Deployment, Request, bad_status, send
 
@@ -26,19 +27,6 @@
     tool_call_id: NotRequired[str]
 
 
-class ProgramStatus(TypedDict):
-    """A program as the deployment sees it."""
-
-    id: str
-    tenant: str
-    parent: str
-    next_call: int
-    running: bool
-    budget_tokens: int
-    attained_tokens: int
-    closed: str
-
-
 class Reply(NamedTuple):
     """The answer of a plain service."""
 
--- a/packages/endiveworks/src/endiveworks/members/membership.py
+++ b/packages/endiveworks/src/endiveworks/members/membership.py
@@ -5,10 +5,10 @@
 import time
 from collections.abc import Callable, Mapping
 
-from returns.result import Success
+from returns.result import Result, Success
 
-from ..errors import Code
-from ..links.retry import backoff_s
+from ..errors import Failure
+from ..platform.following import Source, follow
 from ..platform.host_list import ListedHost
 from ..platform.kv import Change, Kv
 from ..telemetry.logs import logger
@@ -17,9 +17,6 @@
 from .registry import HOSTS_PREFIX
 from .view import View
 
-_BASE_BACKOFF_S = 0.2
-_MAX_BACKOFF_S = 5.0
-
 
 class Membership:
     """The view of one process, shared by its threads.
@@ -71,31 +68,16 @@
 
     def follow(self, kv: Kv, sleep: Callable[[float], None], rng: random.Random) -> None:
         """Keeps the view up to date for as long as the process runs."""
-        failures = 0
-        while True:
-            while not self.load(kv):
-                failures += 1
-                sleep(backoff_s(failures, _BASE_BACKOFF_S, _MAX_BACKOFF_S, rng.random()))
-            failures = self._watch(kv, sleep, rng)
-
-    def _watch(self, kv: Kv, sleep: Callable[[float], None], rng: random.Random) -> int:
-        """Watches until the revision is forgotten; returns the failures since a sign of life."""
-        failures = 0
-
-        def on_changes(changes: tuple[Change, ...]) -> bool:
-            nonlocal failures
-            failures = 0
-            if changes:
-                self._update(lambda view: views.changed(view, changes, self._clock()))
-            return True
-
-        while True:
-            ended = kv.watch(HOSTS_PREFIX, self._view.revision, on_changes)
-            if isinstance(ended, Success) or ended.failure().code is Code.CONFLICT:
-                return failures
-            if ended.failure().code is not Code.TIMEOUT:
-                failures += 1
-                sleep(backoff_s(failures, _BASE_BACKOFF_S, _MAX_BACKOFF_S, rng.random()))
+
+        def watch() -> Result[None, Failure]:
+            return kv.watch(HOSTS_PREFIX, self._view.revision, self._on_changes)
+
+        follow(Source(lambda: self.load(kv), watch), sleep, rng)
+
+    def _on_changes(self, changes: tuple[Change, ...]) -> bool:
+        if changes:
+            self._update(lambda view: views.changed(view, changes, self._clock()))
+        return True
 
     def _update(self, change: Callable[[View], View]) -> None:
         with self._lock:
--- a/packages/endiveworks/src/endiveworks/ownership/view.py
+++ b/packages/endiveworks/src/endiveworks/ownership/view.py
@@ -4,17 +4,14 @@
 import threading
 from collections.abc import Callable, Mapping
 
-from returns.result import Success
+from returns.result import Result, Success
 
-from ..errors import Code
-from ..links.retry import backoff_s
+from ..errors import Failure
+from ..platform.following import Source, follow
 from ..platform.kv import Change, Entry, Kv
 from .record import PARTITIONS_PREFIX, PartitionRecord, decode_record
 from .table import Located, read
 
-_BASE_BACKOFF_S = 0.2
-_MAX_BACKOFF_S = 5.0
-
 
 class TableView:
     """The records as last read; it may be behind, so every change is by compare-and-swap.
@@ -70,18 +67,11 @@
 
     def follow(self, kv: Kv, sleep: Callable[[float], None], rng: random.Random) -> None:
         """Keeps the view up to date for as long as the process runs."""
-        failures = 0
-        while True:
-            while not self.load(kv):
-                failures += 1
-                sleep(backoff_s(failures, _BASE_BACKOFF_S, _MAX_BACKOFF_S, rng.random()))
-            failures = 0
-            while True:
-                ended = kv.watch(PARTITIONS_PREFIX, self._revision, self._on_changes)
-                if isinstance(ended, Success) or ended.failure().code is Code.CONFLICT:
-                    break
-                failures += 1
-                sleep(backoff_s(failures, _BASE_BACKOFF_S, _MAX_BACKOFF_S, rng.random()))
+
+        def watch() -> Result[None, Failure]:
+            return kv.watch(PARTITIONS_PREFIX, self._revision, self._on_changes)
+
+        follow(Source(lambda: self.load(kv), watch), sleep, rng)
 
     def _on_changes(self, changes: tuple[Change, ...]) -> bool:
         for change in changes:
