--- a/packages/endiveworks-daemon/src/endiveworks_daemon/partitions.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/partitions.py
@@ -12,7 +12,6 @@
 from endiveworks.journal.peer import CopyId
 from endiveworks.journal.replicated_log import OpenedReplica, open_replicated_log
 from endiveworks.journal.store import Store
-from endiveworks.links.retry import backoff_s
 from endiveworks.members.member import Member
 from endiveworks.ownership import keeper, table
 from endiveworks.ownership.record import OwnerId, PartitionRecord
@@ -36,13 +35,12 @@
     start_copies,
     update_record,
 )
+from .partition_timers import Backoffs, OwnerlessTimes
 from .suspects import Suspects
 
 _TICK_S = 1.0
 _POLL_S = 0.05
 _WORKERS = 8
-_BASE_BACKOFF_S = 0.5
-_MAX_BACKOFF_S = 15.0
 
 
 class Parts(NamedTuple):
@@ -69,13 +67,6 @@
     region: str
 
 
-class Failures(NamedTuple):
-    """Failed openings of a partition in a row, and the monotonic time of the next attempt."""
-
-    in_a_row: int
-    until_s: float
-
-
 class Partitions:
     """State of the partitions that this host holds, and its view of the table."""
 
@@ -90,10 +81,10 @@
         self._held: dict[int, tuple[int, OpenedReplica]] = {}
         self._spent: dict[int, int] = {}
         self._busy: set[int] = set()
-        self._failures: dict[int, Failures] = {}
+        self._backoffs = Backoffs()
         self._stale: set[int] = set()
         self._placed: Mapping[str, Member] = {}
-        self._ownerless_since: dict[int, float] = {}
+        self._ownerless = OwnerlessTimes()
         self._pool = ThreadPoolExecutor(_WORKERS, "partitions")
 
     def start(self, me: Member) -> None:
@@ -216,20 +207,11 @@
             copies=copies,
             is_placement_due=members != self._placed,
         )
-        return now._replace(ownerless_s=self._ownerless_s(keeper.ownerless(now)))
-
-    def _ownerless_s(self, partitions: frozenset[int]) -> dict[int, float]:
-        now = time.monotonic()
-        for partition in self._ownerless_since.keys() - partitions:
-            del self._ownerless_since[partition]
-        for partition in partitions:
-            self._ownerless_since.setdefault(partition, now)
-        return {partition: now - since for partition, since in self._ownerless_since.items()}
+        return now._replace(ownerless_s=self._ownerless.update(keeper.ownerless(now)))
 
     def _start_action(self, action: keeper.Action) -> None:
         partition = _partition_of(action)
-        failures = self._failures.get(partition)
-        if failures is not None and time.monotonic() < failures.until_s:
+        if not self._backoffs.may_try(partition):
             return
         with self._lock:
             if partition in self._busy:
@@ -254,7 +236,7 @@
             logger("ownership").error(
                 "partition_action_failed", partition=partition, error_type=type(exc).__name__
             )
-            self._back_off(partition)
+            self._backoffs.failed(partition)
         finally:
             with self._lock:
                 self._busy.discard(partition)
@@ -293,17 +275,11 @@
         adopted = opened.bind(lambda replica: self._adopt(partition, epoch, replica))
         if isinstance(adopted, Success):
             logger("ownership").info("partition_opened", partition=partition, epoch=epoch)
-            self._failures.pop(partition, None)
+            self._backoffs.succeeded(partition)
         else:
-            self._back_off(partition)
+            self._backoffs.failed(partition)
             log_failure("partition_not_opened", partition, epoch, adopted.failure())
 
-    def _back_off(self, partition: int) -> None:
-        """Waits longer after each failed opening, since each takes an epoch in the table."""
-        failures = self._failures.get(partition, Failures(0, 0.0)).in_a_row + 1
-        pause_s = backoff_s(failures, _BASE_BACKOFF_S, _MAX_BACKOFF_S, random.random())
-        self._failures[partition] = Failures(failures, time.monotonic() + pause_s)
-
     def _adopt(self, partition: int, epoch: int, replica: OpenedReplica) -> Result[None, Failure]:
         adopted = self._parts.owner.adopt(partition, epoch, replica.opened)
         if isinstance(adopted, Success):
