Say of a forgotten attempt that it may have run, also to an owner of an older epoch

The epoch was checked first, so a stale owner's repeat of an attempt that had run and was forgotten was refused as not run. Found by the executor's state machine, which failed before.

--- a/packages/endiveworks/src/endiveworks/calls/executor.py
+++ b/packages/endiveworks/src/endiveworks/calls/executor.py
@@ -174,15 +174,15 @@
         if job.incarnation != self.incarnation:
             detail = "the attempt is meant for another incarnation"
             return Failure(Code.CONFLICT, step, self.host, detail, not_run=True)
+        if self._has_forgotten(job.key):
+            detail = f"the outcome of attempt {job.key} is no longer kept"
+            return Failure(Code.CONFLICT, step, self.host, detail)
         if not self._note_epoch(job.key, job.epoch):
             detail = f"epoch {job.epoch} is older than one seen for the partition"
             return Failure(Code.STALE_EPOCH, step, self.host, detail, not_run=True)
         if job.key in self._revoked:
             detail = f"attempt {job.key} was revoked"
             return Failure(Code.REVOKED, step, self.host, detail, not_run=True)
-        if self._has_forgotten(job.key):
-            detail = f"the outcome of attempt {job.key} is no longer kept"
-            return Failure(Code.CONFLICT, step, self.host, detail)
         if self._draining:
             detail = "the upstream process is leaving"
             return Failure(Code.DRAINING, step, self.host, detail, True, _BUSY_RETRY_S)
