--- a/packages/endiveworks-daemon/src/endiveworks_daemon/upstream.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/upstream.py
@@ -1,9 +1,12 @@
 """The process beside one upstream."""
 
 import random
+import threading
+import time
 from collections.abc import Callable
 
 from endiveworks.admission.waiting import Admission, Surroundings, executor_queue
+from endiveworks.cache.room import Speed
 from endiveworks.calls.executor import Executor
 from endiveworks.config.bundle import Service
 from endiveworks.engines.memory import engine_memory
@@ -16,13 +19,15 @@
 
 from .deployment import Deployment, join
 from .engine_keeper import EngineKeeper
+from .engine_room import EngineRoom
 from .executor_service import ExecutorService
 from .explain import admit_reasons
 from .metering import measured_queue
 from .operators import Work, serve_operators
-from .upstream_run import runner
+from .upstream_run import runner, with_room
 
 _SLOTS_BEFORE_CONFIG = 1
+_EXPIRE_S = 1.0
 
 
 def start_upstream(cfg: Values) -> Callable[[], bool]:
@@ -30,9 +35,8 @@
     deployment = join(cfg)
     identity = deployment.identity
     metrics = Metrics(cfg.text("statsd"), cfg.text("host"))
-    keeper = EngineKeeper(
-        engine_memory(cfg.text("upstream_url")), lambda: _is_model(deployment, cfg.text("service"))
-    )
+    memory = engine_memory(cfg.text("upstream_url"))
+    keeper = EngineKeeper(memory, lambda: _is_model(deployment, cfg.text("service")))
     around = Surroundings(
         identity.host,
         lambda: _service(deployment, cfg.text("service")),
@@ -44,13 +48,18 @@
         host=identity.host,
         incarnation=identity.incarnation,
         queue=measured_queue(executor_queue(admission), metrics),
-        run=runner(cfg.text("upstream_url"), cfg.number("silence_s")),
+        run=with_room(
+            runner(cfg.text("upstream_url"), cfg.number("silence_s")),
+            EngineRoom(memory, keeper.memory_tokens, _speed(cfg)),
+            admission.usual.need_of,
+        ),
         slots=lambda: _slots(deployment, cfg.text("service")),
     )
     service = ExecutorService(
         identity, executor, deployment.heard, deployment.encoded_bundle, keeper
     )
     keeper.start()
+    threading.Thread(target=_expire, args=(executor,), name="expire", daemon=True).start()
     listening = server.serve(
         ExecutorThrift.Processor(service), cfg.text("listen"), cfg.integer("max_connections")
     )
@@ -74,6 +83,16 @@
     return stop
 
 
+def _expire(executor: Executor) -> None:
+    while True:
+        time.sleep(_EXPIRE_S)
+        executor.expire()
+
+
+def _speed(cfg: Values) -> Speed:
+    return Speed(cfg.number("prefill_tokens_per_s"), cfg.number("transfer_tokens_per_s"))
+
+
 def _service(deployment: Deployment, name: str) -> Service | None:
     return deployment.bundle().services.get(name)
 
