Keep the answers of two attempts apart, and take back calls of removed services

Cause: an upstream process that was killed between the bytes and the end of a plain service's answer left them in the stream, and the next attempt's answer was appended to them: the caller got both. It showed as undecodable JSON in a run of the fleet tests under load. Change: only a chat is passed on before its end; any other answer is passed on whole. A call whose service was removed before it was dispatched is taken back; before, it stayed running for good. A call whose thread failed is run again when its caller asks. The tests of both were seen failing first. A test of the entry's limit opened requests and asked once; on a busy machine that one could be read first, so it now asks as often as there are requests.

--- a/packages/endiveworks/src/endiveworks/programs/attempt.py
+++ b/packages/endiveworks/src/endiveworks/programs/attempt.py
@@ -14,7 +14,7 @@
 from .decide import claim_attempt
 from .partition import commit
 from .plan import Context, Plan, attempt_tokens, make_job
-from .records import Call, CallClaimed
+from .records import CHAT, Call, CallClaimed
 
 PROBLEM = "application/problem+json"
 _READ_WAIT_S = 1.0
@@ -178,10 +178,15 @@
     host = claim.upstream
     offset = failures = 0
     cancel = _canceller(ctx, claim, key)
+    # The next attempt can continue a chat, but any other answer it gives anew.
+    whole = bytearray()
 
     def take(piece: Piece) -> None:
         nonlocal offset
-        stream.append(piece.data, key.attempt)
+        if plan.started.operation == CHAT:
+            stream.append(piece.data, key.attempt)
+        else:
+            whole.extend(piece.data)
         offset += len(piece.data)
 
     while True:
@@ -196,6 +201,7 @@
             failures = 0
             ending = outcome.unwrap().ending
             if ending is not None:
+                stream.append(bytes(whole) if ending.failure is None else b"", key.attempt)
                 return _ended(plan, host, ending)
             continue
         failures += 1
--- a/packages/endiveworks/src/endiveworks/programs/dispatch.py
+++ b/packages/endiveworks/src/endiveworks/programs/dispatch.py
@@ -6,7 +6,7 @@
 
 from ..calls.stream import Ending, Stream
 from ..engines.chat_format import DONE_EVENT, assemble
-from ..errors import Code
+from ..errors import Code, Failure
 from ..telemetry.logs import logger
 from .attempt import (
     PROBLEM,
@@ -37,7 +37,7 @@
     """
     outcome = make_plan(ctx, call)
     if not isinstance(outcome, Success):
-        stream.finish(refusal(outcome.failure()))
+        _abandon(ctx, call, outcome.failure(), stream)
         return
     plan = outcome.unwrap()
     # What became of attempts before the last is not recorded.
@@ -59,6 +59,17 @@
         _give_up(ctx, plan, last, spending, stream)
 
 
+def _abandon(ctx: Context, call: Call, failure: Failure, stream: Stream) -> None:
+    """Takes back a call that can't be planned, unless an attempt at it may have run for good."""
+    started = call.started
+    if failure.code is Code.UNKNOWN_SERVICE and not (call.claims and started.at_most_once):
+        spent = call.reserved_tokens if call.claims else 0
+        released = CallReleased(started.program, started.call, spent)
+        stored = commit(ctx.ref, lambda partition: release_call(partition, released))
+        failure = failure._replace(not_run=isinstance(stored, Success) and not call.claims)
+    stream.finish(refusal(failure))
+
+
 def _telling_when(before: Try, last: Try) -> Try:
     """Keeps an upstream's refusal, which says when to ask again, if no other upstream is left."""
     refused, failure = before.ending.failure, last.ending.failure
--- a/packages/endiveworks/src/endiveworks/programs/running.py
+++ b/packages/endiveworks/src/endiveworks/programs/running.py
@@ -25,17 +25,26 @@
     def __init__(self) -> None:
         self._lock = threading.Lock()
         self._streams: dict[_Key, Stream] = {}
-        self._cancels: dict[str, threading.Event] = {}
+        self._cancels: dict[_Key, threading.Event] = {}
         self._retired: deque[tuple[float, _Key, Stream]] = deque()
 
-    def run(self, call: Call, make_context: MakeContext) -> None:
-        """Runs a call to its end on a thread of its own."""
+    def run(self, call: Call, make_context: MakeContext, is_new: bool) -> None:
+        """Runs a call to its end on a thread of its own.
+
+        Args:
+            call: The call.
+            make_context: Returns what the call runs with.
+            is_new: Whether the call was accepted just now; one that was accepted earlier is run
+                only if it does not run already.
+        """
         key = (call.started.program, call.started.call)
         stream = Stream()
         cancelled = threading.Event()
         with self._lock:
+            if key in self._cancels and not is_new:
+                return
             self._streams[key] = stream
-            self._cancels[key[0]] = cancelled
+            self._cancels[key] = cancelled
 
         def work() -> None:
             try:
@@ -43,7 +52,7 @@
             finally:
                 failure = Failure(Code.INTERNAL, "programs.run", "", "the call failed here")
                 stream.finish(Ending(500, PROBLEM, failure=failure))
-                self._retire(key, stream)
+                self._retire(key, stream, cancelled)
 
         threading.Thread(target=work, name=f"run-{key[0]}-{key[1]}", daemon=True).start()
 
@@ -52,11 +61,16 @@
         with self._lock:
             return self._streams.get((program, number))
 
+    def is_running(self, program: str, number: int) -> bool:
+        """Returns whether a call has a thread here."""
+        with self._lock:
+            return (program, number) in self._cancels
+
     def cancel(self, program: str) -> None:
         """Cancels a program's call under way, if any."""
         with self._lock:
-            cancelled = self._cancels.get(program)
-        if cancelled is not None:
+            found = [event for key, event in self._cancels.items() if key[0] == program]
+        for cancelled in found:
             cancelled.set()
 
     def count(self) -> int:
@@ -64,11 +78,12 @@
         with self._lock:
             return len(self._cancels)
 
-    def _retire(self, key: _Key, stream: Stream) -> None:
+    def _retire(self, key: _Key, stream: Stream, cancelled: threading.Event) -> None:
         """Keeps a finished stream for readers under way, and drops older ones."""
         now = time.monotonic()
         with self._lock:
-            self._cancels.pop(key[0], None)
+            if self._cancels.get(key) is cancelled:
+                del self._cancels[key]
             self._retired.append((now, key, stream))
             while self._retired[0][0] < now - _LINGER_S:
                 _, old_key, old = self._retired.popleft()
--- a/packages/endiveworks/src/endiveworks/programs/tests/test_dispatch.py
+++ b/packages/endiveworks/src/endiveworks/programs/tests/test_dispatch.py
@@ -41,6 +41,7 @@
         self.doubts: list[Result[Doubt, Failure]] = []
         self.jobs: list[Job] = []
         self.choices: list[Result[Member, Failure]] = []
+        self.data: list[bytes] = []
 
     def links(self) -> Upstreams:
         return Upstreams(
@@ -57,6 +58,8 @@
         return self.submits.pop(0) if self.submits else Err(BUSY)
 
     def read(self, host: str, key: CallKey, offset: int, wait_s: float) -> Result[Piece, Failure]:
+        if self.data and offset == 0:
+            return Success(Piece(0, self.data.pop(0), None))
         return self.endings.pop(0).map(lambda ending: Piece(offset, b"", ending))
 
     def tail(self, *asked: object) -> Result[Piece, Failure]:
@@ -84,6 +87,10 @@
 def run(owner: Owner, operation: str) -> Ending:
     program = owner.open(1, "t", body_of_open()).unwrap()["id"]
     owner.submit(CallRequest(program, 1, "t", "shop", operation, "", b"{}")).unwrap()
+    return wait_for_end(owner, program)
+
+
+def wait_for_end(owner: Owner, program: str) -> Ending:
     while True:
         ending = owner.read(program, 1, 0, 10.0).unwrap().ending
         if ending is not None:
@@ -115,6 +122,33 @@
         assert failure is not None and not failure.not_run
 
 
+class TestAnswer:
+    def test_of_a_lost_attempt_is_not_joined_with_that_of_the_next(
+        self, owner: Owner, upstream: Upstream
+    ) -> None:
+        upstream.submits = [Success(None), Success(None)]
+        upstream.data = [b'{"receipt": 1}', b'{"receipt": 2}']
+        upstream.endings = [Success(Ending(502, "", failure=GONE)), Success(DONE)]
+        program = owner.open(1, "t", body_of_open()).unwrap()["id"]
+        owner.submit(CallRequest(program, 1, "t", "shop", "lookup", "", b"{}")).unwrap()
+        wait_for_end(owner, program)
+        assert owner.read(program, 1, 0, 0.0).unwrap().data == b'{"receipt": 2}'
+
+
+class TestRemovedService:
+    def test_a_call_begun_before_is_taken_back(self, upstream: Upstream) -> None:
+        # One look at the configuration opens the program, one accepts the call.
+        bundles = [BUNDLE, BUNDLE]
+        owner = Owner(upstream.links(), lambda: bundles.pop(0) if bundles else EMPTY)
+        owner.adopt(1, 1, open_memory_logs()(1, 1).unwrap()).unwrap()
+        program = owner.open(1, "t", body_of_open()).unwrap()["id"]
+        owner.submit(CallRequest(program, 1, "t", "shop", "lookup", "", b"{}")).unwrap()
+        failure = wait_for_end(owner, program).failure
+        assert failure is not None and failure.code is Code.UNKNOWN_SERVICE and failure.not_run
+        assert not owner.status(program, "t").unwrap()["running"]
+        owner.give_up(1)
+
+
 class TestRetryAfter:
     def test_is_the_upstreams_own_when_no_other_upstream_is_left(
         self, owner: Owner, upstream: Upstream
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -347,7 +347,11 @@
             conns = [entry.connect() for _ in range(_MAX_OPEN)]
             for conn in conns:
                 conn.sendall(head.encode())
-            answers.append(_send(entry, "POST", "/v1/programs")[1])
+            # On a busy machine the others may be read later than this one.
+            for _ in range(_MAX_OPEN):
+                answers.append(_send(entry, "POST", "/v1/programs")[1])
+                if answers[-1]["code"] == "overloaded":
+                    break
             for conn in conns:
                 conn.close()
             return answers[-1]["code"] == "overloaded"
