Wait at a stop until the copies kept here are out of the sets

Cause: a stop ended while a set had the new copy and still the leaving one, since no third host was free; the table then named the stopped host until its owner noticed. Change: a set with more copies than wanted is waited for.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/copy_sets.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/copy_sets.py
@@ -88,13 +88,16 @@
 
 
 def is_movable(sets: CopySets, copy: CopyId) -> bool:
-    """Tells whether a copy is in a set while there is another host that could keep it."""
+    """Tells whether a copy is in a set that can do without it, now or once another one is made."""
     members = [member for member in sets.members().values() if member.host != copy.host]
-    return any(
-        copy in record.copies
-        and placement.next_copy(record.partition, sets.region, members, record.copies)
-        for record in sets.view.records().values()
-    )
+    for record in sets.view.records().values():
+        if copy not in record.copies:
+            continue
+        if len(record.copies) > placement.WANTED_COPIES:
+            return True
+        if placement.next_copy(record.partition, sets.region, members, record.copies):
+            return True
+    return False
 
 
 def update_record(
