--- a/packages/endiveworks-standins/src/endiveworks_standins/fleet.py
+++ b/packages/endiveworks-standins/src/endiveworks_standins/fleet.py
@@ -153,7 +153,12 @@
     def publish(self, services: Path) -> None:
         """Publishes a folder of service files with the operator's command."""
         args = [sys.executable, "-m", "endiveworks_ctl.main", "publish", str(services)]
-        subprocess.run([*args, f"--kv={self.kv_address}"], check=True, env=self._env)
+        subprocess.run(
+            [*args, f"--kv={self.kv_address}"],
+            check=True,
+            env=self._env,
+            stdout=subprocess.DEVNULL,
+        )
 
     def log_file(self, name: str) -> Path:
         """Returns the file in which a stand-in logs what it executed."""
