--- a/packages/endiveworks-daemon/src/endiveworks_daemon/engine_room.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/prefix_eviction.py
@@ -5,8 +5,8 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from endiveworks.cache.eviction import Action, Idle, Speed, expected_return_s, make_room
 from endiveworks.cache.pauses import Pauses, add
-from endiveworks.cache.room import Action, Idle, Speed, expected_return_s, make_room
 from endiveworks.engines.memory import Cached, EngineMemory
 from endiveworks.telemetry.logs import logger
 from returns.result import Success
@@ -21,7 +21,7 @@
     need_tokens: int
 
 
-class EngineRoom:
+class PrefixEviction:
     """What is known of the programs that use one engine.
 
     Args:
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/upstream.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/upstream.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from endiveworks.admission.waiting import Admission, Surroundings, executor_queue
-from endiveworks.cache.room import Speed
+from endiveworks.cache.eviction import Speed
 from endiveworks.calls.executor import Executor
 from endiveworks.config.bundle import Service
 from endiveworks.engines.memory import engine_memory
@@ -19,11 +19,11 @@
 
 from .deployment import Deployment, join
 from .engine_keeper import EngineKeeper
-from .engine_room import EngineRoom
 from .executor_service import ExecutorService
 from .explain import admit_reasons
 from .metering import measured_queue
 from .operators import Work, serve_operators
+from .prefix_eviction import PrefixEviction
 from .upstream_run import runner, with_room
 
 _SLOTS_BEFORE_CONFIG = 1
@@ -50,7 +50,7 @@
         queue=measured_queue(executor_queue(admission), metrics),
         run=with_room(
             runner(cfg.text("upstream_url"), cfg.number("silence_s")),
-            EngineRoom(memory, keeper.memory_tokens, _speed(cfg)),
+            PrefixEviction(memory, keeper.memory_tokens, _speed(cfg)),
             admission.usual.need_of,
         ),
         slots=lambda: _slots(deployment, cfg.text("service")),
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/upstream_run.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/upstream_run.py
@@ -12,12 +12,12 @@
 from endiveworks.engines.plain import PlainJob, run_plain
 from endiveworks.programs.records import CHAT
 
-from .engine_room import EngineRoom
+from .prefix_eviction import PrefixEviction
 
 _MAX_ENGINE_CONNECTIONS = 256
 
 
-def with_room(run: Run, room: EngineRoom, need_tokens: Callable[[Job], int]) -> Run:
+def with_room(run: Run, room: PrefixEviction, need_tokens: Callable[[Job], int]) -> Run:
     """Returns the same function, which makes room in the engine's memory before each chat.
 
     Args:
--- a/packages/endiveworks/src/endiveworks/cache/tests/test_room.py
+++ b/packages/endiveworks/src/endiveworks/cache/tests/test_eviction.py
@@ -1,7 +1,7 @@
 import math
 
+from endiveworks.cache.eviction import Action, Idle, Speed, expected_return_s, make_room
 from endiveworks.cache.pauses import BUCKETS, Pauses, add, quantile_s
-from endiveworks.cache.room import Action, Idle, Speed, expected_return_s, make_room
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
--- a/packages/endiveworks/src/endiveworks/journal/lane.py
+++ b/packages/endiveworks/src/endiveworks/journal/copy_sender.py
@@ -23,18 +23,18 @@
     give_up_s: float = 3.0
 
 
-class LaneEvents(NamedTuple):
-    """What a lane reports: the last index on disk, or why the copy is given up."""
+class SenderEvents(NamedTuple):
+    """What a sender reports: the last index on disk, or why the copy is given up."""
 
     acked: Callable[[int], None]
     failed: Callable[[Failure], None]
 
 
-class Lane:
+class CopySender:
     """State of the sending to one copy: what waits, and up to where it is on disk.
 
     One request is under way at a time, and takes along all entries that wait when it is sent.
-    The lanes of a log share its lock, because a send may complete in the thread that makes it.
+    The senders of a log share its lock, because a send may complete in the thread that makes it.
     """
 
     def __init__(
@@ -54,13 +54,13 @@
         self._next_index = acked + 1
         self._queue: deque[bytes] = deque()
         self._trim_to = 0
-        self._events: LaneEvents | None = None
+        self._events: SenderEvents | None = None
         self._sending: Request | None = None
         self._failing_since: float | None = None
         self._stopped = False
         self._lock = lock
 
-    def start(self, events: LaneEvents) -> None:
+    def start(self, events: SenderEvents) -> None:
         """Begins to send what waits."""
         with self._lock:
             self._events = events
--- a/packages/endiveworks/src/endiveworks/journal/repair.py
+++ b/packages/endiveworks/src/endiveworks/journal/repair.py
@@ -7,8 +7,8 @@
 from returns.result import Result, Success
 
 from ..errors import Code, Failure
+from .copy_sender import CopySender, Patience, SenderEvents
 from .copy_state import Head, Reset, Seal
-from .lane import Lane, LaneEvents, Patience
 from .peer import CopyId, Peer
 from .replication import CopySet, Replication, lose, settle, trim
 from .takeover import copy_entries
@@ -16,7 +16,7 @@
 _ATTEMPT_BITS = 20
 _RETRIED = frozenset({Code.TIMEOUT, Code.UNREACHABLE})
 
-EventsOf = Callable[[CopyId], LaneEvents]
+EventsOf = Callable[[CopyId], SenderEvents]
 
 
 def repair(state: Replication, copy_set: CopySet, patience: Patience, events_of: EventsOf) -> None:
@@ -75,8 +75,8 @@
                 return False
     with state.lock:
         state.required = set(wanted)
-        for copy in set(state.lanes) - state.required:
-            state.lanes.pop(copy).stop()
+        for copy in set(state.senders) - state.required:
+            state.senders.pop(copy).stop()
             state.failed.pop(copy, None)
     settle(state)
     return True
@@ -91,19 +91,21 @@
 ) -> bool:
     """Fills a new copy while appends go on, then puts it into the set."""
     with state.lock:
-        if state.closed is not None or peer.copy in state.lanes:
+        if state.closed is not None or peer.copy in state.senders:
             return False
         state.joining = True
-        lane = Lane(peer, state.partition, state.epoch, state.last_index, patience, state.lock)
-        state.lanes[peer.copy] = lane
+        sender = CopySender(
+            peer, state.partition, state.epoch, state.last_index, patience, state.lock
+        )
+        state.senders[peer.copy] = sender
         base = state.last_index
-        source = state.lanes[min(state.required)].peer
+        source = state.senders[min(state.required)].peer
     try:
         filled = _fill(state, source, peer, base)
         if not isinstance(filled, Success):
             _abandon(state, peer.copy)
             return False
-        lane.start(events_of(peer.copy))
+        sender.start(events_of(peer.copy))
         with state.lock:
             if peer.copy in state.failed or state.closed is not None:
                 _abandon(state, peer.copy)
@@ -149,6 +151,6 @@
 def _abandon(state: Replication, copy: CopyId) -> None:
     with state.lock:
         state.failed.pop(copy, None)
-        lane = state.lanes.pop(copy, None)
-        if lane is not None:
-            lane.stop()
+        sender = state.senders.pop(copy, None)
+        if sender is not None:
+            sender.stop()
--- a/packages/endiveworks/src/endiveworks/journal/replicated_log.py
+++ b/packages/endiveworks/src/endiveworks/journal/replicated_log.py
@@ -10,7 +10,7 @@
 from ..errors import Failure
 from . import entries
 from .api import OpenedLog
-from .lane import Lane, LaneEvents, Patience
+from .copy_sender import CopySender, Patience, SenderEvents
 from .peer import CopyId, Peer, reader
 from .repair import repair
 from .replication import CopySet, Replication, close, copy_failed, settle, trim, write
@@ -66,7 +66,7 @@
             return Err(changed.failure())
     state = Replication(partition, epoch, found.head.last_index)
     for peer in found.peers:
-        state.lanes[peer.copy] = Lane(
+        state.senders[peer.copy] = CopySender(
             peer, partition, epoch, state.last_index, patience, state.lock
         )
         state.required.add(peer.copy)
@@ -90,12 +90,12 @@
             state.repairing = True
         spawn(lambda: repair(state, copy_set, patience, events_of))
 
-    def events_of(copy: CopyId) -> LaneEvents:
+    def events_of(copy: CopyId) -> SenderEvents:
         def failed(failure: Failure) -> None:
             copy_failed(state, copy, failure, copy_set)
             check()
 
-        return LaneEvents(lambda index: settle(state), failed)
+        return SenderEvents(lambda index: settle(state), failed)
 
     def copies() -> tuple[CopyId, ...]:
         with state.lock:
@@ -105,8 +105,8 @@
         with state.lock:
             return state.closed is not None
 
-    for copy, lane in tuple(state.lanes.items()):
-        lane.start(events_of(copy))
+    for copy, sender in tuple(state.senders.items()):
+        sender.start(events_of(copy))
     last_index = state.last_index
     log = sequenced(
         last_index,
--- a/packages/endiveworks/src/endiveworks/journal/replication.py
+++ b/packages/endiveworks/src/endiveworks/journal/replication.py
@@ -12,7 +12,7 @@
 
 from ..errors import Code, Failure
 from .api import AppendFuture
-from .lane import Lane
+from .copy_sender import CopySender
 from .peer import CopyId, Peer
 from .sequence import completed
 
@@ -60,7 +60,7 @@
         self.epoch = epoch
         self.last_index = last_index
         self.lock = threading.RLock()
-        self.lanes: dict[CopyId, Lane] = {}
+        self.senders: dict[CopyId, CopySender] = {}
         self.required: set[CopyId] = set()
         self.failed: dict[CopyId, Failure] = {}
         self.avoided: set[CopyId] = set()
@@ -108,8 +108,8 @@
     with state.lock:
         state.trim_to = max(state.trim_to, first_index)
         if not state.joining:
-            for lane in state.lanes.values():
-                lane.trim(state.trim_to)
+            for sender in state.senders.values():
+                sender.trim(state.trim_to)
 
 
 def write(state: Replication, first_index: int, batch: Sequence[bytes]) -> AppendFuture:
@@ -120,13 +120,13 @@
         fut: AppendFuture = Future()
         state.last_index = first_index + len(batch) - 1
         state.waiting.append(Waiting(state.last_index, fut))
-        for lane in tuple(state.lanes.values()):
-            lane.put(batch)
+        for sender in tuple(state.senders.values()):
+            sender.put(batch)
         return fut
 
 
 def _take_done(state: Replication) -> Iterable[Waiting]:
-    acked = min(state.lanes[copy].acked for copy in state.required)
+    acked = min(state.senders[copy].acked for copy in state.required)
     done = []
     while state.waiting and state.waiting[0].last_index <= acked:
         done.append(state.waiting.popleft())
@@ -135,8 +135,8 @@
 
 def _shut(state: Replication, failure: Failure) -> tuple[Waiting, ...]:
     state.closed = failure
-    for lane in state.lanes.values():
-        lane.stop()
+    for sender in state.senders.values():
+        sender.stop()
     waiting = tuple(state.waiting)
     state.waiting.clear()
     return waiting
--- a/packages/endiveworks/src/endiveworks/journal/tests/fake_hosts.py
+++ b/packages/endiveworks/src/endiveworks/journal/tests/fake_hosts.py
@@ -5,9 +5,9 @@
 from concurrent.futures import Future
 
 from endiveworks.errors import Code, Failure
+from endiveworks.journal.copy_sender import Patience
 from endiveworks.journal.copy_state import Head, Request, Reset, advance, decide
 from endiveworks.journal.frames import Kind
-from endiveworks.journal.lane import Patience
 from endiveworks.journal.peer import CopyId, HeadFuture, Peer, guarded
 from endiveworks.journal.replicated_log import OpenedReplica, open_replicated_log
 from endiveworks.journal.replication import CopySet
--- a/packages/endiveworks/src/endiveworks/replay/replica.py
+++ b/packages/endiveworks/src/endiveworks/replay/replica.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from ..admission import limit, preempt, queue, refuse
-from ..cache import pauses, room
+from ..cache import eviction, pauses
 from .clock import Clock
 from .engine import Boundary, Cached, Engine, Rates, Sequence, Step
 from .policy import Policy
@@ -251,20 +251,20 @@
         if need <= free:
             return
         idle = [self._idle(salt) for salt in engine.cache if salt != job.seq.salt]
-        speed = room.Speed(self.rates.prefill_tokens_per_s, TRANSFER_TOKENS_PER_S)
-        for move in room.make_room(idle, need - free, speed):
+        speed = eviction.Speed(self.rates.prefill_tokens_per_s, TRANSFER_TOKENS_PER_S)
+        for move in eviction.make_room(idle, need - free, speed):
             found = engine.cache[move.program]
-            if move.action is room.Action.EXPORT and self.policy.export:
+            if move.action is eviction.Action.EXPORT and self.policy.export:
                 self._export(move.program, found)
             engine.release(move.program)
 
-    def _idle(self, salt: str) -> room.Idle:
+    def _idle(self, salt: str) -> eviction.Idle:
         # A program without a pause has its next call in the queue.
         paused = self.paused.get(salt)
         return_s = 0.0
         if paused is not None:
-            return_s = room.expected_return_s(paused.tool, self.clock.now_s - paused.since_s)
-        return room.Idle(salt, self.engine.cache[salt].tokens, return_s)
+            return_s = eviction.expected_return_s(paused.tool, self.clock.now_s - paused.since_s)
+        return eviction.Idle(salt, self.engine.cache[salt].tokens, return_s)
 
     def _release(self, salt: str) -> None:
         self.paused.pop(salt, None)
