Run a call on one thread only, and follow calls whose owner was sealed

Cause: a repeat of a call that had been accepted but not yet registered as running started a second thread for it; two threads may dispatch it twice. Ruled out: the executor, which runs each attempt once; the second thread would have made another attempt. Change: only the acceptance of a call starts a thread, as before, and a plan is refused when the call has claims that its thread does not know. A call that ends with a stale epoch is followed to the next owner. The test of the two threads fails without the check.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/forward.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/forward.py
@@ -21,6 +21,8 @@
 _LONGEST_PAUSE_S = 0.5
 # Failures after which another host may own the program, or soon will.
 _MOVED = frozenset({Code.NOT_OWNER, Code.UNREACHABLE, Code.TIMEOUT, Code.STORAGE, Code.STALE_EPOCH})
+# Failures of a call whose owner lost the partition under it; the next owner brings it to its end.
+_LOST = frozenset({Code.NOT_OWNER, Code.STORAGE, Code.STALE_EPOCH})
 
 T = TypeVar("T")
 
@@ -128,7 +130,7 @@
 
 def _is_moved(piece: Piece) -> bool:
     failure = piece.ending.failure if piece.ending is not None else None
-    return failure is not None and failure.code in (Code.NOT_OWNER, Code.STORAGE)
+    return failure is not None and failure.code in _LOST
 
 
 def _at_owner(
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/tests/test_forward.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/tests/test_forward.py
@@ -1,5 +1,6 @@
 from collections.abc import Iterator
 
+import pytest
 from endiveworks.calls.stream import Ending, Piece
 from endiveworks.errors import Code, Failure
 from endiveworks.programs.owner import CallRequest
@@ -9,15 +10,16 @@
 from returns.result import Result, Success
 
 REQ = CallRequest("0001-a", 1, "t", "assistant", "chat", "k", b"{}")
-MOVED = Ending(503, "", failure=Failure(Code.NOT_OWNER, "t", "", "moved"))
 DONE = Ending(200, "text/event-stream")
 
 
 class TestFollow:
-    def test_bytes_that_flowed_before_the_owner_moved_are_not_read_again(self) -> None:
+    @pytest.mark.parametrize("code", [Code.NOT_OWNER, Code.STORAGE, Code.STALE_EPOCH])
+    def test_bytes_that_flowed_before_the_owner_moved_are_not_read_again(self, code: Code) -> None:
         asked: list[int] = []
+        moved = Ending(503, "", failure=Failure(code, "t", "", "moved"))
         answers = [
-            [Piece(0, b"first", None, 1), Piece(60, b"", MOVED, 1)],
+            [Piece(0, b"first", None, 1), Piece(60, b"", moved, 1)],
             [Piece(60, b"", DONE, 1)],
         ]
 
--- a/packages/endiveworks/src/endiveworks/programs/owner.py
+++ b/packages/endiveworks/src/endiveworks/programs/owner.py
@@ -97,7 +97,7 @@
             self._held[partition] = held
         running = view(held.ref, running_calls)
         for call in running.value_or(()):
-            self._run(held, call, is_new=True)
+            self._run(held, call)
         return Success(None)
 
     def give_up(self, partition: int) -> None:
@@ -250,26 +250,17 @@
             self._on_closed(opened, record)
 
     def _attach(self, held: _Held, decision: Decision) -> None:
-        """Sees to it that an accepted call runs, also when its thread has failed before its end."""
+        """Runs a call that was accepted just now; an earlier one has its thread already."""
         call = decision.call
         assert call is not None
-        if decision.records:
-            self._run(held, call, is_new=True)
-            return
-        program, number = call.started.program, call.started.call
-        if call.ended is not None or self._calls.is_running(program, number):
-            return
-        # Read again: a thread that is gone by now may have ended the call since the decision.
-        running = view(held.ref, running_calls).value_or(())
-        for found in running:
-            if found.started[:2] == (program, number):
-                self._run(held, found, is_new=False)
-
-    def _run(self, held: _Held, call: Call, is_new: bool) -> None:
+        if call.ended is None and decision.records:
+            self._run(held, call)
+
+    def _run(self, held: _Held, call: Call) -> None:
         def context(cancelled: Callable[[], bool]) -> Context:
             return Context(held.ref, held.epoch, self._upstreams, self._bundle, cancelled)
 
-        self._calls.run(call, context, is_new)
+        self._calls.run(call, context)
 
     def _start_of(self, req: CallRequest) -> Result[Start, Failure]:
         new_tokens = max_tokens = 0
--- a/packages/endiveworks/src/endiveworks/programs/plan.py
+++ b/packages/endiveworks/src/endiveworks/programs/plan.py
@@ -6,7 +6,7 @@
 import msgspec
 import pykka
 from returns.result import Failure as Err
-from returns.result import Result
+from returns.result import Result, Success
 
 from ..calls.messages import CallKey, Doubt, Job
 from ..calls.pull import Want
@@ -111,8 +111,13 @@
         detail = f"service {started.service!r} was removed"
         return Err(Failure(Code.UNKNOWN_SERVICE, "programs.plan", "", detail))
 
-    def look(partition: Partition) -> Plan:
+    def look(partition: Partition) -> Result[Plan, Failure]:
         program = partition.programs[started.program]
+        known = program.calls.get(started.call)
+        if known is None or known.claims != call.claims or known.ended is not None:
+            # Two threads that ran one call would dispatch it twice.
+            detail = f"call {started.call} of {started.program} is run by another thread"
+            return Err(Failure(Code.CONFLICT, "programs.plan", "", detail))
         request = parse_request(started.body).value_or(None) if started.operation == CHAT else None
         wanted = Wanted(
             service=service,
@@ -126,9 +131,9 @@
             attained_tokens=program.attained_tokens,
             refused=frozenset(),
         )
-        return Plan(started, wanted, tuple(program.messages), program.attempts + 1)
+        return Success(Plan(started, wanted, tuple(program.messages), program.attempts + 1))
 
-    return view(ctx.ref, look)
+    return view(ctx.ref, look).bind(lambda outcome: outcome)
 
 
 def answer_limit(service: Service, asked_tokens: int) -> int:
--- a/packages/endiveworks/src/endiveworks/programs/running.py
+++ b/packages/endiveworks/src/endiveworks/programs/running.py
@@ -28,21 +28,12 @@
         self._cancels: dict[_Key, threading.Event] = {}
         self._retired: deque[tuple[float, _Key, Stream]] = deque()
 
-    def run(self, call: Call, make_context: MakeContext, is_new: bool) -> None:
-        """Runs a call to its end on a thread of its own.
-
-        Args:
-            call: The call.
-            make_context: Returns what the call runs with.
-            is_new: Whether the call was accepted just now; one that was accepted earlier is run
-                only if it does not run already.
-        """
+    def run(self, call: Call, make_context: MakeContext) -> None:
+        """Runs a call to its end on a thread of its own."""
         key = (call.started.program, call.started.call)
         stream = Stream()
         cancelled = threading.Event()
         with self._lock:
-            if key in self._cancels and not is_new:
-                return
             self._streams[key] = stream
             self._cancels[key] = cancelled
 
@@ -61,11 +52,6 @@
         with self._lock:
             return self._streams.get((program, number))
 
-    def is_running(self, program: str, number: int) -> bool:
-        """Returns whether a call has a thread here."""
-        with self._lock:
-            return (program, number) in self._cancels
-
     def cancel(self, program: str) -> None:
         """Cancels a program's call under way, if any."""
         with self._lock:
--- a/packages/endiveworks/src/endiveworks/programs/tests/test_dispatch.py
+++ b/packages/endiveworks/src/endiveworks/programs/tests/test_dispatch.py
@@ -2,13 +2,16 @@
 
 import pytest
 from endiveworks.calls.messages import CallKey, Doubt, Job
-from endiveworks.calls.stream import Ending, Piece
+from endiveworks.calls.stream import Ending, Piece, Stream
 from endiveworks.config.bundle import EMPTY, CostWeights, Service, TenantTerms
 from endiveworks.errors import Code, Failure
 from endiveworks.journal.memory_log import open_memory_logs
 from endiveworks.members.member import Member
+from endiveworks.programs.decide import Open, Start, open_program, start_call
+from endiveworks.programs.dispatch import run_call
 from endiveworks.programs.owner import CallRequest, Owner
-from endiveworks.programs.plan import Upstreams, Wanted
+from endiveworks.programs.partition import commit, start_actor
+from endiveworks.programs.plan import Context, Upstreams, Wanted
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
@@ -122,6 +125,33 @@
         assert failure is not None and not failure.not_run
 
 
+class TestThreads:
+    def test_a_second_one_that_runs_the_same_call_dispatches_nothing(
+        self, upstream: Upstream
+    ) -> None:
+        ref = start_actor(1, 1, open_memory_logs()(1, 1).unwrap()).unwrap()
+        streams = [Stream(), Stream()]
+
+        def read(*asked: object) -> Result[Piece, Failure]:
+            if len(streams) == 2:
+                # The second thread comes while the first waits for its answer.
+                run_call(ctx, call, streams.pop())
+            return Success(Piece(0, b"", DONE))
+
+        links = upstream.links()._replace(read=read)
+        ctx = Context(ref, 1, links, lambda: BUNDLE, lambda: False)
+        opening = Open("t", "shop", "", "", 0, "", 1.0)
+        commit(ref, lambda state: open_program(state, opening, "0001-a", BUNDLE.services)).unwrap()
+        start = Start("0001-a", 1, "t", "shop", "order", "", b"{}", 0, 0)
+        call = commit(ref, lambda state: start_call(state, start, BUNDLE.services)).unwrap().call
+        assert call is not None
+        upstream.submits = [Success(None), Success(None)]
+        run_call(ctx, call, streams[0])
+        assert len(upstream.jobs) == 1
+        assert streams[0].read(0, 0.0).ending == DONE
+        ref.stop()
+
+
 class TestAnswer:
     def test_of_a_lost_attempt_is_not_joined_with_that_of_the_next(
         self, owner: Owner, upstream: Upstream
