Kill the owner of an undispatched order at a point that lasts

Cause: the scenario polled the program's status for a running call while no process stood beside the shop. Such a call is refused and taken back within about 15 ms (seen with a probe: one of three polls found it running), so on a busy machine every poll missed it and the wait ran out at any limit.

Ruled out: slow take-over and too short limits; raising the limit to 120 s changed nothing, and four of 30 repeats side by side ended that way.

Change: the other entry, which has the second copy, is frozen before the order is sent, so the owner can't pass the point before its dispatch. The owner is killed once its own log holds the order, which stays true. The outcome checked is the same: the receipt, and one execution.

--- a/tests/failures/conftest.py
+++ b/tests/failures/conftest.py
@@ -266,6 +266,19 @@
     {"killed": proc.kill, "frozen": proc.freeze, "thawed": proc.thaw}[done]()
 
 
+@when(parsers.parse("the other entry is {done}"))
+def _other(deployment: Deployment, world: World, done: str) -> None:
+    proc = deployment.procs[deployment.other_entry(world.owner)]
+    {"frozen": proc.freeze, "thawed": proc.thaw}[done]()
+
+
+@when("the owner has written the order to its own disk")
+def _written(deployment: Deployment, world: World) -> None:
+    assert world.request is not None
+    body, folder = world.request.body, deployment.folder / "data" / world.owner
+    wait_until(lambda: any(body in file.read_bytes() for file in folder.glob("*.wal")))
+
+
 @when("the order is stored as started")
 def _started(deployment: Deployment, world: World) -> None:
     url = f"http://{deployment.entries['entry-1']}/v1/programs/{world.program}"
--- a/tests/failures/owners.feature
+++ b/tests/failures/owners.feature
@@ -15,9 +15,11 @@
   Scenario: The owner is killed before it can dispatch an order
     Given two entries and a shop whose process has not started
     And a program
-    When the caller sends an order
-    And the order is stored as started
+    When the other entry is frozen
+    And the caller sends an order
+    And the owner has written the order to its own disk
     And the owner is killed
+    And the other entry is thawed
     And the process beside the shop is started
     And the caller asks again at the other entry
     Then the last answer is the receipt of that order
