Count an entry's patience from the owner's first failure

Cause: an entry that follows a call set its limit when the call began or last grew.

Change: the limit counts from the first failure and is dropped when the owner answers. The same for commands that manage a program.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/forward.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/forward.py
@@ -34,7 +34,7 @@
         node_for: Returns the node that owns a partition, or says when to ask again.
         pick: Returns a partition for a new program; prefers those of this host.
         moved: Is told that a partition's owner did not answer or owns it no more.
-        patience_s: Seconds to wait for a partition to find an owner.
+        patience_s: Seconds to wait for a partition to find its next owner.
     """
 
     node_for: Callable[[int], Result[Node, Failure]]
@@ -43,6 +43,29 @@
     patience_s: float
 
 
+class _Patience:
+    """Time left until a partition that has lost its owner must have its next one.
+
+    It counts from the owner's first failure, since an answer may take long at a good owner, and a
+    process that was paused has to look for the next one as long as any other.
+    """
+
+    def __init__(self, patience_s: float) -> None:
+        self._patience_s = patience_s
+        self._deadline_s: float | None = None
+
+    def is_over(self, pause_s: float) -> bool:
+        """Notes a failure; returns whether no time is left for a pause and another try."""
+        now_s = time.monotonic()
+        if self._deadline_s is None:
+            self._deadline_s = now_s + self._patience_s
+        return now_s + pause_s > self._deadline_s
+
+    def renew(self) -> None:
+        """Notes that the owner has answered."""
+        self._deadline_s = None
+
+
 def open_program(owners: Owners, tenant: str, body: bytes, parent: str) -> Result[bytes, Failure]:
     """Opens a program, a sub-agent's in the partition of its parent.
 
@@ -78,7 +101,7 @@
         outlet: Where bytes go directly once it is open; pieces then have what is left to send.
     """
     offset = generation = 0
-    deadline = time.monotonic() + owners.patience_s
+    patience = _Patience(owners.patience_s)
     while True:
         submitted = _at_owner(owners, req.program, lambda node: node.submit(req))
         if not isinstance(submitted, Success):
@@ -92,16 +115,14 @@
                 # Bytes before it may have flowed to the caller already.
                 offset = piece.offset
                 break
+            patience.renew()
             generation = outlet.generation = generation or piece.generation
-            grown = piece.offset + len(piece.data) > offset
             offset = piece.offset + len(piece.data)
-            if grown:
-                deadline = time.monotonic() + owners.patience_s
             if piece.data or piece.ending is not None:
                 yield piece
             if piece.ending is not None:
                 return
-        if time.monotonic() > deadline:
+        if patience.is_over(_FIRST_PAUSE_S):
             detail = "the call's owner can't be reached"
             yield _failed(offset, Failure(Code.UNREACHABLE, "forward.follow", "", detail))
             return
@@ -141,14 +162,14 @@
     if partition is None:
         detail = f"program {program[:40]!r} does not exist"
         return Err(Failure(Code.UNKNOWN_PROGRAM, "forward.find", "", detail, not_run=True))
-    deadline = time.monotonic() + owners.patience_s
+    patience = _Patience(owners.patience_s)
     pause_s = _FIRST_PAUSE_S
     while True:
         outcome = owners.node_for(partition).bind(run)
         if isinstance(outcome, Success) or outcome.failure().code not in _MOVED:
             return outcome
         owners.moved(partition, outcome.failure())
-        if time.monotonic() + pause_s > deadline:
+        if patience.is_over(pause_s):
             # An earlier copy of the request may have run.
             return Err(outcome.failure()._replace(not_run=False, retry_after_s=1.0))
         time.sleep(pause_s * random.uniform(0.5, 1.0))
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/tests/test_forward.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/tests/test_forward.py
@@ -1,12 +1,14 @@
+import time
 from collections.abc import Iterator
 
 import pytest
 from endiveworks.calls.stream import Ending, Piece
 from endiveworks.errors import Code, Failure
 from endiveworks.programs.owner import CallRequest
-from endiveworks_daemon.forward import Owners, follow
-from endiveworks_daemon.node import Node
+from endiveworks_daemon.forward import Owners, follow, manage
+from endiveworks_daemon.node import Command, Node
 from endiveworks_daemon.outlet import Outlet
+from returns.result import Failure as Err
 from returns.result import Result, Success
 
 REQ = CallRequest("0001-a", 1, "t", "assistant", "chat", "k", b"{}")
@@ -30,9 +32,52 @@
             yield from map(Success, answers.pop(0))
 
         node = Node(lambda command: Success(b""), lambda req: Success(None), pieces)
-        owners = Owners(
-            lambda partition: Success(node), lambda: Success(1), lambda *told: None, 5.0
-        )
-        received = list(follow(owners, REQ, Outlet(lambda: None)))
+        received = list(follow(_owners(node, 5.0), REQ, Outlet(lambda: None)))
         assert asked == [0, 60]
         assert received[-1].ending == DONE
+
+    def test_waits_for_the_next_owner_after_an_answer_that_took_longer_than_its_patience(
+        self,
+    ) -> None:
+        patience_s = 0.2
+        answers: list[list[Result[Piece, Failure]]] = [
+            [Err(Failure(Code.UNREACHABLE, "t", "owner", "the connection was closed"))],
+            [Success(Piece(0, b"answer", DONE, 1))],
+        ]
+
+        def pieces(
+            program: str, call: int, offset: int, outlet: Outlet
+        ) -> Iterator[Result[Piece, Failure]]:
+            if len(answers) > 1:
+                time.sleep(2 * patience_s)
+            yield from answers.pop(0)
+
+        node = Node(lambda command: Success(b""), lambda req: Success(None), pieces)
+        received = list(follow(_owners(node, patience_s), REQ, Outlet(lambda: None)))
+        assert [(piece.data, piece.ending) for piece in received] == [(b"answer", DONE)]
+
+
+class TestManage:
+    def test_asks_the_next_owner_after_one_that_was_silent_for_longer_than_its_patience(
+        self,
+    ) -> None:
+        patience_s = 0.2
+        outcomes: list[Result[bytes, Failure]] = [
+            Err(Failure(Code.TIMEOUT, "t", "owner", "no answer")),
+            Success(b"status"),
+        ]
+
+        def run(command: Command) -> Result[bytes, Failure]:
+            if len(outcomes) > 1:
+                time.sleep(2 * patience_s)
+            return outcomes.pop(0)
+
+        node = Node(run, lambda req: Success(None), lambda *asked: iter(()))
+        command = Command("status", REQ.program, REQ.tenant, b"")
+        assert manage(_owners(node, patience_s), command) == Success(b"status")
+
+
+def _owners(node: Node, patience_s: float) -> Owners:
+    return Owners(
+        lambda partition: Success(node), lambda: Success(1), lambda *told: None, patience_s
+    )
