Keep a call with one thread when its partition is adopted or its thread fails

Causes, found by reading: - An adopted partition took calls before those under way in its log were listed. A call accepted in between was started twice. - A thread whose claim was refused because another had made it took the call back, and its number could be used again while the other thread's attempt ran. - A thread that ended with a defect left its call running without a thread until the next take-over, and callers that asked again waited for nothing.

Change: calls under way are started before the partition is shown; a refused claim ends the second thread and nothing else; a call whose thread failed is started again, once for each failure, when its caller asks again, and the failure is logged as call_failed.

Before: the three new tests fail. After: they pass. A second try at an earlier approach (starting a thread for every repeated request without one) was ruled out again: a request decided before the call ended could start a thread after it.

--- a/packages/endiveworks/src/endiveworks/programs/decide.py
+++ b/packages/endiveworks/src/endiveworks/programs/decide.py
@@ -21,6 +21,7 @@
 )
 from .state import Partition, Program
 
+CLAIM_STEP = "programs.claim"
 _ANY_TENANT = "*"
 
 
@@ -136,11 +137,11 @@
     call = _running(partition, claim.program, claim.call)
     if call is None or claim.attempt != partition.programs[claim.program].attempts + 1:
         detail = f"attempt {claim.attempt} at call {claim.call} of {claim.program} is not next"
-        return _refuse(Code.CONFLICT, "programs.claim", detail)
+        return _refuse(Code.CONFLICT, CLAIM_STEP, detail)
     available = _available(partition, claim.program)
     if claim.reserved_tokens > available:
         detail = f"another attempt may need {claim.reserved_tokens} tokens, {available} are left"
-        return _refuse(Code.BUDGET_EXCEEDED, "programs.claim", detail)
+        return _refuse(Code.BUDGET_EXCEEDED, CLAIM_STEP, detail)
     return Success(Decision((claim,), call._replace(claims=(*call.claims, claim))))
 
 
--- a/packages/endiveworks/src/endiveworks/programs/dispatch.py
+++ b/packages/endiveworks/src/endiveworks/programs/dispatch.py
@@ -17,7 +17,7 @@
     refusal,
     settle_previous,
 )
-from .decide import end_call, release_call
+from .decide import CLAIM_STEP, end_call, release_call
 from .partition import commit
 from .plan import Context, Plan, make_plan
 from .records import CHAT, Call, CallEnded, CallReleased, Outcome
@@ -53,8 +53,12 @@
         last, spending = attempt_call(ctx, plan, spending, stream)
         last = _telling_when(before, last)
         plan = _next_plan(plan, last)
-    if last.ending.failure is None or last.ending.failure.code is Code.OUTCOME_UNKNOWN:
+    failure = last.ending.failure
+    if failure is None or failure.code is Code.OUTCOME_UNKNOWN:
         _end(ctx, plan, last, spending, stream)
+    elif failure.step == CLAIM_STEP and failure.code is Code.CONFLICT:
+        # The thread that made the claim brings the call to its end.
+        stream.finish(refusal(failure._replace(not_run=False)))
     else:
         _give_up(ctx, plan, last, spending, stream)
 
--- a/packages/endiveworks/src/endiveworks/programs/owner.py
+++ b/packages/endiveworks/src/endiveworks/programs/owner.py
@@ -93,11 +93,11 @@
         if not isinstance(started, Success):
             return Err(started.failure())
         held = _Held(epoch, started.unwrap())
+        # Before the partition takes calls, so that none accepted here is among them.
+        for call in view(held.ref, running_calls).value_or(()):
+            self._run(held, call)
         with self._lock:
             self._held[partition] = held
-        running = view(held.ref, running_calls)
-        for call in running.value_or(()):
-            self._run(held, call)
         return Success(None)
 
     def give_up(self, partition: int) -> None:
@@ -250,10 +250,13 @@
             self._on_closed(opened, record)
 
     def _attach(self, held: _Held, decision: Decision) -> None:
-        """Runs a call that was accepted just now; an earlier one has its thread already."""
+        """Runs a call that was accepted just now; an earlier one has a thread unless it failed."""
         call = decision.call
         assert call is not None
-        if call.ended is None and decision.records:
+        started = call.started
+        if call.ended is None and (
+            decision.records or self._calls.take_failed(started.program, started.call, held.epoch)
+        ):
             self._run(held, call)
 
     def _run(self, held: _Held, call: Call) -> None:
--- a/packages/endiveworks/src/endiveworks/programs/running.py
+++ b/packages/endiveworks/src/endiveworks/programs/running.py
@@ -7,6 +7,7 @@
 
 from ..calls.stream import Ending, Stream
 from ..errors import Code, Failure
+from ..telemetry.logs import logger
 from .attempt import PROBLEM
 from .dispatch import run_call
 from .plan import Context
@@ -26,6 +27,7 @@
         self._lock = threading.Lock()
         self._streams: dict[_Key, Stream] = {}
         self._cancels: dict[_Key, threading.Event] = {}
+        self._failed: set[tuple[_Key, int]] = set()
         self._retired: deque[tuple[float, _Key, Stream]] = deque()
 
     def run(self, call: Call, make_context: MakeContext) -> None:
@@ -38,15 +40,27 @@
             self._cancels[key] = cancelled
 
         def work() -> None:
+            ctx = make_context(cancelled.is_set)
             try:
-                run_call(make_context(cancelled.is_set), call, stream)
-            finally:
+                run_call(ctx, call, stream)
+            except Exception as exc:  # A defect; the call still has to be brought to its end.
+                _log_failure(call, exc)
+                with self._lock:
+                    self._failed.add((key, ctx.epoch))
                 failure = Failure(Code.INTERNAL, "programs.run", "", "the call failed here")
                 stream.finish(Ending(500, PROBLEM, failure=failure))
-                self._retire(key, stream, cancelled)
+            self._retire(key, stream, cancelled)
 
         threading.Thread(target=work, name=f"run-{key[0]}-{key[1]}", daemon=True).start()
 
+    def take_failed(self, program: str, number: int, epoch: int) -> bool:
+        """Returns whether a call's thread failed in an epoch; true once for each failure."""
+        failed = ((program, number), epoch)
+        with self._lock:
+            known = failed in self._failed
+            self._failed.discard(failed)
+            return known
+
     def find(self, program: str, number: int) -> Stream | None:
         """Returns the stream of a call that runs or ended a short time ago."""
         with self._lock:
@@ -75,3 +89,13 @@
                 _, old_key, old = self._retired.popleft()
                 if self._streams.get(old_key) is old:
                     del self._streams[old_key]
+
+
+def _log_failure(call: Call, exc: Exception) -> None:
+    started = call.started
+    logger("programs").error(
+        "call_failed",
+        program=started.program,
+        call=started.call,
+        exc_info=exc,
+    )
--- a/packages/endiveworks/src/endiveworks/programs/tests/test_dispatch.py
+++ b/packages/endiveworks/src/endiveworks/programs/tests/test_dispatch.py
@@ -7,11 +7,14 @@
 from endiveworks.errors import Code, Failure
 from endiveworks.journal.memory_log import open_memory_logs
 from endiveworks.members.member import Member
-from endiveworks.programs.decide import Open, Start, open_program, start_call
+from endiveworks.programs.decide import Open, Start, claim_attempt, open_program, start_call
 from endiveworks.programs.dispatch import run_call
 from endiveworks.programs.owner import CallRequest, Owner
-from endiveworks.programs.partition import commit, start_actor
+from endiveworks.programs.partition import commit, start_actor, view
 from endiveworks.programs.plan import Context, Upstreams, Wanted
+from endiveworks.programs.records import Call, CallClaimed
+from endiveworks.programs.state import Partition
+from endiveworks.programs.views import running_calls
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
@@ -151,6 +154,62 @@
         assert streams[0].read(0, 0.0).ending == DONE
         ref.stop()
 
+    def test_a_second_one_whose_claim_is_refused_does_not_take_the_call_back(
+        self, upstream: Upstream
+    ) -> None:
+        ref = start_actor(1, 1, open_memory_logs()(1, 1).unwrap()).unwrap()
+        opened = Open("t", "shop", "", "", 0, "", 0.0)
+        commit(ref, lambda state: open_program(state, opened, "0001-a", BUNDLE.services)).unwrap()
+        start = Start("0001-a", 1, "t", "shop", "order", "", b"{}", 0, 0)
+        decided = commit(ref, lambda state: start_call(state, start, BUNDLE.services)).unwrap()
+        call = decided.call
+        assert call is not None
+        links = upstream.links()
+
+        def choose(wanted: Wanted) -> Result[Member, Failure]:
+            # The other thread claims the attempt first.
+            claim = CallClaimed("0001-a", 1, 1, "u1", 7, 0, False)
+            commit(ref, lambda state: claim_attempt(state, claim)).unwrap()
+            return upstream.choose(wanted)
+
+        ctx = Context(ref, 1, links._replace(choose=choose), lambda: BUNDLE, lambda: False)
+        run_call(ctx, call, Stream())
+        assert upstream.jobs == []
+        assert len(view(ref, running_calls).unwrap()) == 1
+        ref.stop()
+
+    def test_one_that_failed_is_replaced_when_the_caller_asks_again(
+        self, owner: Owner, upstream: Upstream
+    ) -> None:
+        program = owner.open(1, "t", body_of_open()).unwrap()["id"]
+        req = CallRequest(program, 1, "t", "shop", "order", "", b"{}")
+        upstream.submits = [Success(None)]
+        # An empty list of endings fails the thread as a defect would.
+        owner.submit(req).unwrap()
+        failure = wait_for_end(owner, program).failure
+        assert failure is not None and failure.code is Code.INTERNAL
+        upstream.doubts = [Success(Doubt.RUNNING)]
+        upstream.endings = [Success(DONE)]
+        owner.submit(req).unwrap()
+        assert wait_for_end(owner, program) == DONE
+        assert len(upstream.jobs) == 1
+
+
+class TestAdopt:
+    def test_takes_no_call_before_those_under_way_are_known(
+        self, owner: Owner, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        owned: list[tuple[int, ...]] = []
+
+        def look(state: Partition) -> tuple[Call, ...]:
+            owned.append(owner.owned())
+            return ()
+
+        monkeypatch.setattr("endiveworks.programs.owner.running_calls", look)
+        owner.adopt(2, 1, open_memory_logs()(2, 1).unwrap()).unwrap()
+        owner.give_up(2)
+        assert owned == [(1,)]
+
 
 class TestAnswer:
     def test_of_a_lost_attempt_is_not_joined_with_that_of_the_next(
