End the stop of an upstream process whose answers no owner asks for any more

Cause: Executor.drain waited until the end of every answer had been read, and only a read or a revocation of a waiting attempt settles one.

While it does not answer, nothing is given up. Attempts under way are waited for as before. Ruled out: to drop an answer when its owner's entry is gone, since the successor asks after that.

TestDrain fails without the new rule (1 of 3) and without noting the questions (2 of 3).

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/deployment.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/deployment.py
@@ -121,6 +121,10 @@
         self.leaving = True
         self._presence.leave()
 
+    def answered_since_s(self) -> float | None:
+        """Returns since when the key-value service has answered this process; None if it fails."""
+        return self._presence.answered_since_s()
+
     def forget(self) -> None:
         """Removes this process from the deployment."""
         self._presence.forget()
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/presence.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/presence.py
@@ -2,6 +2,7 @@
 
 import random
 import threading
+import time
 from collections.abc import Callable
 
 from endiveworks.links.retry import backoff_s
@@ -34,6 +35,14 @@
         self._registration: Registration | None = None
         self._lock = threading.Lock()
         self._stop = threading.Event()
+        self._answered_since_s: float | None = None
+
+    def answered_since_s(self) -> float | None:
+        """Returns since when the key-value service has answered each renewal, in monotonic seconds.
+
+        None while it does not.
+        """
+        return self._answered_since_s
 
     def announce(self, member: Member) -> None:
         """Writes the entry and keeps its lease; during an outage it goes on trying."""
@@ -78,11 +87,18 @@
             before = self._registration
             renewal = renew(self._kv, before)
             self._registration = renewal.registration
+            self._note_answer(renewal.failure is None)
         _log(before, renewal.registration)
         if renewal.registration.standing is Standing.SUPERSEDED is not before.standing:
             self._superseded()
         return renewal.failure is not None
 
+    def _note_answer(self, answered: bool) -> None:
+        if not answered:
+            self._answered_since_s = None
+        elif self._answered_since_s is None:
+            self._answered_since_s = time.monotonic()
+
 
 def _log(before: Registration, after: Registration) -> None:
     if before.lease != after.lease and before.lease:
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/upstream.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/upstream.py
@@ -1,5 +1,6 @@
 """The process beside one upstream."""
 
+import math
 import random
 import threading
 import time
@@ -28,6 +29,8 @@
 
 _SLOTS_BEFORE_CONFIG = 1
 _EXPIRE_S = 1.0
+# From a lapsed lease to the open partition: the grace of members, and four steps to a next host.
+_TAKEOVER_S = 20.0
 
 
 def start_upstream(cfg: Values) -> Callable[[], bool]:
@@ -76,13 +79,28 @@
 
     def stop() -> bool:
         deployment.leave()
-        drained = executor.drain(cfg.number("drain_s"))
+        drained = executor.drain(
+            cfg.number("drain_s"), lambda: _unasked_since(deployment, cfg.number("lease_s"))
+        )
         deployment.forget()
         return drained
 
     return stop
 
 
+def _unasked_since(deployment: Deployment, lease_s: float) -> float:
+    """Returns the time such that no owner asks any more for an answer not asked for since.
+
+    An owner that lives asks every few seconds. The next owner of a partition asks as soon as it has
+    opened it, for which it needs the key-value service: while that fails, nothing is given up.
+    """
+    answered_since_s = deployment.answered_since_s()
+    takeover_s = lease_s + _TAKEOVER_S
+    if answered_since_s is None or time.monotonic() - answered_since_s < takeover_s:
+        return -math.inf
+    return time.monotonic() - takeover_s
+
+
 def _expire(executor: Executor) -> None:
     while True:
         time.sleep(_EXPIRE_S)
--- a/packages/endiveworks/src/endiveworks/calls/executor.py
+++ b/packages/endiveworks/src/endiveworks/calls/executor.py
@@ -1,5 +1,6 @@
 """Attempts dispatched to one upstream process: each runs at most once, in admitted order."""
 
+import math
 import threading
 import time
 from collections import OrderedDict
@@ -9,6 +10,7 @@
 from returns.result import Result, Success
 
 from ..errors import Code, Failure
+from .execution import Execution
 from .messages import CallKey, Doubt, Job
 from .queue import Queue
 from .stream import Ending, Piece, Stream
@@ -17,34 +19,13 @@
 _KEEP_KEY_S = 3600.0
 _KEEP_ANSWER_S = 300.0
 _BUSY_RETRY_S = 1.0
+_DRAIN_POLL_S = 0.25
 
 
 # Runs an attempt to its end, appending to the stream and stopping once the event is set.
 Run = Callable[[Job, Stream, threading.Event], Ending]
 
 
-class Execution:
-    """One attempt that the executor has accepted."""
-
-    def __init__(self, job: Job) -> None:
-        self.job = job
-        self.stream = Stream()
-        self.cancelled = threading.Event()
-        self.revoked = False
-        self.pausing = False
-        self.started = False
-        self.ended_at = 0.0
-        self.delivered = False
-
-    def drop_answer(self) -> None:
-        """Frees the answer of an attempt that ended long ago."""
-        failure = Failure(Code.UPSTREAM_FAILED, "calls.read", "", "the answer is no longer kept")
-        self.job = self.job._replace(body=b"")
-        self.stream = Stream()
-        self.stream.finish(Ending(410, "", failure=failure))
-        self.delivered = True
-
-
 class Executor:
     """Runs attempts on one upstream.
 
@@ -94,7 +75,7 @@
             refusal = self._check(job) or self._queue.offer(job, time.monotonic())
             if refusal is not None:
                 return Err(refusal)
-            self._executions[job.key] = Execution(job)
+            self._executions[job.key] = Execution(job, time.monotonic())
             self._fill()
             self._preempt()
         return Success(None)
@@ -112,7 +93,7 @@
     def find(self, key: CallKey) -> Result[Stream, Failure]:
         """Returns the stream of an attempt's answer."""
         with self._lock:
-            execution = self._executions.get(key)
+            execution = self._asked(key)
         if execution is None:
             detail = f"attempt {key} was not accepted by this incarnation"
             return Err(Failure(Code.CONFLICT, "calls.read", self.host, detail))
@@ -143,7 +124,7 @@
             if incarnation != self.incarnation:
                 return Doubt.UNKNOWN
             self._note_epoch(key, epoch)
-            execution = self._executions.get(key)
+            execution = self._asked(key)
             if execution is None and self._has_forgotten(key):
                 return Doubt.UNKNOWN
             if execution is None:
@@ -156,15 +137,31 @@
             self._withdraw(execution)
             return Doubt.REVOKED
 
-    def drain(self, timeout_s: float) -> bool:
+    def drain(
+        self, timeout_s: float, unasked_since: Callable[[], float] = lambda: -math.inf
+    ) -> bool:
         """Refuses new attempts and waits until the answers to the accepted ones were read.
 
+        An answer that no owner can ask for any more is not waited for.
+
+        Args:
+            timeout_s: Seconds to wait at most.
+            unasked_since: Returns the monotonic time such that no owner asks any more for an
+                answer that ended before it and was not asked for since.
+
         Returns:
-            Whether all were read.
+            Whether all were settled.
         """
+        deadline = time.monotonic() + timeout_s
         with self._idle:
             self._draining = True
-            return self._idle.wait_for(self._all_delivered, timeout_s)
+            while not self._all_settled(unasked_since()):
+                left_s = deadline - time.monotonic()
+                if left_s <= 0:
+                    return False
+                # No event tells that time has passed without a question.
+                self._idle.wait(min(left_s, _DRAIN_POLL_S))
+        return True
 
     def load(self) -> tuple[int, int]:
         """Returns how many attempts run and how many wait."""
@@ -176,8 +173,15 @@
         """Whether new attempts are refused because the process is leaving."""
         return self._draining
 
-    def _all_delivered(self) -> bool:
-        return all(execution.delivered for execution in self._executions.values())
+    def _all_settled(self, unasked_since: float) -> bool:
+        return all(each.is_settled(unasked_since) for each in self._executions.values())
+
+    def _asked(self, key: CallKey) -> Execution | None:
+        """Finds an attempt that an owner asks about."""
+        execution = self._executions.get(key)
+        if execution is not None:
+            execution.asked_at = time.monotonic()
+        return execution
 
     def _check(self, job: Job) -> Failure | None:
         step = "calls.submit"
--- a/packages/endiveworks/src/endiveworks/calls/tests/test_executor.py
+++ b/packages/endiveworks/src/endiveworks/calls/tests/test_executor.py
@@ -1,3 +1,4 @@
+import math
 import random
 import threading
 import time
@@ -143,6 +144,33 @@
         failure = bench.executor.submit(JOB._replace(key=KEY._replace(attempt=2))).failure()
         assert failure.code is Code.DRAINING and failure.not_run
 
+    def test_does_not_wait_for_an_answer_that_no_owner_asks_for_any_more(self) -> None:
+        bench = Bench()
+        bench.executor.submit(JOB).unwrap()
+        bench.go_on.set()
+        assert bench.executor.drain(600.0, time.monotonic)
+
+    def test_waits_for_an_attempt_under_way_however_long_ago_an_owner_asked(self) -> None:
+        bench = Bench()
+        bench.executor.submit(JOB).unwrap()
+        assert not bench.executor.drain(0.0, lambda: math.inf)
+        bench.go_on.set()
+
+    @pytest.mark.parametrize("question", ["read", "revoke"])
+    def test_waits_for_an_answer_that_a_new_owner_has_asked_about(self, question: str) -> None:
+        bench = Bench()
+        bench.executor.submit(JOB).unwrap()
+        bench.go_on.set()
+        assert bench.executor.drain(600.0, time.monotonic)
+        before = time.monotonic()
+        if question == "read":
+            assert bench.executor.find(KEY).unwrap().read(0, 0.0).ending == DONE
+        else:
+            assert bench.executor.revoke(KEY, 7, 4) is Doubt.ENDED
+        assert not bench.executor.drain(0.0, lambda: before)
+        assert bench.finish(KEY) == b"whole"
+        assert bench.executor.drain(0.0, lambda: before)
+
 
 class TestDeadline:
     def test_late_attempt_is_answered_as_not_run_and_never_runs(self) -> None:
