Parse a chat once for its dispatch, and keep the callers' requests in a module of their own

programs/plan.make_plan parsed a chat's body inside the partition's actor, which every other call of the partition waits for, and _body parsed it again. It is parsed once now, before the actor is asked.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/forward.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/forward.py
@@ -10,7 +10,7 @@
 from endiveworks.calls.stream import Ending, Piece
 from endiveworks.errors import Code, Failure
 from endiveworks.programs.attempt import PROBLEM
-from endiveworks.programs.owner import CallRequest, partition_of
+from endiveworks.programs.requests import CallRequest, partition_of
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
@@ -19,10 +19,10 @@
 
 _FIRST_PAUSE_S = 0.05
 _LONGEST_PAUSE_S = 0.5
-# Failures after which another host may own the program, or soon will.
-_MOVED = frozenset({Code.NOT_OWNER, Code.UNREACHABLE, Code.TIMEOUT, Code.STORAGE, Code.STALE_EPOCH})
-# Failures of a call whose owner lost the partition under it; the next owner brings it to its end.
+# Failures of an owner that has lost the partition; the next owner brings its calls to their end.
 _LOST = frozenset({Code.NOT_OWNER, Code.STORAGE, Code.STALE_EPOCH})
+# Failures after which another host may own the partition, or soon will.
+_MOVED = _LOST | {Code.UNREACHABLE, Code.TIMEOUT}
 
 T = TypeVar("T")
 
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/http_app.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/http_app.py
@@ -9,7 +9,7 @@
 import msgspec
 from endiveworks.calls.stream import Piece
 from endiveworks.errors import Code, Failure
-from endiveworks.programs.owner import CallRequest, OpenRequest
+from endiveworks.programs.requests import CallRequest, OpenRequest
 from endiveworks.telemetry.logs import logger
 from returns.result import Failure as Err
 from returns.result import Result, Success
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/http_calls.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/http_calls.py
@@ -9,8 +9,8 @@
 from endiveworks.engines.chat import EVENT_STREAM
 from endiveworks.engines.chat_format import assemble, parse_request
 from endiveworks.errors import Code, Failure
-from endiveworks.programs.owner import CallRequest
 from endiveworks.programs.records import CHAT
+from endiveworks.programs.requests import CallRequest
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/node.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/node.py
@@ -9,7 +9,8 @@
 from endiveworks.calls.stream import Ending, Piece, Stream
 from endiveworks.errors import Code, Failure
 from endiveworks.links.client import Peers
-from endiveworks.programs.owner import CallRequest, OpenRequest, Owner
+from endiveworks.programs.owner import Owner
+from endiveworks.programs.requests import CallRequest, OpenRequest
 from endiveworks.programs.views import ProgramStatus
 from endiveworks.wire.faults import from_fault
 from endiveworks.wire.gen import ttypes
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/owner_service.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/owner_service.py
@@ -7,7 +7,8 @@
 from endiveworks.journal import remote
 from endiveworks.journal.copy_state import Append, Reset, Seal, Trim
 from endiveworks.journal.store import Store
-from endiveworks.programs.owner import CallRequest, Owner
+from endiveworks.programs.owner import Owner
+from endiveworks.programs.requests import CallRequest
 from endiveworks.wire.faults import to_fault
 from endiveworks.wire.gen import ttypes
 from returns.result import Result, Success
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/tests/test_forward.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/tests/test_forward.py
@@ -4,7 +4,7 @@
 import pytest
 from endiveworks.calls.stream import Ending, Piece
 from endiveworks.errors import Code, Failure
-from endiveworks.programs.owner import CallRequest
+from endiveworks.programs.requests import CallRequest
 from endiveworks_daemon.forward import Owners, follow, manage
 from endiveworks_daemon.node import Command, Node
 from endiveworks_daemon.outlet import Outlet
--- a/packages/endiveworks/src/endiveworks/programs/owner.py
+++ b/packages/endiveworks/src/endiveworks/programs/owner.py
@@ -1,11 +1,10 @@
 """Programs of the partitions that this host owns: manages them and runs their calls."""
 
 import itertools
-import secrets
 import threading
 import time
 from collections.abc import Callable
-from typing import NamedTuple, TypedDict, TypeVar
+from typing import NamedTuple, TypeVar
 
 import pykka
 from returns.result import Failure as Err
@@ -13,13 +12,10 @@
 
 from ..calls.stream import Piece, Stream
 from ..config.bundle import Bundle
-from ..engines.chat_format import parse_request
 from ..errors import Code, Failure
 from ..journal.api import OpenedLog
 from .decide import (
     Decision,
-    Open,
-    Start,
     close_idle,
     close_program,
     find_program,
@@ -27,8 +23,9 @@
     start_call,
 )
 from .partition import PartitionActor, commit, start_actor, view
-from .plan import Context, Upstreams, answer_limit
-from .records import CHAT, Call, ProgramClosed, ProgramOpened
+from .plan import Context, Upstreams
+from .records import Call, ProgramClosed, ProgramOpened
+from .requests import CallRequest, OpenRequest, new_program_id, opening, partition_of, start_of
 from .running import RunningCalls
 from .state import Partition, Program
 from .views import ProgramStatus, ended_call, history_of, running_calls, status_of, stored_stream
@@ -36,28 +33,6 @@
 T = TypeVar("T")
 
 
-class OpenRequest(TypedDict):
-    """A request to open a program; class_name and parent may be empty, budget_tokens 0."""
-
-    service: str
-    class_name: str
-    budget_tokens: int
-    parent: str
-    request_key: str
-
-
-class CallRequest(NamedTuple):
-    """A call as its caller sent it."""
-
-    program: str
-    call: int
-    tenant: str
-    service: str
-    operation: str
-    request_key: str
-    body: bytes
-
-
 class _Held(NamedTuple):
     """A partition that this host owns."""
 
@@ -123,16 +98,8 @@
         held = self._find(partition)
         if not isinstance(held, Success):
             return Err(held.failure())
-        program = f"{partition:04x}-{secrets.token_hex(12)}"
-        req = Open(
-            tenant=tenant,
-            service=body["service"],
-            class_name=body["class_name"],
-            parent=body["parent"],
-            budget_tokens=body["budget_tokens"],
-            request_key=body["request_key"],
-            at_s=time.time(),
-        )
+        program = new_program_id(partition)
+        req = opening(tenant, body, time.time())
         services = self._bundle().services
         ref = held.unwrap().ref
         decided = commit(ref, lambda state: open_program(state, req, program, services))
@@ -201,7 +168,7 @@
 
     def submit(self, req: CallRequest) -> Result[None, Failure]:
         """Accepts a call, or finds it accepted before; its answer is then read."""
-        start = self._start_of(req)
+        start = start_of(req, self._bundle())
         held = self._find_for(req.program)
         if not isinstance(start, Success):
             return Err(start.failure())
@@ -265,18 +232,6 @@
 
         self._calls.run(call, context)
 
-    def _start_of(self, req: CallRequest) -> Result[Start, Failure]:
-        new_tokens = max_tokens = 0
-        if req.operation == CHAT:
-            parsed = parse_request(req.body)
-            if not isinstance(parsed, Success):
-                return Err(parsed.failure())
-            new_tokens = parsed.unwrap().new_prompt_tokens
-            service = self._bundle().services.get(req.service)
-            asked = parsed.unwrap().max_tokens
-            max_tokens = answer_limit(service, asked) if service is not None else 0
-        return Success(Start(*req, new_prompt_tokens=new_tokens, max_tokens=max_tokens))
-
     def _look(
         self, program: str, tenant: str, pick: Callable[[Partition, Program], T]
     ) -> Result[T, Failure]:
@@ -304,12 +259,3 @@
             detail = f"partition {partition:04x} is not owned by this host"
             return Err(Failure(Code.NOT_OWNER, "programs.find", "", detail, retry_after_s=0.0))
         return Success(held)
-
-
-def partition_of(program: str) -> int | None:
-    """Returns the partition of a program id; None when the id is malformed."""
-    digits, dash, _ = program.partition("-")
-    try:
-        return int(digits, 16) if dash and len(digits) == 4 else None
-    except ValueError:
-        return None
--- a/packages/endiveworks/src/endiveworks/programs/plan.py
+++ b/packages/endiveworks/src/endiveworks/programs/plan.py
@@ -12,7 +12,13 @@
 from ..calls.pull import Want
 from ..calls.stream import Ending, Piece, Stream
 from ..config.bundle import Bundle, Service
-from ..engines.chat_format import EVENT_END, assemble, engine_request, parse_request
+from ..engines.chat_format import (
+    EVENT_END,
+    ChatRequest,
+    assemble,
+    engine_request,
+    parse_request,
+)
 from ..errors import Code, Failure
 from ..members.member import Member
 from .partition import PartitionActor, view
@@ -95,12 +101,14 @@
         wanted: What the choice of an upstream depends on.
         history: Messages of the program so far, each as JSON.
         attempt: Number of the next attempt.
+        chat: The body of a chat; None for other operations.
     """
 
     started: CallStarted
     wanted: Wanted
     history: tuple[bytes, ...]
     attempt: int
+    chat: ChatRequest | None
 
 
 def make_plan(ctx: Context, call: Call) -> Result[Plan, Failure]:
@@ -111,6 +119,9 @@
         detail = f"service {started.service!r} was removed"
         return Err(Failure(Code.UNKNOWN_SERVICE, "programs.plan", "", detail))
 
+    # Outside the actor, which others wait for.
+    chat = parse_request(started.body).unwrap() if started.operation == CHAT else None
+
     def look(partition: Partition) -> Result[Plan, Failure]:
         program = partition.programs[started.program]
         known = program.calls.get(started.call)
@@ -118,7 +129,6 @@
             # Two threads that ran one call would dispatch it twice.
             detail = f"call {started.call} of {started.program} is run by another thread"
             return Err(Failure(Code.CONFLICT, "programs.plan", "", detail))
-        request = parse_request(started.body).value_or(None) if started.operation == CHAT else None
         wanted = Wanted(
             service=service,
             program=started.program,
@@ -126,12 +136,12 @@
             class_name=program.opened.class_name,
             last_upstream=program.last_upstream,
             history_tokens=program.history_tokens,
-            new_tokens=request.new_prompt_tokens if request else 0,
-            max_tokens=answer_limit(service, request.max_tokens) if request else 0,
+            new_tokens=chat.new_prompt_tokens if chat else 0,
+            max_tokens=answer_limit(service, chat.max_tokens) if chat else 0,
             attained_tokens=program.attained_tokens,
             refused=frozenset(),
         )
-        return Success(Plan(started, wanted, tuple(program.messages), program.attempts + 1))
+        return Success(Plan(started, wanted, tuple(program.messages), program.attempts + 1, chat))
 
     return view(ctx.ref, look).bind(lambda outcome: outcome)
 
@@ -175,13 +185,12 @@
 
 
 def _body(plan: Plan, begun: bytes, max_tokens: int) -> bytes:
-    if plan.started.operation != CHAT:
+    if plan.chat is None:
         return plan.started.body
-    req = parse_request(plan.started.body).unwrap()
     message = _begun_message(begun) if begun else b""
     wanted = plan.wanted
     return engine_request(
-        wanted.service.model, wanted.program, plan.history, req, max_tokens, message
+        wanted.service.model, wanted.program, plan.history, plan.chat, max_tokens, message
     )
 
 
--- /dev/null
+++ b/packages/endiveworks/src/endiveworks/programs/requests.py
@@ -0,0 +1,71 @@
+"""Requests to open programs and to make calls, as their callers sent them."""
+
+import secrets
+from typing import NamedTuple, TypedDict
+
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+from ..config.bundle import Bundle
+from ..engines.chat_format import parse_request
+from ..errors import Failure
+from .decide import Open, Start
+from .plan import answer_limit
+from .records import CHAT
+
+_PARTITION_DIGITS = 4
+_PROGRAM_ID_BYTES = 12
+
+
+class OpenRequest(TypedDict):
+    """A request to open a program; class_name and parent may be empty, budget_tokens 0."""
+
+    service: str
+    class_name: str
+    budget_tokens: int
+    parent: str
+    request_key: str
+
+
+class CallRequest(NamedTuple):
+    """A call as its caller sent it."""
+
+    program: str
+    call: int
+    tenant: str
+    service: str
+    operation: str
+    request_key: str
+    body: bytes
+
+
+def opening(tenant: str, body: OpenRequest, at_s: float) -> Open:
+    """Returns what a tenant asks to open at a time in seconds since the epoch."""
+    return Open(tenant=tenant, at_s=at_s, **body)
+
+
+def start_of(req: CallRequest, bundle: Bundle) -> Result[Start, Failure]:
+    """Returns a call with the size of its prompt and answer; a malformed chat is refused."""
+    if req.operation != CHAT:
+        return Success(Start(*req, new_prompt_tokens=0, max_tokens=0))
+    parsed = parse_request(req.body)
+    if not isinstance(parsed, Success):
+        return Err(parsed.failure())
+    chat = parsed.unwrap()
+    service = bundle.services.get(req.service)
+    max_tokens = answer_limit(service, chat.max_tokens) if service is not None else 0
+    return Success(Start(*req, new_prompt_tokens=chat.new_prompt_tokens, max_tokens=max_tokens))
+
+
+def new_program_id(partition: int) -> str:
+    """Returns an id for a new program of a partition."""
+    return f"{partition:0{_PARTITION_DIGITS}x}-{secrets.token_hex(_PROGRAM_ID_BYTES)}"
+
+
+def partition_of(program: str) -> int | None:
+    """Returns the partition of a program id; None when the id is malformed."""
+    digits, dash, _ = program.partition("-")
+    try:
+        return int(digits, 16) if dash and len(digits) == _PARTITION_DIGITS else None
+    except ValueError:
+        return None
--- a/packages/endiveworks/src/endiveworks/programs/tests/test_dispatch.py
+++ b/packages/endiveworks/src/endiveworks/programs/tests/test_dispatch.py
@@ -9,10 +9,11 @@
 from endiveworks.members.member import Member
 from endiveworks.programs.decide import Open, Start, claim_attempt, open_program, start_call
 from endiveworks.programs.dispatch import run_call
-from endiveworks.programs.owner import CallRequest, Owner
+from endiveworks.programs.owner import Owner
 from endiveworks.programs.partition import commit, start_actor, view
 from endiveworks.programs.plan import Context, Upstreams, Wanted
 from endiveworks.programs.records import Call, CallClaimed
+from endiveworks.programs.requests import CallRequest
 from endiveworks.programs.state import Partition
 from endiveworks.programs.views import running_calls
 from returns.result import Failure as Err
