Accept a call under one configuration

submit looked at the configuration twice, so a call's answer limit and its terms could come from two versions. Seen in TestRemovedService, which counts the looks and failed on the commit before; now both come from one.

--- a/packages/endiveworks/src/endiveworks/programs/owner.py
+++ b/packages/endiveworks/src/endiveworks/programs/owner.py
@@ -168,15 +168,15 @@
 
     def submit(self, req: CallRequest) -> Result[None, Failure]:
         """Accepts a call, or finds it accepted before; its answer is then read."""
-        start = start_of(req, self._bundle())
+        bundle = self._bundle()
+        start = start_of(req, bundle)
         held = self._find_for(req.program)
         if not isinstance(start, Success):
             return Err(start.failure())
         if not isinstance(held, Success):
             return Err(held.failure())
-        services = self._bundle().services
         decided = commit(
-            held.unwrap().ref, lambda state: start_call(state, start.unwrap(), services)
+            held.unwrap().ref, lambda state: start_call(state, start.unwrap(), bundle.services)
         )
         if not isinstance(decided, Success):
             return Err(decided.failure())
