Remove guards of the code one at a time and expect the tests to fail

The page of proofs said "not shown" where a test had not been seen failing for lack of what it guards. `./dev guards` copies the packages, removes one guard named in tests/guards.toml, and runs the tests named with it against the copy.

--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -18,7 +18,9 @@
 its tests pass and bring the fault about, partial when they leave something out, which the last
 column names, and failed when one of them failed or did not run. The model is `spec/scheduler.pml`,
 checked by `python spec/check.py`; each switch named there or below removes one guard, and the run
-shows that the property then breaks.
+shows that the property then breaks. A guard named after `./dev guards` stands in
+`tests/guards.toml`: that command removes it from a copy of the code and fails if its tests still
+pass.
 
 """
 COLUMNS = (
