Test owners that die while the key-value service is down

Change: two scenarios, one with an owner without a data folder, one with an owner that keeps copies. They are checked against the log of the shop and against the prompts that the engine was sent, which its stand-in now logs. The key-value stand-in counts the calls that it refuses while it is down. Seen failing: with the entry's refusal left as it came from the owner (no time to ask again), with the messages of a partition dropped when it is opened.

--- a/packages/endiveworks-standins/src/endiveworks_standins/engine/http.py
+++ b/packages/endiveworks-standins/src/endiveworks_standins/engine/http.py
@@ -91,7 +91,9 @@
     if prompt.tokens + limit > loop.rates.memory_tokens:
         return _problem("400 Bad Request", "the request exceeds the engine's memory")
     pieces = answer_pieces(prompt.answer_seed, prompt.given, natural_tokens, limit)
-    request = loop.submit(request_id, str(body.get("cache_salt", "")), prompt, pieces)
+    salt = str(body.get("cache_salt", ""))
+    loop.log("asked", request=request_id, salt=salt, messages=body["messages"])
+    request = loop.submit(request_id, salt, prompt, pieces)
     if body.get("stream"):
         return Stream(_stream(loop, request, after, str(body.get("model", ""))))
     return _whole(loop, request)
--- a/packages/endiveworks-standins/src/endiveworks_standins/kv.py
+++ b/packages/endiveworks-standins/src/endiveworks_standins/kv.py
@@ -20,6 +20,7 @@
 _SOCKET_CHECK_S = 0.5
 _LEASE_TICK_S = 0.1
 _WATCH = "watch"
+_REFUSED = "refused"
 
 Environ = Mapping[str, Any]
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
@@ -51,6 +52,7 @@
         if path.startswith("/standin/") or path == "/hosts":
             return _reply(start_response, 200, _control(state, path, _body(environ)))
         if state.faults.down:
+            _count(state, _REFUSED)
             return _cut(environ, start_response)
         time.sleep(state.faults.delay_ms / 1000)
         if path == "/v3/watch":
@@ -70,8 +72,7 @@
     kind: str,
     handle: Callable[[kv_api.Body], kv_api.Body],
 ) -> Iterable[bytes]:
-    with state.lock:
-        state.calls[kind] += 1
+    _count(state, kind)
     state.store.expire(time.monotonic())
     try:
         reply = handle(_body(environ))
@@ -133,6 +134,11 @@
             state.watches_waiting -= 1
 
 
+def _count(state: State, kind: str) -> None:
+    with state.lock:
+        state.calls[kind] += 1
+
+
 def _control(state: State, path: str, body: kv_api.Body) -> Any:
     if path == "/hosts":
         return _served_hosts(state)
--- a/tests/failures/conftest.py
+++ b/tests/failures/conftest.py
@@ -18,11 +18,16 @@
 from pytest_bdd import given, parsers, then, when
 
 SERVICES = Path(__file__).parents[2] / "examples" / "services"
-PLACES = {"entry-1": Place("east", "east-1"), "entry-2": Place("east", "east-2")}
+PLACES = {
+    "entry-1": Place("east", "east-1"),
+    "entry-2": Place("east", "east-2"),
+    "entry-3": Place("east", "east-1"),
+}
 EAST = Place("east", "east-1")
 LEASE = "--lease_s=2"
 TENANT = "signs"
 ANSWER_TIMEOUT_S = 120.0
+CHAT_TOKENS = 12
 PROBLEM = "application/problem+json"
 BUSY_CODES = ("draining", "not_owner", "no_upstream", "overloaded", "unreachable")
 
@@ -70,8 +75,8 @@
         self.kv = connect_kv(self.kv_address, 2.0)
         self.publish(SERVICES)
 
-    def add_entry(self, name: str) -> None:
-        self.entries[name] = self.start_entry(name, PLACES[name], LEASE)
+    def add_entry(self, name: str, *flags: str, disk: bool = True) -> None:
+        self.entries[name] = self.start_entry(name, PLACES[name], LEASE, *flags, disk=disk)
 
     def add_upstream(self, name: str, service: str, address: str) -> None:
         self.upstreams[name] = address
@@ -192,11 +197,53 @@
     return Request(program, call, "/v1/services/shop/order", f"key-{item}", body)
 
 
+class Conversation:
+    """A program whose caller remembers the whole conversation.
+
+    Attributes:
+        program: The program's id.
+        messages: What was said so far.
+        calls: Number of calls that have ended.
+    """
+
+    def __init__(self, deployment: Deployment, program: str) -> None:
+        self.program = program
+        self.messages: list[dict[str, str]] = []
+        self.calls = 0
+        self._deployment = deployment
+
+    def say(self, entry: str, text: str) -> None:
+        """Makes the next call, a chat, and remembers its answer."""
+        message = {"role": "user", "content": text}
+        body = {"model": "assistant", "messages": [message], "max_tokens": CHAT_TOKENS}
+        number = self.calls + 1
+        data = json.dumps(body).encode()
+        req = Request(self.program, number, "/v1/chat/completions", f"chat-{number}", data)
+        answer = self._deployment.ask(entry, req)
+        assert answer.status == 200, answer
+        said = json.loads(answer.body)["choices"][0]["message"]["content"]
+        self.messages += [message, {"role": "assistant", "content": said}]
+        self.calls = number
+
+    def prompts(self, engine: str = "engine-1") -> list[list[dict[str, str]]]:
+        """Returns the prompts that an engine was sent for the program, oldest first."""
+        return [
+            line["messages"]
+            for line in self._deployment.executed(engine)
+            if line["event"] == "asked" and line["salt"] == self.program
+        ]
+
+
 @pytest.fixture
 def make_order() -> Callable[[str], Request]:
     return order
 
 
+@pytest.fixture
+def converse() -> Callable[[Deployment, str], Conversation]:
+    return Conversation
+
+
 @pytest.fixture
 def world() -> World:
     return World()
