Pause between tries to change the partition table in an outage

Cause: a takeover that failed because the key-value service did not answer had its record read again at once, which woke the keeper, which tried the takeover again. Ruled out: the retries of the log's repair, 5 a second for each partition with a lost copy, and the renewals of leases, which pause already. Change: one pause for each host, up to 2 s, after the table did not answer; it holds back takeovers, handovers and the reading of stale records, which are kept for later. The next change comes up to 2 s later after an outage.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/partition_timers.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/partition_timers.py
@@ -18,9 +18,14 @@
 
 
 class Backoffs:
-    """Pauses between the openings of partitions that fail, since each opening takes an epoch."""
+    """Pauses between attempts that fail: each opening of a partition takes an epoch.
 
-    def __init__(self) -> None:
+    Args:
+        max_s: Upper bound of every pause, in seconds.
+    """
+
+    def __init__(self, max_s: float = _MAX_BACKOFF_S) -> None:
+        self._max_s = max_s
         self._failures: dict[int, _Failures] = {}
 
     def may_try(self, partition: int) -> bool:
@@ -31,7 +36,7 @@
     def failed(self, partition: int) -> None:
         """Begins a pause, longer after each failure in a row."""
         in_a_row = self._failures.get(partition, _Failures(0, 0.0)).in_a_row + 1
-        pause_s = backoff_s(in_a_row, _BASE_BACKOFF_S, _MAX_BACKOFF_S, random.random())
+        pause_s = backoff_s(in_a_row, _BASE_BACKOFF_S, self._max_s, random.random())
         self._failures[partition] = _Failures(in_a_row, time.monotonic() + pause_s)
 
     def succeeded(self, partition: int) -> None:
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/partitions.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/partitions.py
@@ -41,6 +41,10 @@
 _TICK_S = 1.0
 _POLL_S = 0.05
 _WORKERS = 8
+# Bounds how late this host acts on the table after an outage of the key-value service.
+_MAX_TABLE_BACKOFF_S = 2.0
+_TABLE = 0
+_UNANSWERED = frozenset({Code.TIMEOUT, Code.UNREACHABLE})
 
 
 class Parts(NamedTuple):
@@ -82,6 +86,7 @@
         self._spent: dict[int, int] = {}
         self._busy: set[int] = set()
         self._backoffs = Backoffs()
+        self._table_backoff = Backoffs(_MAX_TABLE_BACKOFF_S)
         self._stale: set[int] = set()
         self._placed: Mapping[str, Member] = {}
         self._ownerless = OwnerlessTimes()
@@ -256,7 +261,10 @@
         self._swap_and_open(before, taken)
 
     def _swap_and_open(self, before: Located, record: PartitionRecord) -> None:
+        if not self._table_backoff.may_try(_TABLE):
+            return
         swapped = table.swap(self._parts.kv, before, record)
+        self._note_table(swapped)
         if not isinstance(swapped, Success):
             self.refresh(record.partition)
             return
@@ -292,8 +300,11 @@
         return adopted
 
     def _hand_over(self, record: PartitionRecord, successor: Member) -> None:
+        if not self._table_backoff.may_try(_TABLE):
+            return
         # In an outage the table could not be changed, and nobody would act on the partition.
         found = table.read(self._parts.kv, record.partition)
+        self._note_table(found)
         if not isinstance(found, Success) or found.unwrap().record != record:
             return
         self._give_up(record.partition)
@@ -330,10 +341,28 @@
                 self._give_up(partition)
 
     def _refresh_stale(self) -> None:
+        if not self._table_backoff.may_try(_TABLE):
+            return
         with self._lock:
             stale, self._stale = self._stale, set()
-        for partition in stale:
-            self.table.refresh(self._parts.kv, partition)
+        while stale:
+            partition = stale.pop()
+            if self._note_table(self.table.refresh(self._parts.kv, partition)):
+                with self._lock:
+                    self._stale |= {partition, *stale}
+                return
+
+    def _note_table(self, outcome: Result[Located, Failure]) -> bool:
+        """Notes whether the table answered; begins a pause and returns True if it did not.
+
+        Without the pause, all hosts would ask for every partition of a dead owner, as fast as
+        they can, for as long as the key-value service is down.
+        """
+        if isinstance(outcome, Success) or outcome.failure().code not in _UNANSWERED:
+            self._table_backoff.succeeded(_TABLE)
+            return False
+        self._table_backoff.failed(_TABLE)
+        return True
 
 
 def _partition_of(action: keeper.Action) -> int:
--- /dev/null
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/tests/test_partitions.py
@@ -0,0 +1,106 @@
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+from endiveworks.errors import Code, Failure
+from endiveworks.members.member import Member
+from endiveworks.ownership.record import OwnerId, PartitionRecord, encode_record, key_of
+from endiveworks.ownership.terms import agree_terms
+from endiveworks.platform.kv import Entry, Kv, Snapshot
+from endiveworks_daemon import partition_timers
+from endiveworks_daemon.partitions import Partitions, Parts
+from endiveworks_daemon.suspects import Suspects
+from endiveworks_standins.fleet import wait_until
+from returns.result import Failure as Err
+from returns.result import Success
+
+ME = Member("me", "", "entry", "", "r", "d", 1)
+DEAD = OwnerId("dead", 2)
+PARTITIONS = 8
+ROUNDS = 20
+
+
+class DownKv:
+    """Knows the table of a deployment, but has been down since it was read."""
+
+    def __init__(self) -> None:
+        self.asked = 0
+        self.entries: dict[str, Entry] = {}
+        agree_terms(self.kv(is_down=False), PARTITIONS).unwrap()
+        for partition in range(PARTITIONS):
+            key = key_of(partition)
+            record = PartitionRecord(partition, DEAD, 1, (), 1)
+            self.entries[key] = Entry(key, encode_record(record), 1)
+
+    def kv(self, is_down: bool = True) -> Kv:
+        def swap(wanted: Any) -> Any:
+            if is_down:
+                return self.refuse()
+            self.entries[wanted.key] = Entry(wanted.key, wanted.value, 1)
+            return Success(None)
+
+        def read(key: str) -> Any:
+            if is_down and key.startswith("/endiveworks/partitions/"):
+                return self.refuse()
+            return Success(self.entries.get(key))
+
+        def read_prefix(prefix: str) -> Any:
+            found = [entry for key, entry in self.entries.items() if key.startswith(prefix)]
+            return Success(Snapshot(1, tuple(found)))
+
+        return Kv(read, read_prefix, swap, None, None, lambda *args: self.refuse())  # type: ignore[arg-type]
+
+    def refuse(self) -> Any:
+        self.asked += 1
+        return Err(Failure(Code.UNREACHABLE, "kv", "", "down"))
+
+
+class Clock:
+    """Time that passes when the test says so, and pauses of full length."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.now_s = 100.0
+        monkeypatch.setattr(partition_timers, "time", SimpleNamespace(monotonic=lambda: self.now_s))
+        monkeypatch.setattr(partition_timers, "random", SimpleNamespace(random=lambda: 1.0))
+
+
+class TestOutage:
+    @pytest.fixture(autouse=True)
+    def _running(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.clock = Clock(monkeypatch)
+        self.down = DownKv()
+        self.rounds = 0
+        parts: Any = Parts(
+            kv=self.down.kv()._replace(watch=self.never_watched),
+            owner=None,
+            store=None,
+            links=None,
+            members=self.members,
+            notify=None,
+            suspects=Suspects(lambda member: False),
+            region="r",
+        )
+        self.partitions = Partitions(parts)
+        self.partitions.start(ME)
+
+    def never_watched(self, *args: object) -> Any:
+        return Err(Failure(Code.UNREACHABLE, "kv", "", "down"))
+
+    def members(self) -> dict[str, Member]:
+        self.rounds += 1
+        return {ME.host: ME}
+
+    def run_rounds(self) -> None:
+        for _ in range(ROUNDS):
+            before = self.rounds
+            self.partitions.refresh(0)
+            wait_until(lambda before=before: self.rounds > before)
+
+    def test_the_table_is_not_asked_again_at_once(self) -> None:
+        wait_until(lambda: self.down.asked)
+        self.run_rounds()
+        asked = self.down.asked
+        self.run_rounds()
+        assert self.down.asked == asked
+        self.clock.now_s += 10.0
+        wait_until(lambda: self.down.asked > asked)
--- a/packages/endiveworks/src/endiveworks/ownership/view.py
+++ b/packages/endiveworks/src/endiveworks/ownership/view.py
@@ -49,11 +49,12 @@
             self._located[partition] = located
         self._changed()
 
-    def refresh(self, kv: Kv, partition: int) -> None:
+    def refresh(self, kv: Kv, partition: int) -> Result[Located, Failure]:
         """Reads one record again."""
         found = read(kv, partition)
         if isinstance(found, Success):
             self.put(partition, found.unwrap())
+        return found
 
     def load(self, kv: Kv) -> bool:
         """Reads all records; returns whether the key-value service answered."""
