--- a/packages/endiveworks-standins/src/endiveworks_standins/kv.py
+++ b/packages/endiveworks-standins/src/endiveworks_standins/kv.py
@@ -21,6 +21,7 @@
 _LEASE_TICK_S = 0.1
 _WATCH = "watch"
 _REFUSED = "refused"
+_LOST = "lost"
 
 Environ = Mapping[str, Any]
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
@@ -173,6 +174,7 @@
     with state.lock:
         left = state.faults.lose_answers
         if left > 0:
+            state.calls[_LOST] += 1
             state.faults = state.faults._replace(lose_answers=left - 1)
         return left > 0
 
