Hold copies made again between regions to a share of the link, with appends before them

Filling a copy waits in the thread that copies and before the next piece is read; appends, takeovers and calls go at once and are paid for by later bulk. A filling that waits ends when a copy that appends wait for has failed, or when 16 MiB wait for the new one. Ruled out: a counter in the key-value service, and a process that grants bytes (design/links.md).

The forwarder counts the bytes that it sends to its target.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/choice.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/choice.py
@@ -9,6 +9,7 @@
 
 from endiveworks.calls.stream import Ending
 from endiveworks.errors import Code, Failure
+from endiveworks.links.link_share import LinkShare
 from endiveworks.members.member import Member
 from endiveworks.programs.plan import Wanted
 from endiveworks.reasons import Reasons
@@ -21,7 +22,6 @@
 _EWMA_SHARE = 0.1
 _BYTES_PER_TOKEN = 4
 _STREAM_BYTES_PER_TOKEN = 100
-_LINK_BURST_S = 2.0
 _KEPT_PROGRAMS = 4_096
 _KEPT_CHOICES = 8
 
@@ -32,10 +32,12 @@
     Attributes:
         bytes_per_s: Rate that this host may use.
         delay_s: One-way delay.
+        share: What this host has left of that rate.
     """
 
     bytes_per_s: float
     delay_s: float
+    share: LinkShare
 
 
 class Report(NamedTuple):
@@ -79,8 +81,6 @@
         self._reports: dict[str, Report] = {}
         self._sent_s: dict[str, dict[str, float]] = defaultdict(dict)
         self._cost_s: dict[str, float] = {}
-        self._link_bytes = link.bytes_per_s * _LINK_BURST_S
-        self._link_at_s = time.monotonic()
         self._chosen: OrderedDict[str, tuple[Chosen, ...]] = OrderedDict()
 
     def choose(self, wanted: Wanted, members: Mapping[str, Member]) -> Result[Member, Failure]:
@@ -95,14 +95,14 @@
         with self._lock:
             views = [self._view(wanted, member, now_s) for member in candidates]
             call = self._call(wanted)
-            choice = choose(call, views, self._costs(wanted, now_s), now_s, self._source)
+            choice = choose(call, views, self._costs(wanted), now_s, self._source)
             if not choice.host:
                 detail = f"no upstream of {name!r} takes the call"
                 return Err(Failure(Code.NO_UPSTREAM, "choice.choose", "", detail, True, _RETRY_S))
             chosen = members[choice.host]
             self._sent_s[choice.host][wanted.program] = now_s
             if chosen.region != self._region:
-                self._link_bytes -= call.bytes_across
+                self._link.share.spend(call.bytes_across)
             self._keep(wanted.program, Chosen(time.time(), *choice))
         return Success(chosen)
 
@@ -150,16 +150,12 @@
         across = prompt_tokens * _BYTES_PER_TOKEN + answer_bytes
         return Call(self._region, prompt_tokens, across, held)
 
-    def _costs(self, wanted: Wanted, now_s: float) -> Costs:
-        gained = (now_s - self._link_at_s) * self._link.bytes_per_s
-        most = self._link.bytes_per_s * _LINK_BURST_S
-        self._link_bytes = min(most, self._link_bytes + gained)
-        self._link_at_s = now_s
+    def _costs(self, wanted: Wanted) -> Costs:
         return Costs(
             wanted.service.weights,
             self._prefill_tokens_per_s,
             self._link.delay_s,
-            self._link_bytes,
+            self._link.share.left_bytes(),
             self._link.bytes_per_s,
         )
 
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/copy_links.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/copy_links.py
@@ -8,6 +8,7 @@
 from endiveworks.journal.remote import remote_peer
 from endiveworks.journal.store import Store
 from endiveworks.links.client import Peers
+from endiveworks.links.link_share import LinkShare
 from endiveworks.members.member import Member
 
 from .identity import Identity
@@ -23,6 +24,7 @@
         store: The copies of this host, if it keeps any.
         members: Returns the live processes by host.
         peers: Connections to entries.
+        link: Share of the link between regions.
     """
 
     def __init__(
@@ -31,11 +33,13 @@
         store: Store | None,
         members: Callable[[], Mapping[str, Member]],
         peers: Peers,
+        link: LinkShare,
     ) -> None:
         self._identity = identity
         self._store = store
         self._members = members
         self._peers = peers
+        self._link = link
         self._lock = threading.Lock()
         self._pools: dict[str, ThreadPoolExecutor] = {}
 
@@ -50,7 +54,13 @@
             return member.address if member is not None else None
 
         origin = self._identity.origin
-        return remote_peer(copy, address, self._peers, origin, self._pool(copy.host))
+        pool = self._pool(copy.host)
+        return remote_peer(copy, address, self._peers, origin, pool, self._link_to(copy.host))
+
+    def _link_to(self, host: str) -> LinkShare | None:
+        member = self._members().get(host)
+        crosses = member is not None and member.region != self._identity.region
+        return self._link if crosses else None
 
     def _pool(self, host: str) -> ThreadPoolExecutor:
         with self._lock:
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/entry.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/entry.py
@@ -6,6 +6,7 @@
 
 from endiveworks.links import server
 from endiveworks.links.client import Peers
+from endiveworks.links.link_share import LinkShare
 from endiveworks.members.member import Member
 from endiveworks.programs.owner import Owner
 from endiveworks.programs.plan import Upstreams
@@ -42,7 +43,8 @@
 def start_entry(cfg: Values) -> Callable[[], bool]:
     """Starts the process and returns the function that stops it."""
     deployment = join(cfg)
-    choices = _choices(cfg, deployment)
+    share = LinkShare(cfg.number("link_bytes_per_s"))
+    choices = _choices(cfg, deployment, share)
     peers = Peers(ExecutorThrift.Client)
     origin = deployment.identity.origin
     links = upstream_links(
@@ -61,7 +63,7 @@
     start_idle_sweep(owner, cfg.number("program_idle_s"))
     entries = Peers(OwnerThrift.Client)
     store = open_folder(cfg.text("data_dir"), deployment.kv)
-    copies = CopyLinks(deployment.identity, store, deployment.members, entries)
+    copies = CopyLinks(deployment.identity, store, deployment.members, entries, share)
     notify = notifier(entries, origin)
     suspects = Suspects(pinger(entries, origin))
     partitions = Partitions(
@@ -129,8 +131,8 @@
     return recorded_upstreams(links, recorder)
 
 
-def _choices(cfg: Values, deployment: Deployment) -> Choices:
-    link = Link(cfg.number("link_bytes_per_s"), cfg.number("link_delay_s"))
+def _choices(cfg: Values, deployment: Deployment, share: LinkShare) -> Choices:
+    link = Link(cfg.number("link_bytes_per_s"), cfg.number("link_delay_s"), share)
     return Choices(
         deployment.identity.region,
         link,
--- a/packages/endiveworks-standins/src/endiveworks_standins/forwarder.py
+++ b/packages/endiveworks-standins/src/endiveworks_standins/forwarder.py
@@ -50,11 +50,13 @@
     Attributes:
         target: Address to forward to, as "ip:port".
         accepted: Connections accepted so far.
+        sent_bytes: Bytes forwarded to the target so far.
     """
 
     def __init__(self) -> None:
         self.target = ""
         self.accepted = 0
+        self.sent_bytes = 0
         self._faults = Faults()
         self._links: list[Link] = []
         self._lock = threading.Lock()
@@ -88,24 +90,34 @@
             caller.close()
             return
         directions = (
-            (caller, target, lambda: link.drops_to_target),
-            (target, caller, lambda: link.drops_to_caller),
+            (caller, target, lambda: link.drops_to_target, self._count),
+            (target, caller, lambda: link.drops_to_caller, lambda size: None),
         )
         for direction in directions:
             threading.Thread(target=_copy, args=direction, daemon=True).start()
 
+    def _count(self, size: int) -> None:
+        with self._lock:
+            self.sent_bytes += size
+
 
 def _silence(link: Link, faults: Faults) -> None:
     link.drops_to_target = link.drops_to_target or faults.to_target
     link.drops_to_caller = link.drops_to_caller or faults.to_caller
 
 
-def _copy(source: socket.socket, sink: socket.socket, drops: Callable[[], bool]) -> None:
+def _copy(
+    source: socket.socket,
+    sink: socket.socket,
+    drops: Callable[[], bool],
+    count: Callable[[int], None],
+) -> None:
     """Copies bytes one way until an end closes; a silent direction hides the close too."""
     with contextlib.suppress(OSError):
         while data := source.recv(_READ_BYTES):
             if not drops():
                 sink.sendall(data)
+                count(len(data))
     if not drops():
         with contextlib.suppress(OSError):
             sink.shutdown(socket.SHUT_WR)
@@ -120,7 +132,8 @@
         elif environ["PATH_INFO"] == "/standin/faults":
             forwarder.set_faults(Faults(**body))
         start_response("200 OK", [("Content-Type", "application/json")])
-        return [json.dumps({"accepted": forwarder.accepted}).encode()]
+        counters = {"accepted": forwarder.accepted, "sent_bytes": forwarder.sent_bytes}
+        return [json.dumps(counters).encode()]
 
     return answer
 
--- a/packages/endiveworks/src/endiveworks/journal/copy_sender.py
+++ b/packages/endiveworks/src/endiveworks/journal/copy_sender.py
@@ -10,7 +10,7 @@
 
 from ..errors import Code, Failure
 from .copy_state import Append, Head, Request, Trim
-from .peer import HeadFuture, Peer
+from .peer import HeadFuture, Peer, spend
 
 MAX_SEND_BYTES = 1024 * 1024
 _RETRIED = frozenset({Code.TIMEOUT, Code.UNREACHABLE})
@@ -35,6 +35,11 @@
 
     One request is under way at a time, and takes along all entries that wait when it is sent.
     The senders of a log share its lock, because a send may complete in the thread that makes it.
+
+    Attributes:
+        peer: Access to the copy.
+        acked: Index up to which the copy is on disk.
+        waiting_bytes: Bytes of the entries that wait to be sent.
     """
 
     def __init__(
@@ -48,6 +53,7 @@
     ) -> None:
         self.peer = peer
         self.acked = acked
+        self.waiting_bytes = 0
         self._partition = partition
         self._epoch = epoch
         self._patience = patience
@@ -70,6 +76,7 @@
         """Queues the entries that follow the last ones queued."""
         with self._lock:
             self._queue.extend(entries)
+            self.waiting_bytes += sum(map(len, entries))
             self._send_next()
 
     def trim(self, first_index: int) -> None:
@@ -83,6 +90,7 @@
         with self._lock:
             self._stopped = True
             self._queue.clear()
+            self.waiting_bytes = 0
 
     def _send_next(self) -> None:
         if self._events is None or self._stopped or self._sending is not None:
@@ -100,6 +108,8 @@
             entry = self._queue.popleft()
             batch.append(entry)
             size += len(entry)
+        self.waiting_bytes -= size
+        spend(self.peer, batch)
         first_index = self._next_index
         self._next_index += len(batch)
         return Append(self._partition, self._epoch, first_index, batch)
--- a/packages/endiveworks/src/endiveworks/journal/remote.py
+++ b/packages/endiveworks/src/endiveworks/journal/remote.py
@@ -9,6 +9,7 @@
 
 from ..errors import Code, Failure
 from ..links.client import Peers
+from ..links.link_share import LinkShare
 from ..wire.faults import from_fault, to_fault
 from ..wire.gen import ttypes
 from .copy_state import Append, Drop, Head, Request, Reset, Seal, Trim
@@ -24,6 +25,7 @@
     peers: Peers,
     origin: Callable[[], ttypes.Origin],
     pool: Executor,
+    link: LinkShare | None = None,
 ) -> Peer:
     """Returns the peer for the copies of another host.
 
@@ -33,6 +35,7 @@
         peers: Connections to entries.
         origin: Returns the sender part of a message.
         pool: Threads that wait for this host's answers.
+        link: Share of the link between regions, if the host is in another region.
     """
 
     def call(step: str, method: Callable[[Any], Any]) -> Result[Any, Failure]:
@@ -62,7 +65,7 @@
         )
         return reply.bind(_fetched)
 
-    return Peer(copy, send, fetch)
+    return Peer(copy, send, fetch, link)
 
 
 def handle(store: Store | None, folder: str, req: Request) -> ttypes.CopyReply:
--- a/packages/endiveworks/src/endiveworks/journal/repair.py
+++ b/packages/endiveworks/src/endiveworks/journal/repair.py
@@ -9,11 +9,15 @@
 from ..errors import Code, Failure
 from .copy_sender import CopySender, Patience, SenderEvents
 from .copy_state import Head, Reset, Seal
+from .entries import READ_BYTES
 from .peer import CopyId, Peer
 from .replication import CopySet, Replication, lose, settle, trim
-from .takeover import copy_entries
+from .takeover import Pace, copy_entries
 
 _ATTEMPT_BITS = 20
+# One piece must not hold up the control messages on the link for long.
+_LINK_PIECE_BYTES = 64 * 1024
+_MAX_WAITING_BYTES = 16 * 1024 * 1024
 _RETRIED = frozenset({Code.TIMEOUT, Code.UNREACHABLE})
 
 EventsOf = Callable[[CopyId], SenderEvents]
@@ -101,7 +105,7 @@
         base = state.last_index
         source = state.senders[min(state.required)].peer
     try:
-        filled = _fill(state, source, peer, base)
+        filled = _fill(state, source, peer, base, _paced(state, sender))
         if not isinstance(filled, Success):
             _abandon(state, peer.copy)
             return False
@@ -120,7 +124,32 @@
             trim(state, state.trim_to)
 
 
-def _fill(state: Replication, source: Peer, target: Peer, base: int) -> Result[None, Failure]:
+def _paced(state: Replication, sender: CopySender) -> Pace:
+    """Returns a pace that keeps the filling of a copy within the share of the link.
+
+    It ends the filling when a copy that appends wait for has failed, since that one has to leave
+    the set first, or when too many entries wait for the new copy.
+    """
+
+    def goes_on() -> bool:
+        with state.lock:
+            if state.closed is not None or state.failed.keys() & state.required:
+                return False
+            return sender.waiting_bytes <= _MAX_WAITING_BYTES
+
+    def pace(peer: Peer, records: Sequence[bytes]) -> Result[None, Failure]:
+        size = sum(map(len, records))
+        if peer.link is None or peer.link.wait(size, goes_on):
+            return Success(None)
+        detail = "the filling of the copy was ended"
+        return Err(Failure(Code.TIMEOUT, "journal.fill", peer.copy.host, detail))
+
+    return pace
+
+
+def _fill(
+    state: Replication, source: Peer, target: Peer, base: int, pace: Pace
+) -> Result[None, Failure]:
     """Copies everything up to an index that was appended, but may not be stored yet."""
     stored = _wait_stored(state, base)
     if not isinstance(stored, Success):
@@ -137,7 +166,11 @@
     if not isinstance(started, Success):
         return Err(started.failure())
     upto = Head(state.epoch, generation, first_index, base)
-    return copy_entries(state.partition, state.epoch, source, target, first_index, upto)
+    crosses = source.link is not None or target.link is not None
+    piece_bytes = _LINK_PIECE_BYTES if crosses else READ_BYTES
+    return copy_entries(
+        state.partition, state.epoch, source, target, first_index, upto, pace, piece_bytes
+    )
 
 
 def _wait_stored(state: Replication, base: int) -> Result[int, Failure]:
--- a/packages/endiveworks/src/endiveworks/journal/takeover.py
+++ b/packages/endiveworks/src/endiveworks/journal/takeover.py
@@ -1,6 +1,6 @@
 """Seals the copies of a partition at a new epoch and makes them equal."""
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import NamedTuple
 
 from returns.result import Failure as Err
@@ -9,10 +9,13 @@
 from ..errors import Code, Failure
 from .copy_state import Append, Head, Request, Seal
 from .entries import READ_BYTES
-from .peer import Peer
+from .peer import Peer, spend
 
 _STEP = "journal.takeover"
 
+# Is told of records before they are sent to or from a copy, and may hold them back.
+Pace = Callable[[Peer, Sequence[bytes]], Result[None, Failure]]
+
 
 class Sealed(NamedTuple):
     """A copy that refuses lower epochs, and its state."""
@@ -91,19 +94,47 @@
     return copy_entries(partition, epoch, source.peer, copy.peer, first_index, source.head)
 
 
+def at_once(peer: Peer, records: Sequence[bytes]) -> Result[None, Failure]:
+    """Lets records go at once, as callers wait for a partition that is being opened."""
+    spend(peer, records)
+    return Success(None)
+
+
 def copy_entries(
-    partition: int, epoch: int, source: Peer, target: Peer, first_index: int, upto: Head
+    partition: int,
+    epoch: int,
+    source: Peer,
+    target: Peer,
+    first_index: int,
+    upto: Head,
+    pace: Pace = at_once,
+    piece_bytes: int = READ_BYTES,
 ) -> Result[None, Failure]:
-    """Copies entries from one copy to another, from an index up to the last of a state."""
+    """Copies entries from one copy to another, from an index up to the last of a state.
+
+    Args:
+        partition: Number of the partition.
+        epoch: Epoch of its owner.
+        source: Copy that has the entries.
+        target: Copy that gets them.
+        first_index: Index of the first entry.
+        upto: State up to which they are copied.
+        pace: Is told of the entries of each piece.
+        piece_bytes: Bytes that are read and sent at once, unless one entry is larger.
+    """
     index = first_index
     while index <= upto.last_index:
-        fetched = source.fetch(partition, index, READ_BYTES)
+        fetched = source.fetch(partition, index, piece_bytes)
         if not isinstance(fetched, Success):
             return Err(fetched.failure())
         records = fetched.unwrap().records[: upto.last_index - index + 1]
         if not records:
             detail = f"partition {partition}: entry {index} is not on {source.copy.host}"
             return Err(Failure(Code.CORRUPT, _STEP, source.copy.host, detail))
+        for peer in (source, target):
+            paced = pace(peer, records)
+            if not isinstance(paced, Success):
+                return paced
         appended = target.send(Append(partition, epoch, index, records)).result()
         if not isinstance(appended, Success):
             return Err(appended.failure())
--- a/packages/endiveworks/src/endiveworks/journal/tests/fake_hosts.py
+++ b/packages/endiveworks/src/endiveworks/journal/tests/fake_hosts.py
@@ -12,6 +12,7 @@
 from endiveworks.journal.replicated_log import OpenedReplica, open_replicated_log
 from endiveworks.journal.replication import CopySet
 from endiveworks.journal.store import Fetched
+from endiveworks.links.link_share import LinkShare
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
@@ -96,6 +97,7 @@
         self.copies = tuple(host.copy for host in hosts[:WANTED_COPIES])
         self.fault = ""
         self.leaving = ""
+        self.link: LinkShare | None = None
         self.work: list[Callable[[], None]] = []
         self.losses: list[Failure] = []
         for host in hosts[:WANTED_COPIES]:
@@ -144,4 +146,4 @@
         staying = [copy for copy in present if copy.host != self.leaving]
         if not free or len(staying) >= WANTED_COPIES:
             return None
-        return free[0].peer(free[0].copy)
+        return free[0].peer(free[0].copy)._replace(link=self.link)
--- a/packages/endiveworks/src/endiveworks/journal/tests/test_replicated_log.py
+++ b/packages/endiveworks/src/endiveworks/journal/tests/test_replicated_log.py
@@ -1,6 +1,9 @@
+from collections.abc import Callable
+
 from endiveworks.errors import Code
 from endiveworks.journal.copy_state import Reset
 from endiveworks.journal.tests.fake_hosts import PARTITION, FakeHost, FakeTable, HungError
+from endiveworks.links.link_share import LinkShare
 from returns.result import Success
 
 
@@ -113,6 +116,30 @@
         assert hosts == ["abc", "bc"]
         assert table.hosts["c"].records == table.hosts["b"].records
 
+    def test_copy_that_fails_while_another_waits_for_the_link_holds_up_no_append(self) -> None:
+        table = table_of("a", "b", "c")
+        replica = table.take_over().unwrap()
+        log = replica.opened.log
+        log.append([b"1"])
+        appended = []
+
+        class BusyLink(LinkShare):
+            """A link on which the filling would have to wait for as long as it goes on."""
+
+            def wait(self, size: int, goes_on: Callable[[], bool] = lambda: True) -> bool:
+                table.hosts["b"].up = False
+                appended.append(log.append([b"2"]))
+                if goes_on():
+                    raise HungError
+                return False
+
+        table.link = BusyLink(1.0)
+        table.leaving = "a"
+        replica.check()
+        table.run_repairs()
+        assert appended[0].result(0).unwrap() == 2
+        assert [copy.host for copy in table.copies] == ["a"]
+
     def test_copy_on_a_full_disk_is_made_elsewhere(self) -> None:
         table = table_of("a", "b", "c")
         log = table.take_over().unwrap().opened.log
