Drop the stream of a call whose end was not stored

Cause: a call's thread that loses its partition ends the stream of the answer with the failure of its last append. The stream was kept for 30 s and longer, until another call ended. When the partition came back to the same host meanwhile, that stream hid the stored answer: entries read the failure, took the owner for moved, and asked again until their patience was over, with 503 "the call's owner can't be reached" each time. Seen in test_the_owner_is_frozen_during_an_order_replaced_and_goes_on on a busy machine (1 of 17 runs, and once in a run of all failure tests); the state of the hanging processes showed the partition back at its first owner, with the call ended in its log.

Ruled out: a call without a thread (running was false), a stale table (both entries named the owner).

Change: run_call says whether the end is stored. If not, the stream is dropped at once, and a caller that asks again gets the stored answer or, in the same epoch, a new thread. The 503 says when to ask again. A deployment of test processes keeps what each process has logged.

Before: TestReturn fails with the STALE_EPOCH of the first owner. After: it passes.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/forward.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/forward.py
@@ -124,7 +124,8 @@
                 return
         if patience.is_over(_FIRST_PAUSE_S):
             detail = "the call's owner can't be reached"
-            yield _failed(offset, Failure(Code.UNREACHABLE, "forward.follow", "", detail))
+            lost = Failure(Code.UNREACHABLE, "forward.follow", "", detail, retry_after_s=1.0)
+            yield _failed(offset, lost)
             return
         time.sleep(_FIRST_PAUSE_S)
 
--- a/packages/endiveworks-standins/src/endiveworks_standins/fleet.py
+++ b/packages/endiveworks-standins/src/endiveworks_standins/fleet.py
@@ -171,11 +171,13 @@
         return [json.loads(line) for line in lines]
 
     def close(self) -> None:
-        """Ends all processes that are still running."""
+        """Ends all processes that are still running, and keeps what each has logged."""
         for proc in self.procs.values():
             if proc.popen.poll() is None:
                 proc.thaw()
                 proc.kill()
+            events = "".join(f"{json.dumps(event)}\n" for event in proc.events)
+            (self.folder / f"{proc.name}.events.jsonl").write_text(events)
 
     def _start_daemon(self, name: str, role: str, place: Place, *flags: str) -> Proc:
         args = [
--- a/packages/endiveworks/src/endiveworks/programs/dispatch.py
+++ b/packages/endiveworks/src/endiveworks/programs/dispatch.py
@@ -27,18 +27,21 @@
 _NOT_TRIED = Try(Ending(503, PROBLEM), True, False, "")
 
 
-def run_call(ctx: Context, call: Call, stream: Stream) -> None:
+def run_call(ctx: Context, call: Call, stream: Stream) -> bool:
     """Runs an accepted call to its final answer and finishes the stream with it.
 
     Args:
         ctx: What the call runs with.
         call: The call; one with claims was begun by a previous owner.
         stream: Receives the answer.
+
+    Returns:
+        Whether the end is stored. If it is not, the stream tells nothing that lasts: another
+        thread or another owner brings the call to its end.
     """
     outcome = make_plan(ctx, call)
     if not isinstance(outcome, Success):
-        _abandon(ctx, call, outcome.failure(), stream)
-        return
+        return _abandon(ctx, call, outcome.failure(), stream)
     plan = outcome.unwrap()
     # What became of attempts before the last is not recorded.
     spending = Spending(0, call.reserved_tokens, ran=len(call.claims) > 1)
@@ -55,23 +58,26 @@
         plan = _next_plan(plan, last)
     failure = last.ending.failure
     if failure is None or failure.code is Code.OUTCOME_UNKNOWN:
-        _end(ctx, plan, last, spending, stream)
-    elif failure.step == CLAIM_STEP and failure.code is Code.CONFLICT:
+        return _end(ctx, plan, last, spending, stream)
+    if failure.step == CLAIM_STEP and failure.code is Code.CONFLICT:
         # The thread that made the claim brings the call to its end.
         stream.finish(refusal(failure._replace(not_run=False)))
-    else:
-        _give_up(ctx, plan, last, spending, stream)
+        return False
+    return _give_up(ctx, plan, last, spending, stream)
 
 
-def _abandon(ctx: Context, call: Call, failure: Failure, stream: Stream) -> None:
+def _abandon(ctx: Context, call: Call, failure: Failure, stream: Stream) -> bool:
     """Takes back a call that can't be planned, unless an attempt at it may have run for good."""
     started = call.started
+    is_stored = False
     if failure.code is Code.UNKNOWN_SERVICE and not (call.claims and started.at_most_once):
         spent = call.reserved_tokens if call.claims else 0
         released = CallReleased(started.program, started.call, spent)
         stored = commit(ctx.ref, lambda partition: release_call(partition, released))
-        failure = failure._replace(not_run=isinstance(stored, Success) and not call.claims)
+        is_stored = isinstance(stored, Success)
+        failure = failure._replace(not_run=is_stored and not call.claims)
     stream.finish(refusal(failure))
+    return is_stored
 
 
 def _telling_when(before: Try, last: Try) -> Try:
@@ -89,17 +95,18 @@
     return plan._replace(attempt=plan.attempt + 1, wanted=plan.wanted._replace(refused=refused))
 
 
-def _end(ctx: Context, plan: Plan, last: Try, spending: Spending, stream: Stream) -> None:
+def _end(ctx: Context, plan: Plan, last: Try, spending: Spending, stream: Stream) -> bool:
     """Stores the final answer, and only then lets the stream end."""
     ended = _final_record(plan, last, spending, stream)
     stored = commit(ctx.ref, lambda partition: end_call(partition, ended))
     if not isinstance(stored, Success):
         # Another host may own the partition now and bring the call to its end.
         stream.finish(refusal(stored.failure()._replace(not_run=False)))
-        return
+        return False
     if ended.outcome is Outcome.DONE and ended.status == 200 and plan.started.operation == CHAT:
         stream.append(DONE_EVENT)
     stream.finish(last.ending)
+    return True
 
 
 def _final_record(plan: Plan, last: Try, spending: Spending, stream: Stream) -> CallEnded:
@@ -126,7 +133,7 @@
     )
 
 
-def _give_up(ctx: Context, plan: Plan, last: Try, spending: Spending, stream: Stream) -> None:
+def _give_up(ctx: Context, plan: Plan, last: Try, spending: Spending, stream: Stream) -> bool:
     """Takes the call back, so that its number may be used again."""
     failure = last.ending.failure
     assert failure is not None
@@ -136,7 +143,7 @@
     stored = commit(ctx.ref, lambda partition: release_call(partition, released))
     if not isinstance(stored, Success):
         stream.finish(refusal(stored.failure()._replace(not_run=False)))
-        return
+        return False
     retry_after = _RETRY_AFTER_S if failure.retry_after_s is None else failure.retry_after_s
     final = failure._replace(not_run=not spending.ran, retry_after_s=retry_after)
     log = logger("programs")
@@ -148,3 +155,4 @@
         detail=str(final),
     )
     stream.finish(refusal(final))
+    return True
--- a/packages/endiveworks/src/endiveworks/programs/owner.py
+++ b/packages/endiveworks/src/endiveworks/programs/owner.py
@@ -217,12 +217,12 @@
             self._on_closed(opened, record)
 
     def _attach(self, held: _Held, decision: Decision) -> None:
-        """Runs a call that was accepted just now; an earlier one has a thread unless it failed."""
+        """Runs a call that was accepted just now, or whose thread ended before the call did."""
         call = decision.call
         assert call is not None
         started = call.started
         if call.ended is None and (
-            decision.records or self._calls.take_failed(started.program, started.call, held.epoch)
+            decision.records or self._calls.take_unstored(started.program, started.call, held.epoch)
         ):
             self._run(held, call)
 
--- a/packages/endiveworks/src/endiveworks/programs/running.py
+++ b/packages/endiveworks/src/endiveworks/programs/running.py
@@ -27,7 +27,7 @@
         self._lock = threading.Lock()
         self._streams: dict[_Key, Stream] = {}
         self._cancels: dict[_Key, threading.Event] = {}
-        self._failed: set[tuple[_Key, int]] = set()
+        self._unstored: set[tuple[_Key, int]] = set()
         self._retired: deque[tuple[float, _Key, Stream]] = deque()
 
     def run(self, call: Call, make_context: MakeContext) -> None:
@@ -41,24 +41,30 @@
 
         def work() -> None:
             ctx = make_context(cancelled.is_set)
+            is_stored = lasts = False
             try:
-                run_call(ctx, call, stream)
+                is_stored = lasts = run_call(ctx, call, stream)
             except Exception as exc:  # A defect; the call still has to be brought to its end.
                 _log_failure(call, exc)
-                with self._lock:
-                    self._failed.add((key, ctx.epoch))
                 failure = Failure(Code.INTERNAL, "programs.run", "", "the call failed here")
                 stream.finish(Ending(500, PROBLEM, failure=failure))
-            self._retire(key, stream, cancelled)
+                lasts = True
+            if not is_stored:
+                with self._lock:
+                    self._unstored.add((key, ctx.epoch))
+            self._retire(key, stream, cancelled, lasts)
 
         threading.Thread(target=work, name=f"run-{key[0]}-{key[1]}", daemon=True).start()
 
-    def take_failed(self, program: str, number: int, epoch: int) -> bool:
-        """Returns whether a call's thread failed in an epoch; true once for each failure."""
-        failed = ((program, number), epoch)
+    def take_unstored(self, program: str, number: int, epoch: int) -> bool:
+        """Returns whether a call's thread ended in an epoch without storing the call's end.
+
+        True once for each such thread, so that one other thread takes its place.
+        """
+        ended = ((program, number), epoch)
         with self._lock:
-            known = failed in self._failed
-            self._failed.discard(failed)
+            known = ended in self._unstored
+            self._unstored.discard(ended)
             return known
 
     def find(self, program: str, number: int) -> Stream | None:
@@ -78,17 +84,23 @@
         with self._lock:
             return len(self._cancels)
 
-    def _retire(self, key: _Key, stream: Stream, cancelled: threading.Event) -> None:
-        """Keeps a finished stream for readers under way, and drops older ones."""
+    def _retire(self, key: _Key, stream: Stream, cancelled: threading.Event, lasts: bool) -> None:
+        """Keeps a finished stream for readers under way if it lasts, and drops older ones."""
         now = time.monotonic()
         with self._lock:
             if self._cancels.get(key) is cancelled:
                 del self._cancels[key]
+            if not lasts:
+                self._drop(key, stream)
+                return
             self._retired.append((now, key, stream))
             while self._retired[0][0] < now - _LINGER_S:
                 _, old_key, old = self._retired.popleft()
-                if self._streams.get(old_key) is old:
-                    del self._streams[old_key]
+                self._drop(old_key, old)
+
+    def _drop(self, key: _Key, stream: Stream) -> None:
+        if self._streams.get(key) is stream:
+            del self._streams[key]
 
 
 def _log_failure(call: Call, exc: Exception) -> None:
--- a/packages/endiveworks/src/endiveworks/programs/tests/test_dispatch.py
+++ b/packages/endiveworks/src/endiveworks/programs/tests/test_dispatch.py
@@ -196,6 +196,41 @@
         assert len(upstream.jobs) == 1
 
 
+class TestReturn:
+    def test_of_a_partition_gives_the_answer_that_another_owner_stored_meanwhile(
+        self, upstream: Upstream
+    ) -> None:
+        open_log = open_memory_logs()
+        reads: list[str] = []
+
+        def read(host: str, *asked: object) -> Result[Piece, Failure]:
+            reads.append(host)
+            if len(reads) == 1:
+                # The other owner brings the call to its end while this one waits for the answer.
+                upstream.doubts = [Success(Doubt.ENDED)]
+                other.adopt(1, 2, open_log(1, 2).unwrap()).unwrap()
+                wait_for_end(other, program)
+                other.give_up(1)
+            return Success(Piece(0, b"receipt", DONE))
+
+        owner = Owner(upstream.links()._replace(read=read), lambda: BUNDLE)
+        other = Owner(upstream.links()._replace(read=read), lambda: BUNDLE)
+        owner.adopt(1, 1, open_log(1, 1).unwrap()).unwrap()
+        program = owner.open(1, "t", body_of_open()).unwrap()["id"]
+        upstream.submits = [Success(None)]
+        req = CallRequest(program, 1, "t", "shop", "order", "", b"{}")
+        owner.submit(req).unwrap()
+        while owner.running():
+            pass
+        owner.give_up(1)
+        owner.adopt(1, 3, open_log(1, 3).unwrap()).unwrap()
+        owner.submit(req).unwrap()
+        piece = owner.read(program, 1, 0, 0.0).unwrap()
+        assert piece.data == b"receipt" and piece.ending is not None
+        assert piece.ending.failure is None
+        owner.give_up(1)
+
+
 class TestAdopt:
     def test_takes_no_call_before_those_under_way_are_known(
         self, owner: Owner, monkeypatch: pytest.MonkeyPatch
