End calls of tools whose answers go on past the deadline, or break off in their headers

Cause: the read timeout bounds each wait for bytes, not the whole answer. An order of a service with a deadline of 2 s whose stand-in sent its answer byte by byte was answered after 38 s. And the parser takes a connection that is cut in the headers for the end of an answer, so the caller got an empty receipt. Ruled out: a tool that sends nothing, which the timeout ends. Change: the answer is read in parts and the deadline looked at after each; an empty answer that gives no length is in doubt. Left: an answer whose bytes come just inside each timeout may take up to twice the deadline, and headers that trickle are bounded by nothing but their size.

--- a/packages/endiveworks-standins/src/endiveworks_standins/plain.py
+++ b/packages/endiveworks-standins/src/endiveworks_standins/plain.py
@@ -11,7 +11,7 @@
 import sys
 import threading
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from pathlib import Path
 from typing import Any, TextIO, TypedDict
 
@@ -27,11 +27,13 @@
 
     Attributes:
         delay_ms: Time between the execution and the answer.
+        byte_ms: Time before each byte of the answer.
         lose_answers: Whether connections are closed after the execution, without an answer.
         status: Status of every answer; 0 for success.
     """
 
     delay_ms: int
+    byte_ms: int
     lose_answers: bool
     status: int
 
@@ -69,7 +71,14 @@
             raise ConnectionAbortedError(errno.ECONNABORTED, "the answer is lost on order")
         status = self.faults.get("status", 0)
         start_response(f"{status} Fault" if status else "200 OK", _JSON)
-        return [receipt]
+        byte_ms = self.faults.get("byte_ms", 0)
+        return _byte_by_byte(receipt, byte_ms / 1000) if byte_ms else [receipt]
+
+
+def _byte_by_byte(data: bytes, pause_s: float) -> Iterator[bytes]:
+    for byte in data:
+        time.sleep(pause_s)
+        yield bytes([byte])
 
 
 def main() -> None:
--- a/packages/endiveworks/src/endiveworks/engines/plain.py
+++ b/packages/endiveworks/src/endiveworks/engines/plain.py
@@ -1,5 +1,7 @@
 """Runs one call on a plain service, saying exactly what is known when it fails."""
 
+import time
+from http import HTTPStatus
 from typing import NamedTuple
 
 import urllib3
@@ -9,6 +11,7 @@
 
 _CONNECT_TIMEOUT_S = 1.0
 _MAX_ANSWER_BYTES = 16 * 1024 * 1024
+_READ_BYTES = 65536
 _STEP = "engines.plain"
 
 
@@ -45,6 +48,7 @@
     A pooled connection may have gone stale, which would leave in doubt whether the request was
     received, so each call opens its own.
     """
+    deadline = time.monotonic() + job.timeout_s
     with urllib3.PoolManager(num_pools=1, maxsize=1) as http:
         try:
             response = http.request(
@@ -61,17 +65,43 @@
                 preload_content=False,
                 timeout=urllib3.Timeout(connect=_CONNECT_TIMEOUT_S, read=job.timeout_s),
             )
-            data = response.read(_MAX_ANSWER_BYTES + 1)
+            data = _read(response, deadline)
         except (urllib3.exceptions.NewConnectionError, urllib3.exceptions.ConnectTimeoutError):
             return _failed(job, Code.UNREACHABLE, "no connection was made", not_run=True)
         except urllib3.exceptions.HTTPError as exc:
             return _failed(job, _doubt(job), str(exc), not_run=False)
     if len(data) > _MAX_ANSWER_BYTES:
         return _failed(job, _doubt(job), f"the answer exceeds {_MAX_ANSWER_BYTES} bytes", False)
+    if not data and not _says_its_length(response):
+        # The parser takes a connection that is cut in the headers for the end of an answer.
+        return _failed(job, _doubt(job), "the answer has no body and no length", False)
     content_type = response.headers.get("Content-Type", "application/octet-stream")
     return PlainAnswer(data, Ending(response.status, content_type))
 
 
+def _read(response: urllib3.BaseHTTPResponse, deadline: float) -> bytes:
+    """Reads an answer; the timeout of the connection bounds each wait, not their sum.
+
+    Raises:
+        urllib3.exceptions.TimeoutError: The answer goes on past the deadline.
+    """
+    data = bytearray()
+    while len(data) <= _MAX_ANSWER_BYTES:
+        part = response.read1(_READ_BYTES)
+        if not part:
+            break
+        data += part
+        if time.monotonic() > deadline:
+            raise urllib3.exceptions.TimeoutError("the answer goes on past the deadline")
+    return bytes(data)
+
+
+def _says_its_length(response: urllib3.BaseHTTPResponse) -> bool:
+    if response.status == HTTPStatus.NO_CONTENT or "Content-Length" in response.headers:
+        return True
+    return response.headers.get("Transfer-Encoding", "").lower() == "chunked"
+
+
 def _doubt(job: PlainJob) -> Code:
     return Code.OUTCOME_UNKNOWN if job.at_most_once else Code.UPSTREAM_FAILED
 
