Compare the histories of programs that run at once with the prompts that the engine was sent

Cause: that histories are never mixed rested on the shop's log and the answers alone. Change: two programs and a sub-agent of each, in the same partition, take turns at once through two entries; each prompt in the engine stand-in's log has to be the whole history of the one program it names, and the answer that a cut prompt goes on with has to be that program's. The second scenario kills an entry after the second turn of each. Seen failing: with a sub-agent's turns added to its parent, and with the first turn dropped when a partition is opened.

--- a/tests/failures/conftest.py
+++ b/tests/failures/conftest.py
@@ -1,5 +1,6 @@
 """A deployment of real processes, and the steps that the features share."""
 
+import itertools
 import json
 import secrets
 import threading
@@ -119,12 +120,13 @@
             return Answer(0, b"", whole=False)
         return Answer(resp.status, resp.data)
 
-    def ask(self, entry: str, req: Request) -> Answer:
+    def ask(self, entry: str, req: Request, *others: str) -> Answer:
         """Sends a request until it has an answer other than a lost connection or 'ask again'."""
         answers: list[Answer] = []
+        entries = itertools.cycle((entry, *others))
 
         def settled() -> bool:
-            answer = self.send(entry, req)
+            answer = self.send(next(entries), req)
             answers.append(answer)
             return answer.status != 0 and answer.code not in BUSY_CODES
 
@@ -212,14 +214,14 @@
         self.calls = 0
         self._deployment = deployment
 
-    def say(self, entry: str, text: str) -> None:
+    def say(self, entry: str, text: str, *others: str) -> None:
         """Makes the next call, a chat, and remembers its answer."""
         message = {"role": "user", "content": text}
         body = {"model": "assistant", "messages": [message], "max_tokens": CHAT_TOKENS}
         number = self.calls + 1
         data = json.dumps(body).encode()
         req = Request(self.program, number, "/v1/chat/completions", f"chat-{number}", data)
-        answer = self._deployment.ask(entry, req)
+        answer = self._deployment.ask(entry, req, *others)
         assert answer.status == 200, answer
         said = json.loads(answer.body)["choices"][0]["message"]["content"]
         self.messages += [message, {"role": "assistant", "content": said}]
