--- a/packages/endiveworks-daemon/src/endiveworks_daemon/copy_sets.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/copy_sets.py
@@ -62,7 +62,9 @@
     return CopySet(
         change,
         lambda present, avoided: _replacement(sets, partition, present, avoided),
-        lambda present: placement.surplus_copy(tuple(sets.members().values()), present),
+        lambda present: placement.surplus_copy(
+            sets.region, tuple(sets.members().values()), present
+        ),
         lost,
     )
 
@@ -135,9 +137,13 @@
     sets: CopySets, partition: int, present: Sequence[CopyId], avoided: Collection[CopyId] = ()
 ) -> Peer | None:
     members = tuple(sets.members().values())
-    if len(placement.staying(members, present)) >= placement.WANTED_COPIES:
+    staying = len(placement.staying(members, present))
+    if staying > placement.WANTED_COPIES:
         return None
-    member = placement.next_copy(partition, sets.region, members, present, avoided)
+    if staying == placement.WANTED_COPIES:
+        member = placement.nearer_copy(partition, sets.region, members, present, avoided)
+    else:
+        member = placement.next_copy(partition, sets.region, members, present, avoided)
     if member is None:
         return None
     return sets.links.peer(CopyId(member.host, member.folder))
--- a/packages/endiveworks-standins/src/endiveworks_standins/forwarder.py
+++ b/packages/endiveworks-standins/src/endiveworks_standins/forwarder.py
@@ -10,7 +10,7 @@
 import socket
 import sys
 import threading
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import Any, NamedTuple
 
 from cheroot import wsgi
@@ -29,17 +29,20 @@
         to_target: Whether bytes to the target are dropped.
         to_caller: Whether bytes to the caller are dropped.
         refused: Whether new connections are closed at once.
+        senders: Hosts whose connections are silent, by the name in their messages; all when empty.
     """
 
     to_target: bool = False
     to_caller: bool = False
     refused: bool = False
+    senders: Sequence[str] = ()
 
 
 class Link:
-    """One forwarded connection."""
+    """One forwarded connection; its first bytes name the sender."""
 
     def __init__(self) -> None:
+        self.first_bytes = b""
         self.drops_to_target = False
         self.drops_to_caller = False
 
@@ -83,41 +86,76 @@
         with self._lock:
             _silence(link, self._faults)
             self._links.append(link)
-        host, _, port = self.target.rpartition(":")
-        try:
-            target = socket.create_connection((host, int(port)))
-        except OSError:
+        # The target sees nothing of a connection that is silent from its first byte.
+        first = _receive(caller)
+        self._note(link, first)
+        while first and link.drops_to_target:
+            first = _receive(caller)
+        target = self._connect(first)
+        if target is None:
             caller.close()
             return
         directions = (
-            (caller, target, lambda: link.drops_to_target, self._count),
-            (target, caller, lambda: link.drops_to_caller, lambda size: None),
+            (caller, target, lambda: link.drops_to_target, lambda data: self._note(link, data)),
+            (target, caller, lambda: link.drops_to_caller, lambda data: None),
         )
         for direction in directions:
             threading.Thread(target=_copy, args=direction, daemon=True).start()
 
-    def _count(self, size: int) -> None:
+    def _connect(self, first: bytes) -> socket.socket | None:
+        """Opens a connection to the target with its first bytes, if there are any."""
+        if not first:
+            return None
+        host, _, port = self.target.rpartition(":")
+        try:
+            target = socket.create_connection((host, int(port)))
+            target.sendall(first)
+        except OSError:
+            return None
+        return target
+
+    def _note(self, link: Link, data: bytes) -> None:
+        """Takes note of bytes to the target before they are forwarded or dropped."""
         with self._lock:
-            self.sent_bytes += size
+            if not link.first_bytes:
+                link.first_bytes = data
+                _silence(link, self._faults)
+            if not link.drops_to_target:
+                self.sent_bytes += len(data)
+
+
+def _receive(conn: socket.socket) -> bytes:
+    """Returns bytes of a connection; none when it has ended."""
+    try:
+        return conn.recv(_READ_BYTES)
+    except OSError:
+        return b""
 
 
 def _silence(link: Link, faults: Faults) -> None:
+    if faults.senders and not any(_names(link.first_bytes, host) for host in faults.senders):
+        return
     link.drops_to_target = link.drops_to_target or faults.to_target
     link.drops_to_caller = link.drops_to_caller or faults.to_caller
 
 
+def _names(data: bytes, host: str) -> bool:
+    """Tells whether a message is from a host: names go with their length before them."""
+    return len(host).to_bytes(4, "big") + host.encode() in data
+
+
 def _copy(
     source: socket.socket,
     sink: socket.socket,
     drops: Callable[[], bool],
-    count: Callable[[int], None],
+    note: Callable[[bytes], None],
 ) -> None:
     """Copies bytes one way until an end closes; a silent direction hides the close too."""
     with contextlib.suppress(OSError):
         while data := source.recv(_READ_BYTES):
+            note(data)
             if not drops():
                 sink.sendall(data)
-                count(len(data))
     if not drops():
         with contextlib.suppress(OSError):
             sink.shutdown(socket.SHUT_WR)
--- a/packages/endiveworks/src/endiveworks/ownership/placement.py
+++ b/packages/endiveworks/src/endiveworks/ownership/placement.py
@@ -70,13 +70,54 @@
     return [copy for copy in present if copy.host not in leaving]
 
 
-def surplus_copy(members: Sequence[Member], present: Sequence[CopyId]) -> CopyId | None:
-    """Returns a copy that can go because there are enough others, one on a leaving host first."""
+def nearer_copy(
+    partition: int,
+    region: str,
+    members: Sequence[Member],
+    present: Sequence[CopyId],
+    avoided: Collection[CopyId] = (),
+) -> Member | None:
+    """Returns a host of the owner's region that should take a copy over from another region.
+
+    A copy in another region costs a crossing of the link for each append, and an owner that is cut
+    off from it can't append. It stays where the region has no further failure domain.
+    """
+    known = {member.host: member for member in members}
+    near = [copy for copy in present if copy.host in known and known[copy.host].region == region]
+    if len(near) >= WANTED_COPIES:
+        return None
+    domains = {known[copy.host].failure_domain for copy in near}
+    here = [
+        member
+        for member in members
+        if member.region == region and member.failure_domain not in domains
+    ]
+    return next_copy(partition, region, here, present, avoided)
+
+
+def surplus_copy(
+    region: str, members: Sequence[Member], present: Sequence[CopyId]
+) -> CopyId | None:
+    """Returns a copy that can go because there are enough others.
+
+    One on a leaving host goes first, then one without which as many failure domains remain, of
+    these one outside the owner's region.
+    """
     if len(present) <= WANTED_COPIES:
         return None
     kept = staying(members, present)
     leaving = [copy for copy in present if copy not in kept]
-    return leaving[0] if leaving else present[-1]
+    if leaving:
+        return leaving[0]
+    known = {member.host: member for member in members}
+
+    def worth_dropping(copy: CopyId) -> tuple[int, bool]:
+        others = [known.get(other.host) for other in present if other != copy]
+        domains = {member.failure_domain for member in others if member is not None}
+        member = known.get(copy.host)
+        return len(domains), member is None or member.region != region
+
+    return max(reversed(present), key=worth_dropping)
 
 
 def first_copies(partition: int, region: str, members: Sequence[Member]) -> tuple[CopyId, ...]:
--- a/packages/endiveworks/src/endiveworks/ownership/tests/test_placement.py
+++ b/packages/endiveworks/src/endiveworks/ownership/tests/test_placement.py
@@ -1,6 +1,8 @@
 from endiveworks.journal.peer import CopyId
 from endiveworks.members.member import Member
 from endiveworks.ownership import placement
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 PARTITIONS = 1024
 
@@ -57,11 +59,46 @@
     def test_copy_on_a_leaving_host_goes_first(self) -> None:
         members = [host(1), host(2, draining=True), host(4)]
         copies = [CopyId(member.host, member.folder) for member in members]
-        assert placement.surplus_copy(members, copies) == copies[1]
-        assert placement.surplus_copy(members, copies[:2]) is None
+        assert placement.surplus_copy("r1", members, copies) == copies[1]
+        assert placement.surplus_copy("r1", members, copies[:2]) is None
 
     def test_present_and_draining_hosts_are_left_out(self) -> None:
         members = [host(1), host(2, draining=True), host(4)]
         present = [CopyId("h1", "f1")]
         assert placement.next_copy(5, "r1", members, present) == members[2]
         assert placement.next_copy(5, "r1", members[:2], present) is None
+
+
+class TestNearerCopy:
+    @settings(derandomize=True, deadline=None)
+    @given(
+        st.lists(st.integers(0, 11), min_size=2, max_size=8, unique=True),
+        st.sampled_from(["r1", "r2"]),
+        st.integers(0, 64),
+    )
+    def test_copies_come_to_rest_near_the_owner_and_keep_their_failure_domains(
+        self, numbers: list[int], region: str, partition: int
+    ) -> None:
+        members = [host(number) for number in numbers]
+        copies = tuple(CopyId(member.host, member.folder) for member in members[:2])
+        moves = 0
+        while member := placement.nearer_copy(partition, region, members, copies):
+            moves += 1
+            copies = tuple(sorted((*copies, CopyId(member.host, member.folder))))
+            surplus = placement.surplus_copy(region, members, copies)
+            copies = tuple(copy for copy in copies if copy != surplus)
+        assert moves <= placement.WANTED_COPIES
+        here = {member.failure_domain for member in members if member.region == region}
+        held = [member for member in members if member.host in {copy.host for copy in copies}]
+        if len(here) >= placement.WANTED_COPIES:
+            assert {member.region for member in held} == {region}
+        before = {member.failure_domain for member in members[:2]}
+        assert len({member.failure_domain for member in held}) >= len(before)
+
+    def test_the_only_domain_of_a_region_gets_one_copy(self) -> None:
+        members = [host(0), host(1), host(2), host(3)]
+        copies = [CopyId("h1", "f1"), CopyId("h2", "f2")]
+        nearer = placement.nearer_copy(5, "r2", members, copies)
+        assert nearer is not None and nearer.region == "r2"
+        copies = [CopyId("h1", "f1"), CopyId(nearer.host, nearer.folder)]
+        assert placement.nearer_copy(5, "r2", members, copies) is None
--- a/tests/fleet/conftest.py
+++ b/tests/fleet/conftest.py
@@ -75,19 +75,25 @@
 
     def add_forwarded_upstream(self, name: str, *flags: str) -> None:
         """Starts an upstream process that the others reach through a forwarder."""
-        address = self.start_standin(f"forward-{name}", "forwarder")
-        self.add_upstream(name, f"--advertise={address}", *flags)
-        target = self.procs[name].wait_event("listening")["thrift"]
-        self._standin("POST", self._control(name), "/standin/target", {"target": target})
+        self.add_upstream(name, f"--advertise={self.start_link(name)}", *flags)
+        self.set_link_target(name, self.procs[name].wait_event("listening")["thrift"])
 
     def add_entry_behind_link(self, name: str, place: Place, *flags: str) -> None:
         """Starts an entry that reaches the key-value service through a forwarder."""
-        address = self.start_standin(f"forward-{name}", "forwarder")
-        body = {"target": self.kv_address}
-        self._standin("POST", self._control(name), "/standin/target", body)
+        address = self.start_link(name, self.kv_address)
         self.add_entry(name, place, f"--kv={address}", *flags)
 
-    def set_link_faults(self, name: str, **faults: bool) -> int:
+    def start_link(self, name: str, target: str = "") -> str:
+        """Starts a forwarder under a name and returns its address."""
+        address = self.start_standin(f"forward-{name}", "forwarder")
+        if target:
+            self.set_link_target(name, target)
+        return address
+
+    def set_link_target(self, name: str, target: str) -> None:
+        self._standin("POST", self._control(name), "/standin/target", {"target": target})
+
+    def set_link_faults(self, name: str, **faults: Any) -> int:
         """Sets faults of a forwarder and returns how many connections it has accepted."""
         answer = self._standin("POST", self._control(name), "/standin/faults", faults)
         return int(answer["accepted"])
