Compress a large bundle, so that the terms of 19,000 tenants fit in one value

Change: a bundle of more than 64 KiB is compressed with zlib. A cut or damaged one is CORRUPT, and expansion stops at 64 MiB. Smaller bundles stay plain JSON.

--- a/packages/endiveworks/src/endiveworks/config/codec.py
+++ b/packages/endiveworks/src/endiveworks/config/codec.py
@@ -1,5 +1,9 @@
-"""The bundle as JSON, with objects for its parts so that operators can read it."""
+"""The bundle as JSON, with objects for its parts so that operators can read it.
 
+A large bundle is compressed, so that the terms of many tenants fit in one value.
+"""
+
+import zlib
 from collections.abc import Mapping
 from typing import Any
 
@@ -13,23 +17,28 @@
 
 # The key-value service takes values up to a megabyte.
 MAX_BUNDLE_BYTES = 1_000_000
+COMPRESS_FROM_BYTES = 65_536
+# Bounds the memory that a damaged value can take.
+MAX_PLAIN_BYTES = 64 * 1024 * 1024
+_JSON_START = b"{"
 
 
 def encode_bundle(bundle: Bundle) -> bytes:
-    """Returns the JSON form of a bundle; equal bundles give equal bytes."""
-    return msgspec.json.encode(_plain(bundle), order="deterministic")
+    """Returns the JSON form of a bundle, compressed if it is large."""
+    data = msgspec.json.encode(_plain(bundle), order="deterministic")
+    return zlib.compress(data) if len(data) > COMPRESS_FROM_BYTES else data
 
 
 def decode_bundle(data: bytes) -> Result[Bundle, Failure]:
-    """Returns the bundle in JSON bytes.
+    """Returns the bundle in JSON bytes, compressed or not.
 
     Errors:
         CORRUPT: The bytes are not JSON, a field is missing, unknown or of the wrong type, or the
             digest does not match the services.
     """
     try:
-        bundle = _bundle(msgspec.json.decode(data, type=dict))
-    except (msgspec.DecodeError, KeyError, TypeError, AttributeError) as exc:
+        bundle = _bundle(msgspec.json.decode(_expand(data), type=dict))
+    except (zlib.error, msgspec.DecodeError, KeyError, TypeError, AttributeError) as exc:
         return Err(Failure(Code.CORRUPT, "config.decode", "", f"{type(exc).__name__}: {exc}"))
     if bundle.digest != digest(bundle.services):
         return Err(Failure(Code.CORRUPT, "config.decode", "", "digest does not match services"))
@@ -44,6 +53,17 @@
     return xxhash.xxh3_128_hexdigest(data)
 
 
+def _expand(data: bytes) -> bytes:
+    """Returns the JSON in an encoded bundle; zlib.error for one that is cut or too long."""
+    if data.startswith(_JSON_START):
+        return data
+    expander = zlib.decompressobj()
+    plain = expander.decompress(data, MAX_PLAIN_BYTES)
+    if not expander.eof:
+        raise zlib.error("the compressed bundle is cut or too long")
+    return plain
+
+
 def _plain(value: Any) -> Any:
     if hasattr(value, "_asdict"):
         return _plain(value._asdict())
--- a/packages/endiveworks/src/endiveworks/config/tests/test_codec.py
+++ b/packages/endiveworks/src/endiveworks/config/tests/test_codec.py
@@ -1,7 +1,15 @@
 import json
+import random
+import zlib
 
 from endiveworks.config.bundle import EMPTY, Bundle, CostWeights, Service, TenantTerms
-from endiveworks.config.codec import decode_bundle, digest, encode_bundle
+from endiveworks.config.codec import (
+    MAX_BUNDLE_BYTES,
+    MAX_PLAIN_BYTES,
+    decode_bundle,
+    digest,
+    encode_bundle,
+)
 from endiveworks.errors import Code
 
 SHOP = Service(
@@ -18,6 +26,7 @@
     max_tokens=1,
     slots=4,
 )
+TENANTS = 19_000
 BUNDLE = Bundle(3, "ann", 12.5, digest({"shop": SHOP}), {"shop": SHOP}, ("a", "b"))
 
 
@@ -43,6 +52,34 @@
         assert codes == [Code.CORRUPT] * len(damaged)
 
 
+class TestLargeBundle:
+    def test_names_every_tenant_of_the_planned_size(self) -> None:
+        bundle = _large(TENANTS)
+        data = encode_bundle(bundle)
+        assert len(data) <= MAX_BUNDLE_BYTES
+        assert decode_bundle(data).unwrap() == bundle
+
+    def test_one_that_is_cut_or_damaged_is_corrupt(self) -> None:
+        data = encode_bundle(_large(TENANTS))
+        damaged = [data[:-1], data[:100], data[:50] + bytes([data[50] ^ 1]) + data[51:]]
+        codes = [decode_bundle(each).failure().code for each in damaged]
+        assert codes == [Code.CORRUPT] * len(damaged)
+
+    def test_one_that_expands_without_end_is_corrupt(self) -> None:
+        bomb = zlib.compress(b" " * (MAX_PLAIN_BYTES + 1))
+        assert decode_bundle(bomb).failure().code is Code.CORRUPT
+
+
+def _large(tenants: int) -> Bundle:
+    rng = random.Random(1)
+    terms = {
+        f"team-{rng.randbytes(6).hex()}": TenantTerms(rng.uniform(0.1, 9.9), rng.randrange(1 << 30))
+        for _ in range(tenants)
+    }
+    services = {"shop": SHOP._replace(tenants=terms)}
+    return Bundle(3, "ann", 12.5, digest(services), services, ("a",))
+
+
 class TestDigest:
     def test_does_not_depend_on_the_order_of_keys(self) -> None:
         other = SHOP._replace(classes={"back": 1, "front": 0})
