Split the partitions of a host into what it holds, its access to the table, and the keeper's loop

The open partitions with their epochs are in held_partitions.py, the table with its stale records and its pause in table_access.py. The guard of the pause moved with it.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/partitions.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/partitions.py
@@ -10,18 +10,16 @@
 from endiveworks.errors import Code, Failure
 from endiveworks.journal import copy_state
 from endiveworks.journal.peer import CopyId
-from endiveworks.journal.replicated_log import OpenedReplica, open_replicated_log
 from endiveworks.journal.store import Store
 from endiveworks.members.member import Member
-from endiveworks.ownership import keeper, table
+from endiveworks.ownership import keeper
 from endiveworks.ownership.record import OwnerId, PartitionRecord
 from endiveworks.ownership.table import Located
 from endiveworks.ownership.terms import Terms, agree_terms
-from endiveworks.ownership.view import TableView
 from endiveworks.platform.kv import Kv
 from endiveworks.programs.owner import Owner
 from endiveworks.telemetry.logs import logger
-from returns.result import Result, Success
+from returns.result import Success
 
 from .copy_links import CopyLinks
 from .copy_sets import (
@@ -29,22 +27,19 @@
     CopySets,
     change_id,
     check_copies,
-    copy_set_of,
     is_movable,
     log_failure,
     start_copies,
     update_record,
 )
+from .held_partitions import HeldPartitions
 from .partition_timers import Backoffs, OwnerlessTimes
 from .suspects import Suspects
+from .table_access import TableAccess
 
 _TICK_S = 1.0
 _POLL_S = 0.05
 _WORKERS = 8
-# Bounds how late this host acts on the table after an outage of the key-value service.
-_MAX_TABLE_BACKOFF_S = 2.0
-_TABLE = 0
-_UNANSWERED = frozenset({Code.TIMEOUT, Code.UNREACHABLE})
 
 
 class Parts(NamedTuple):
@@ -77,17 +72,15 @@
     def __init__(self, parts: Parts) -> None:
         self._parts = parts
         self._wake = threading.Event()
-        self.table = TableView(self._wake.set)
+        self._access = TableAccess(parts.kv, self._wake.set)
+        self.table = self._access.view
         self._sets = CopySets(parts.kv, self.table, parts.links, parts.members, parts.region)
         self._me: Member | None = None
         self._terms: Terms | None = None
+        self._held = HeldPartitions(parts.owner, self._sets)
         self._lock = threading.Lock()
-        self._held: dict[int, tuple[int, OpenedReplica]] = {}
-        self._spent: dict[int, int] = {}
         self._busy: set[int] = set()
         self._backoffs = Backoffs()
-        self._table_backoff = Backoffs(_MAX_TABLE_BACKOFF_S)
-        self._stale: set[int] = set()
         self._placed: Mapping[str, Member] = {}
         self._ownerless = OwnerlessTimes()
         self._pool = ThreadPoolExecutor(_WORKERS, "partitions")
@@ -111,14 +104,11 @@
 
     def held(self) -> tuple[int, ...]:
         """Returns the partitions on which this host acts."""
-        with self._lock:
-            return tuple(self._held)
+        return tuple(self._held.all())
 
     def refresh(self, partition: int) -> None:
         """Has the record of a partition read again soon."""
-        with self._lock:
-            self._stale.add(partition)
-        self._wake.set()
+        self._access.refresh_soon(partition)
 
     def owner_failed(self, partition: int, failure: Failure) -> None:
         """Notes that the owner of a partition did not answer or does not own it any more."""
@@ -165,8 +155,8 @@
         while True:
             self._wake.wait(_TICK_S)
             self._wake.clear()
-            self._refresh_stale()
-            self._drop_lost()
+            self._access.refresh_stale()
+            self._held.give_up_lost()
             if self._terms is None:
                 self._terms = agree_terms(self._parts.kv).value_or(None)
             if self._terms is not None:
@@ -182,10 +172,8 @@
                 self._drop(action)
             else:
                 self._start_action(action)
-        with self._lock:
-            held = dict(self._held)
-        for partition, (_, replica) in held.items():
-            check_copies(self._sets, partition, replica)
+        for partition, held in self._held.all().items():
+            check_copies(self._sets, partition, held.replica)
 
     def _situation(self, terms: Terms) -> keeper.Situation:
         suspects = self._parts.suspects
@@ -198,16 +186,13 @@
             head = store.head(partition) if store is not None else None
             if head is not None:
                 copies[partition] = head.epoch
-        with self._lock:
-            held = {partition: epoch for partition, (epoch, _) in self._held.items()}
-            spent = dict(self._spent)
         now = keeper.Situation(
             me=self._self(),
             members=members,
             records=self.table.records(),
             partitions=terms.partitions,
-            held=held,
-            spent=spent,
+            held={partition: held.epoch for partition, held in self._held.all().items()},
+            spent=self._held.spent(),
             ownerless_s={},
             copies=copies,
             is_placement_due=members != self._placed,
@@ -236,7 +221,7 @@
                 case keeper.HandOver(record, successor):
                     self._hand_over(record, successor)
                 case keeper.GiveUp():
-                    self._give_up(partition)
+                    self._held.give_up(partition)
         except Exception as exc:  # The pool would drop it, and the partition stay without an owner.
             logger("ownership").error(
                 "partition_action_failed", partition=partition, error_type=type(exc).__name__
@@ -261,53 +246,23 @@
         self._swap_and_open(before, taken)
 
     def _swap_and_open(self, before: Located, record: PartitionRecord) -> None:
-        if not self._table_backoff.may_try(_TABLE):
-            return
-        swapped = table.swap(self._parts.kv, before, record)
-        self._note_table(swapped)
-        if not isinstance(swapped, Success):
-            self.refresh(record.partition)
-            return
-        self.table.put(record.partition, swapped.unwrap())
-        self._open(record)
+        if isinstance(self._access.swap(before, record), Success):
+            self._open(record)
 
     def _open(self, record: PartitionRecord) -> None:
-        partition, epoch = record.partition, record.epoch
-        with self._lock:
-            if self._spent.get(partition, 0) >= epoch:
-                return
-            self._spent[partition] = epoch
-        peers = [self._parts.links.peer(copy) for copy in record.copies]
-        copy_set = copy_set_of(self._sets, partition, epoch)
-        opened = open_replicated_log(partition, epoch, peers, copy_set)
-        adopted = opened.bind(lambda replica: self._adopt(partition, epoch, replica))
-        if isinstance(adopted, Success):
-            logger("ownership").info("partition_opened", partition=partition, epoch=epoch)
-            self._backoffs.succeeded(partition)
-        else:
-            self._backoffs.failed(partition)
-            log_failure("partition_not_opened", partition, epoch, adopted.failure())
-
-    def _adopt(self, partition: int, epoch: int, replica: OpenedReplica) -> Result[None, Failure]:
-        adopted = self._parts.owner.adopt(partition, epoch, replica.opened)
-        if isinstance(adopted, Success):
-            with self._lock:
-                self._held[partition] = (epoch, replica)
+        opened = self._held.open(record)
+        if opened:
             self._placed = {}
-            replica.check()
-        else:
-            replica.opened.log.close()
-        return adopted
+            self._backoffs.succeeded(record.partition)
+        elif opened is not None:
+            self._backoffs.failed(record.partition)
 
     def _hand_over(self, record: PartitionRecord, successor: Member) -> None:
-        if not self._table_backoff.may_try(_TABLE):
-            return
         # In an outage the table could not be changed, and nobody would act on the partition.
-        found = table.read(self._parts.kv, record.partition)
-        self._note_table(found)
+        found = self._access.read(record.partition)
         if not isinstance(found, Success) or found.unwrap().record != record:
             return
-        self._give_up(record.partition)
+        self._held.give_up(record.partition)
         given = update_record(
             self._sets,
             record.partition,
@@ -322,48 +277,11 @@
         else:
             log_failure("handover_failed", record.partition, record.epoch, given.failure())
 
-    def _give_up(self, partition: int) -> None:
-        with self._lock:
-            self._held.pop(partition, None)
-        self._parts.owner.give_up(partition)
-
     def _drop(self, action: keeper.Drop) -> None:
         record = action.record
         if self._parts.store is not None:
             self._parts.store.submit(copy_state.Drop(record.partition, record.epoch - 1))
 
-    def _drop_lost(self) -> None:
-        """Stops acting on partitions whose log takes no more records."""
-        with self._lock:
-            held = dict(self._held)
-        for partition, (_, replica) in held.items():
-            if replica.is_closed():
-                self._give_up(partition)
-
-    def _refresh_stale(self) -> None:
-        if not self._table_backoff.may_try(_TABLE):
-            return
-        with self._lock:
-            stale, self._stale = self._stale, set()
-        while stale:
-            partition = stale.pop()
-            if self._note_table(self.table.refresh(self._parts.kv, partition)):
-                with self._lock:
-                    self._stale |= {partition, *stale}
-                return
-
-    def _note_table(self, outcome: Result[Located, Failure]) -> bool:
-        """Notes whether the table answered; begins a pause and returns True if it did not.
-
-        Without the pause, all hosts would ask for every partition of a dead owner, as fast as
-        they can, for as long as the key-value service is down.
-        """
-        if isinstance(outcome, Success) or outcome.failure().code not in _UNANSWERED:
-            self._table_backoff.succeeded(_TABLE)
-            return False
-        self._table_backoff.failed(_TABLE)
-        return True
-
 
 def _partition_of(action: keeper.Action) -> int:
     if isinstance(action, keeper.Create | keeper.GiveUp):
