Release the engine memory of closed programs that no round of renewals has seen open

Cause: owners release a closed program's memory only if an earlier round, one every 10 s, has seen it open. A program that lived for less than that kept its prefix until its lease ran out. Change: every closed program is released once, in the first round that sees it closed; after a takeover once more, which changes nothing. The new test fails without the change.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/hold_renewal.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/hold_renewal.py
@@ -56,6 +56,7 @@
         self._origin = origin
         self._members = members
         self._seen: dict[str, _Seen] = {}
+        self._released: set[str] = set()
 
     def start(self) -> None:
         """Starts renewing in a daemon thread."""
@@ -75,6 +76,7 @@
     def _due(self, now_s: float) -> _Due:
         due = _Due(defaultdict(list), defaultdict(list))
         seen: dict[str, _Seen] = {}
+        released: set[str] = set()
 
         def look(partition: Partition) -> list[tuple[str, str, int, bool]]:
             return [
@@ -87,7 +89,8 @@
             for name, host, calls, closed in rows:
                 hold = ttypes.Hold(name, epoch, KEEP_MS)
                 if closed:
-                    if name in self._seen:
+                    released.add(name)
+                    if name not in self._released:
                         due.release[host].append(hold)
                     continue
                 known = self._seen.get(name)
@@ -96,6 +99,8 @@
                 if now_s - since_s < LONGEST_PAUSE_S:
                     due.renew[host].append(hold)
         self._seen = seen
+        # A program leaves the state some time after it was closed, and this set with it.
+        self._released = released
         return due
 
     def _send_renew(self, member: Member, holds: list[ttypes.Hold]) -> None:
