Measure a token and the start of a call apart in the bench of the path

Cause: the processor time per token was all that an entry used from before the programs were opened, divided by the tokens of calls of 90 tokens. Most of it was not for tokens.

Change: the processor time is read before the calls are sent, when every stream has had a chunk and when the first one ends. Partitions move when an entry joins, so the bench waits for that before programs are opened.

--- a/bench/path.py
+++ b/bench/path.py
@@ -3,6 +3,9 @@
 Run as `.venv/bin/python bench/path.py >> FILE`. Prints one JSON line for each figure: name, value,
 unit, load of the machine, the baseline taken in the same run and the ratio to it. The direct call
 and the path use the same engine stand-in, and each step of the measurement uses both in turn.
+
+Processor time is told apart by what it is for: a token while all streams flow, and the start of a
+call, from its request until all streams flow.
 """
 
 import argparse
@@ -30,6 +33,7 @@
 _SINGLE_CALLS = 10
 _SINGLE_TOKENS = 12
 _WARM_UP_S = 2.0
+_SETTLE_S = 10.0
 _WINDOW_S = 4.0
 _PAGE_KB = os.sysconf("SC_PAGE_SIZE") // 1024
 _TICKS_PER_S = os.sysconf("SC_CLK_TCK")
@@ -52,20 +56,22 @@
     Attributes:
         fleet: Its processes.
         entry: Address of the entry that owns the programs.
-        callers: Address of the entry that callers use.
+        callers: Addresses of the entries that callers use.
         processes: Names of the processes on the path.
         engines: Addresses of the engines.
     """
 
     fleet: Fleet
     entry: str
-    callers: str
+    callers: tuple[str, ...]
     processes: tuple[str, ...]
     engines: tuple[str, ...]
 
 
 class Usage(NamedTuple):
-    """Processor time and resident memory of a process."""
+    """Processor time and resident memory of a process, at a monotonic time."""
+
+    at_s: float
 
     cpu_s: float
     resident_kb: int
@@ -79,15 +85,19 @@
     parser.add_argument(
         "--forwarded", action="store_true", help="Callers use an entry that is not the owner."
     )
+    parser.add_argument("--engines", type=int, default=_ENGINES)
+    parser.add_argument(
+        "--callers", type=int, default=1, help="Entries that callers use, if not the owner."
+    )
     args = parser.parse_args()
     sys.setswitchinterval(0.001)
     with tempfile.TemporaryDirectory() as folder, Fleet(Path(folder)) as fleet:
-        setup = _start(fleet, args.forwarded)
+        setup = _start(fleet, args.engines, args.callers if args.forwarded else 0)
         _measure_single(setup)
         _measure_streams(setup, range(args.step, args.most_streams + 1, args.step))
 
 
-def _start(fleet: Fleet, forwarded: bool) -> Setup:
+def _start(fleet: Fleet, engine_count: int, caller_count: int) -> Setup:
     fleet.start_kv()
     services = fleet.folder / "services"
     services.mkdir()
@@ -102,17 +112,26 @@
         f"--threads={_MAX_STREAMS + 8}",
         "--answer_tokens=2000",
     )
-    engines = tuple(fleet.start_engine(f"engine-{n}", *flags) for n in range(_ENGINES))
+    engines = tuple(fleet.start_engine(f"engine-{n}", *flags) for n in range(engine_count))
     for number, address in enumerate(engines):
         fleet.start_upstream(f"up-{number}", _PLACE, "assistant", address)
     entry = fleet.start_entry("entry", _PLACE, f"--max_open={_MAX_STREAMS}")
-    wait_until(lambda: isinstance(open_program(connect([entry], _TENANT), "assistant"), Success))
-    names = ("entry", *(f"up-{number}" for number in range(_ENGINES)))
-    if not forwarded:
-        return Setup(fleet, entry, entry, names, engines)
-    other = fleet.start_entry("entry-2", _PLACE, f"--max_open={_MAX_STREAMS}")
-    wait_until(lambda: isinstance(open_program(connect([other], _TENANT), "assistant"), Success))
-    return Setup(fleet, entry, other, (*names, "entry-2"), engines)
+    _wait_ready(entry)
+    names = ["entry", *(f"up-{number}" for number in range(engine_count))]
+    callers = []
+    for number in range(caller_count):
+        names.append(f"entry-{number + 2}")
+        callers.append(fleet.start_entry(names[-1], _PLACE, f"--max_open={_MAX_STREAMS}"))
+        _wait_ready(callers[-1])
+    if callers:
+        # Partitions move to entries that join.
+        time.sleep(_SETTLE_S)
+    return Setup(fleet, entry, tuple(callers) or (entry,), tuple(names), engines)
+
+
+def _wait_ready(entry: str) -> None:
+    deployment = connect([entry], _TENANT)
+    wait_until(lambda: isinstance(open_program(deployment, "assistant"), Success))
 
 
 def _measure_single(setup: Setup) -> None:
@@ -130,25 +149,24 @@
 
 def _measure_streams(setup: Setup, counts: Sequence[int]) -> None:
     """Measures many streams at once, up to the number at which the gap grows by a tenth."""
-    idle = {name: _usage(setup, name) for name in setup.processes}
+    idle = _usages(setup)
     tokens = int((_WARM_UP_S + _WINDOW_S) / _STEP_S)
     carried = 0
     for count in counts:
         base = _gap_p95_s(streams.run(_direct(setup, count, tokens)))
-        before = {name: _usage(setup, name) for name in idle}
-        peak: dict[str, Usage] = {}
+        wanted = _through(setup, count, tokens)
+        looks = [_usages(setup)]
 
-        def look(peak: dict[str, Usage] = peak, names: Sequence[str] = tuple(idle)) -> None:
-            peak.update({name: _usage(setup, name) for name in names})
+        def look(looks: list[dict[str, Usage]] = looks) -> None:
+            looks.append(_usages(setup))
 
-        seen = streams.run(_through(setup, count, tokens), at_end=look)
+        seen = streams.run(wanted, at_flow=look, at_end=look)
         value = _gap_p95_s(seen)
         _print(f"gap_p95_ms_{count}_streams", value * 1000, "ms", base * 1000)
-        chunks = sum(len(one.chunks_at) for one in seen)
-        for name in idle:
-            cpu_us = (peak[name].cpu_s - before[name].cpu_s) / chunks * 1e6
-            held_kb = (peak[name].resident_kb - idle[name].resident_kb) / count
-            _print(f"{name}_cpu_us_per_chunk_{count}_streams", cpu_us, "us")
+        for name in setup.processes:
+            asked, flowing, ending = (usages[name] for usages in looks)
+            _print_cost(f"{name}_cpu", count, seen, (asked, flowing, ending))
+            held_kb = (ending.resident_kb - idle[name].resident_kb) / count
             _print(f"{name}_memory_kb_per_stream_{count}_streams", held_kb, "kB")
         if value > _GROWTH * base:
             break
@@ -156,10 +174,23 @@
     _print("streams_carried_by_one_entry", carried, "streams")
 
 
+def _print_cost(
+    name: str, count: int, seen: Sequence[streams.Seen], looks: tuple[Usage, Usage, Usage]
+) -> None:
+    """Prints what a token and the start of a call cost a process."""
+    asked, flowing, ending = looks
+    early = sum(streams.events_between(one, asked.at_s, flowing.at_s) for one in seen)
+    flowed = sum(streams.events_between(one, flowing.at_s, ending.at_s) for one in seen)
+    token_s = (ending.cpu_s - flowing.cpu_s) / flowed
+    start_s = (flowing.cpu_s - asked.cpu_s - early * token_s) / count
+    _print(f"{name}_us_per_token_{count}_streams", token_s * 1e6, "us")
+    _print(f"{name}_ms_per_start_{count}_streams", start_s * 1e3, "ms")
+
+
 def _direct(setup: Setup, count: int, tokens: int) -> list[streams.Wanted]:
     body = _body(tokens)
     return [
-        streams.Wanted(setup.engines[number % _ENGINES], "/v1/chat/completions", {}, body)
+        streams.Wanted(setup.engines[number % len(setup.engines)], "/v1/chat/completions", {}, body)
         for number in range(count)
     ]
 
@@ -167,14 +198,15 @@
 def _through(setup: Setup, count: int, tokens: int) -> list[streams.Wanted]:
     deployment = connect([setup.entry], _TENANT)
     wanted = []
-    for _ in range(count):
+    for number in range(count):
         program = open_program(deployment, "assistant").unwrap()
         headers = {
             "Endive-Tenant": _TENANT,
             "Endive-Program": program.id,
             "Endive-Call": "1",
         }
-        wanted.append(streams.Wanted(setup.callers, "/v1/chat/completions", headers, _body(tokens)))
+        address = setup.callers[number % len(setup.callers)]
+        wanted.append(streams.Wanted(address, "/v1/chat/completions", headers, _body(tokens)))
     return wanted
 
 
@@ -195,11 +227,16 @@
     return statistics.quantiles(gaps, n=20)[18]
 
 
+def _usages(setup: Setup) -> dict[str, Usage]:
+    return {name: _usage(setup, name) for name in setup.processes}
+
+
 def _usage(setup: Setup, name: str) -> Usage:
     pid = setup.fleet.procs[name].popen.pid
     fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
     pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
-    return Usage((int(fields[11]) + int(fields[12])) / _TICKS_PER_S, pages * _PAGE_KB)
+    cpu_s = (int(fields[11]) + int(fields[12])) / _TICKS_PER_S
+    return Usage(time.monotonic(), cpu_s, pages * _PAGE_KB)
 
 
 def _print(name: str, value: float, unit: str, baseline: float | None = None) -> None:
