--- a/packages/endiveworks/src/endiveworks/calls/pull.py
+++ b/packages/endiveworks/src/endiveworks/calls/pull.py
@@ -2,9 +2,7 @@
 
 import itertools
 import threading
-import time
 from collections.abc import Callable, Mapping, Sequence
-from functools import partial
 from typing import NamedTuple
 
 from returns.result import Failure as Err
@@ -12,10 +10,8 @@
 
 from ..errors import Failure
 from .messages import CallKey
-from .stream import Piece, Stream
+from .stream import Piece
 
-# Engines emit the tokens of a batch together; waiting a little lets one message carry them.
-GATHER_S = 0.010
 PULL_WAIT_S = 0.25
 _TICK_S = 1.0
 
@@ -28,14 +24,32 @@
 
 
 class Pulled(NamedTuple):
-    """News on the want at a position: a piece, or why there is none."""
+    """News on the want at a position, which has ended or can't be had."""
 
     position: int
     news: Result[Piece, Failure]
 
 
+class News(NamedTuple):
+    """News on some of several wants.
+
+    The first three have one item for each answer that goes on.
+
+    Attributes:
+        positions: Positions among the wants.
+        generations: Generations of the answers.
+        data: Bytes that follow the offsets wanted.
+        others: Answers that have ended, or can't be had.
+    """
+
+    positions: list[int]
+    generations: list[int]
+    data: list[bytes]
+    others: list[Pulled]
+
+
 # Sends wants to an address and returns the news; it waits some seconds for the first.
-Send = Callable[[str, Sequence[Want], float], Result[tuple[Pulled, ...], Failure]]
+Send = Callable[[str, Sequence[Want], float], Result[News, Failure]]
 
 
 class Listener(NamedTuple):
@@ -50,48 +64,6 @@
     lost: Callable[[Failure], None]
 
 
-def gather(
-    streams: Sequence[Result[Stream, Failure]], offsets: Sequence[int], wait_s: float
-) -> list[Pulled]:
-    """Returns news on any of the streams, waiting for the first.
-
-    Args:
-        streams: The streams wanted, or why there is none.
-        offsets: Number of bytes known of each.
-        wait_s: Seconds to wait at most.
-    """
-    news = threading.Event()
-    found = [stream.unwrap() for stream in streams if isinstance(stream, Success)]
-    for stream in found:
-        stream.watch(news)
-    try:
-        pulled = _collect(streams, offsets)
-        if not pulled and news.wait(wait_s):
-            time.sleep(GATHER_S)
-            pulled = _collect(streams, offsets)
-        return pulled
-    finally:
-        for stream in found:
-            stream.unwatch(news)
-
-
-def _collect(streams: Sequence[Result[Stream, Failure]], offsets: Sequence[int]) -> list[Pulled]:
-    pulled = []
-    for position, (stream, offset) in enumerate(zip(streams, offsets, strict=True)):
-        news = stream.map(partial(_read_now, offset=offset))
-        if not isinstance(news, Success) or _is_news(news.unwrap()):
-            pulled.append(Pulled(position, news))
-    return pulled
-
-
-def _read_now(stream: Stream, offset: int) -> Piece:
-    return stream.read(offset, 0.0)
-
-
-def _is_news(piece: Piece) -> bool:
-    return bool(piece.data) or piece.ending is not None
-
-
 class _Follower:
     """One answer that is followed."""
 
@@ -149,23 +121,21 @@
                 self._lose(group, followers, outcome.failure())
 
     def _deliver(
-        self,
-        group: dict[int, _Follower],
-        followers: Mapping[int, _Follower],
-        pulled: Sequence[Pulled],
+        self, group: dict[int, _Follower], followers: Mapping[int, _Follower], news: News
     ) -> None:
-        numbers = list(followers)
-        for position, news in pulled:
-            number = numbers[position]
-            follower = followers[number]
-            if not isinstance(news, Success):
-                self._lose(group, {number: follower}, news.failure())
-                continue
-            piece = news.unwrap()
-            if piece.ending is not None:
+        asked = list(followers.items())
+        for position, generation, data in zip(*news[:3], strict=True):
+            follower = asked[position][1]
+            key, offset = follower.want
+            follower.want = Want(key, offset + len(data))
+            follower.listener.take(Piece(offset, data, None, generation))
+        for position, outcome in news.others:
+            number, follower = asked[position]
+            if isinstance(outcome, Success):
                 self._end(group, number)
-            follower.want = Want(follower.want.key, piece.offset + len(piece.data))
-            follower.listener.take(piece)
+                follower.listener.take(outcome.unwrap())
+            else:
+                self._lose(group, {number: follower}, outcome.failure())
 
     def _lose(
         self, group: dict[int, _Follower], followers: Mapping[int, _Follower], failure: Failure
