--- a/examples/embedding/order_once.py
+++ b/examples/embedding/order_once.py
@@ -1,4 +1,4 @@
-"""Embeds the parts of the library in one process: an order outlives the owner that dispatched it."""
+"""Embeds the parts of the library in one process: an order outlives the owner that sent it."""
 
 import threading
 
