Keep as many connections to the key-value service as a failure of a host uses

Four were kept. When a host froze, the changes of copy sets used more, and each one beyond was opened for one call and logged as library_warning (26 of them in a probe with 64 partitions).

--- a/packages/endiveworks/src/endiveworks/platform/etcd.py
+++ b/packages/endiveworks/src/endiveworks/platform/etcd.py
@@ -16,7 +16,8 @@
 from .kv import Change, Entry, Kv, Snapshot, Swap, Swapped
 
 WATCH_SILENCE_S = 15.0
-_KEPT_CONNECTIONS = 4
+# A failure of a host changes many partitions at once; more connections than these are not kept.
+_KEPT_CONNECTIONS = 32
 _READ_BYTES = 65536
 _MAX_ERROR_CHARS = 200
 
