--- a/bench/path.py
+++ b/bench/path.py
@@ -16,6 +16,7 @@
 import tempfile
 import time
 from collections.abc import Sequence
+from functools import partial
 from pathlib import Path
 from typing import NamedTuple
 
@@ -23,6 +24,7 @@
 from endiveworks.client.caller import connect, open_program
 from endiveworks_standins.fleet import Fleet, Place, wait_until
 from returns.result import Success
+from usage import Usage, usage_of
 
 _PLACE = Place("east", "east-1")
 _TENANT = "signs"
@@ -35,8 +37,6 @@
 _WARM_UP_S = 2.0
 _SETTLE_S = 10.0
 _WINDOW_S = 4.0
-_PAGE_KB = os.sysconf("SC_PAGE_SIZE") // 1024
-_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 _SERVICE = f"""
 name = "assistant"
 kind = "model"
@@ -68,15 +68,6 @@
     engines: tuple[str, ...]
 
 
-class Usage(NamedTuple):
-    """Processor time and resident memory of a process, at a monotonic time."""
-
-    at_s: float
-
-    cpu_s: float
-    resident_kb: int
-
-
 def main() -> None:
     """Measures all figures and prints them."""
     parser = argparse.ArgumentParser()
@@ -156,10 +147,7 @@
         base = _gap_p95_s(streams.run(_direct(setup, count, tokens)))
         wanted = _through(setup, count, tokens)
         looks = [_usages(setup)]
-
-        def look(looks: list[dict[str, Usage]] = looks) -> None:
-            looks.append(_usages(setup))
-
+        look = partial(_look, setup, looks)
         seen = streams.run(wanted, at_flow=look, at_end=look)
         value = _gap_p95_s(seen)
         _print(f"gap_p95_ms_{count}_streams", value * 1000, "ms", base * 1000)
@@ -227,16 +215,12 @@
     return statistics.quantiles(gaps, n=20)[18]
 
 
-def _usages(setup: Setup) -> dict[str, Usage]:
-    return {name: _usage(setup, name) for name in setup.processes}
+def _look(setup: Setup, looks: list[dict[str, Usage]]) -> None:
+    looks.append(_usages(setup))
 
 
-def _usage(setup: Setup, name: str) -> Usage:
-    pid = setup.fleet.procs[name].popen.pid
-    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-    pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
-    cpu_s = (int(fields[11]) + int(fields[12])) / _TICKS_PER_S
-    return Usage(time.monotonic(), cpu_s, pages * _PAGE_KB)
+def _usages(setup: Setup) -> dict[str, Usage]:
+    return {name: usage_of(setup.fleet.procs[name].popen.pid) for name in setup.processes}
 
 
 def _print(name: str, value: float, unit: str, baseline: float | None = None) -> None:
--- a/bench/report.py
+++ b/bench/report.py
@@ -17,7 +17,7 @@
 _BY_STREAMS = re.compile(r"(?P<name>.+)_(?P<streams>\d+)_streams")
 _PANELS = (
     ("gap_p95_ms", "95th percentile of the gap between chunks, ms"),
-    ("cpu_us_per_chunk", "processor time for each chunk, µs"),
+    ("cpu_us_per_token", "processor time for each token, µs"),
     ("memory_kb_per_stream", "memory for each open stream, kB"),
 )
 
