--- a/packages/endiveworks-ctl/src/endiveworks_ctl/status.py
+++ b/packages/endiveworks-ctl/src/endiveworks_ctl/status.py
@@ -32,6 +32,11 @@
     Column("queued", "QUEUED"),
     Column("uptime_s", "UPTIME_S"),
 )
+_ENGINE_COLUMNS = (
+    Column("engine_wanted", "WANTED"),
+    Column("engine_present", "PRESENT"),
+    Column("engine_waits_for", "WAITS_FOR"),
+)
 _HISTOGRAM_COLUMNS = (
     Column("host", "HOST"),
     Column("name", "HISTOGRAM"),
@@ -57,7 +62,9 @@
     if not invocation.values.flag("histograms"):
         rows, failures = fetch_all(members, STATUS_PATH, timeout_s, decode_status)
         by_host = sorted(rows, key=lambda row: row["host"])
-        show_rows(terminal, by_host, _PROCESS_COLUMNS)
+        ordered = any(row.get("engine_wanted") for row in rows)
+        columns = (*_PROCESS_COLUMNS, *(_ENGINE_COLUMNS if ordered else ()))
+        show_rows(terminal, by_host, columns)
         return finish(invocation, rows, failures)
     bodies, failures = fetch_all(members, METRICS_PATH, timeout_s, decode_metrics)
     _show_histograms(invocation, bodies)
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/deployment.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/deployment.py
@@ -116,6 +116,14 @@
         if self._host_list:
             _start("host-list", self._read_host_list_forever)
 
+    def lease(self) -> int:
+        """Returns the lease of this process's entry; 0 while there is none."""
+        return self._presence.lease()
+
+    def take_work(self, taking: bool) -> None:
+        """Tells the others whether this process takes new work; it may change its mind."""
+        self._presence.take_work(taking)
+
     def leave(self) -> None:
         """Tells the others that this process takes no new work."""
         self.leaving = True
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/operators.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/operators.py
@@ -34,6 +34,17 @@
     partitions: int
 
 
+class EngineRow(NamedTuple):
+    """What is wanted of an engine, what it has, and what the next order waits for."""
+
+    engine_wanted: str = ""
+    engine_present: str = ""
+    engine_waits_for: str = ""
+
+
+NO_ENGINE = EngineRow()
+
+
 def program_rows(owner: Owner, host: str, limit: int) -> list[ProgramRow]:
     """Returns up to a number of programs that this host owns, the open ones."""
     return [_row(status, host) for status in owner.list_open(limit)]
@@ -46,6 +57,7 @@
     work: Callable[[], Work],
     programs: Callable[[int], list[ProgramRow]],
     explain: Callable[[str], list[ReasonRow]],
+    engine: Callable[[], EngineRow] = lambda: NO_ENGINE,
 ) -> HttpServer:
     """Starts the operators' HTTP server.
 
@@ -55,7 +67,7 @@
     started_at = time.monotonic()
 
     def status() -> ProcessStatus:
-        found = work()
+        found, row = work(), engine()
         metrics.gauge("running_calls", found.running)
         metrics.gauge("queued_calls", found.queued)
         identity = deployment.identity
@@ -75,6 +87,9 @@
             threads=threading.active_count(),
             open_files=len(os.listdir(_FILES)),
             uptime_s=round(time.monotonic() - started_at, 1),
+            engine_wanted=row.engine_wanted,
+            engine_present=row.engine_present,
+            engine_waits_for=row.engine_waits_for,
         )
 
     return admin.serve(cfg.text("admin"), Sources(status, programs, metrics.snapshot, explain))
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/options.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/options.py
@@ -136,6 +136,13 @@
         "Upstream: tokens that an engine exports or imports in a second; 0 never exports.",
         between(0.0, 1e9),
     )
+    flags.define_string(
+        "order_guard",
+        "",
+        "Upstream: address bound by the one process of this host that may order the engine; "
+        "empty binds none.",
+        optional_address,
+    )
     flags.define_integer("max_waiting", 1000, "Upstream: calls that may wait.", between(1, 10**6))
     flags.define_float(
         "silence_s",
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/presence.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/presence.py
@@ -35,6 +35,7 @@
         self._registration: Registration | None = None
         self._lock = threading.Lock()
         self._stop = threading.Event()
+        self._left = False
         self._answered_since_s: float | None = None
 
     def answered_since_s(self) -> float | None:
@@ -52,13 +53,24 @@
             target=self._renew_forever, args=(failed,), name="presence", daemon=True
         ).start()
 
+    def lease(self) -> int:
+        """Returns the lease of the entry; 0 while there is none."""
+        with self._lock:
+            return self._registration.lease if self._registration is not None else 0
+
+    def take_work(self, taking: bool) -> None:
+        """Writes whether this process takes new work, unless it is leaving."""
+        with self._lock:
+            if self._left or not self._set_draining(not taking):
+                return
+        self._renew()
+
     def leave(self) -> None:
-        """Writes that this process takes no new work."""
+        """Writes that this process takes no new work, for good."""
         with self._lock:
-            if self._registration is None:
+            self._left = True
+            if not self._set_draining(True):
                 return
-            member = self._registration.member._replace(draining=True)
-            self._registration = self._registration._replace(member=member)
         self._renew()
 
     def forget(self) -> None:
@@ -68,6 +80,14 @@
             if self._registration is not None:
                 withdraw(self._kv, self._registration)
 
+    def _set_draining(self, draining: bool) -> bool:
+        """Notes what the entry is to say; returns whether there is one."""
+        if self._registration is None:
+            return False
+        member = self._registration.member._replace(draining=draining)
+        self._registration = self._registration._replace(member=member)
+        return True
+
     def _renew_forever(self, failed: bool) -> None:
         failures = int(failed)
         while not self._stop.wait(self._wait_s(failures)):
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/upstream.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/upstream.py
@@ -11,8 +11,10 @@
 from endiveworks.calls.executor import Executor
 from endiveworks.config.bundle import Service
 from endiveworks.engines.memory import engine_memory
+from endiveworks.engines.orders import engine_orders
 from endiveworks.links import server
 from endiveworks.members.member import Member
+from endiveworks.orders.slots import Holder
 from endiveworks.settings.flags import Values
 from endiveworks.telemetry.logs import logger
 from endiveworks.telemetry.metrics import Metrics
@@ -20,13 +22,14 @@
 
 from .deployment import Deployment, join
 from .engine_keeper import EngineKeeper
+from .engine_orders import Around, Guard, OrderSender
 from .executor_service import ExecutorService
 from .explain import admit_reasons
 from .metering import measured_queue
 from .operators import Work, serve_operators
 from .prefix_eviction import PrefixEviction
 from .pull_replies import replying_later
-from .upstream_run import runner, with_room
+from .upstream_run import runner, with_model, with_room
 
 _SLOTS_BEFORE_CONFIG = 1
 _EXPIRE_S = 1.0
@@ -48,17 +51,22 @@
         cfg.integer("max_waiting"),
     )
     admission = Admission(around, random.Random(identity.incarnation))
+    sender: OrderSender
     executor = Executor(
         host=identity.host,
         incarnation=identity.incarnation,
         queue=measured_queue(executor_queue(admission), metrics),
         run=with_room(
-            runner(cfg.text("upstream_url"), cfg.number("silence_s")),
+            with_model(
+                runner(cfg.text("upstream_url"), cfg.number("silence_s")),
+                lambda: sender.model(),
+            ),
             PrefixEviction(memory, keeper.memory_tokens, _speed(cfg)),
             admission.usual.need_of,
         ),
         slots=lambda: _slots(deployment, cfg.text("service")),
     )
+    sender = OrderSender(_around(cfg, deployment, executor), random.Random(identity.incarnation))
     service = ExecutorService(
         identity, executor, deployment.heard, deployment.encoded_bundle, keeper
     )
@@ -76,8 +84,10 @@
         lambda: Work(*executor.load(), 0),
         lambda limit: [],
         lambda program: admit_reasons(identity.host, admission.explain(program)),
+        sender.status,
     )
     deployment.announce(_member(cfg, deployment, listening.address, operators.address))
+    sender.start()
     logger("daemon").info("listening", thrift=listening.address, admin=operators.address)
 
     def stop() -> bool:
@@ -110,6 +120,35 @@
         executor.expire()
 
 
+def _around(cfg: Values, deployment: Deployment, executor: Executor) -> Around:
+    identity = deployment.identity
+    name = cfg.text("service")
+
+    def others() -> frozenset[str]:
+        found = (host for host, member in deployment.usable().items() if member.service == name)
+        return frozenset(found) - {identity.host}
+
+    def admit(admitting: bool) -> None:
+        # The gate is shut last and opened first: calls that come meanwhile are still whole.
+        if admitting:
+            executor.admit(True)
+        deployment.take_work(admitting)
+        if not admitting:
+            executor.admit(False)
+
+    return Around(
+        me=Holder(identity.host, identity.incarnation),
+        kv=deployment.kv,
+        engine=engine_orders(cfg.text("upstream_url")),
+        service=lambda: None if deployment.leaving else _service(deployment, name),
+        lease=deployment.lease,
+        others=others,
+        admit=admit,
+        idle=lambda: executor.load() == (0, 0),
+        guard=Guard(cfg.text("order_guard")),
+    )
+
+
 def _speed(cfg: Values) -> Speed:
     return Speed(cfg.number("prefill_tokens_per_s"), cfg.number("transfer_tokens_per_s"))
 
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/upstream_run.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/upstream_run.py
@@ -3,6 +3,7 @@
 import threading
 from collections.abc import Callable
 
+import msgspec
 import urllib3
 from endiveworks.calls.executor import Run
 from endiveworks.calls.messages import Job
@@ -38,6 +39,34 @@
     return run_in_room
 
 
+def with_model(run: Run, model: Callable[[], str]) -> Run:
+    """Returns the same function, which names the model that the engine has loaded.
+
+    While a new model is rolled out, requests may come for the old one at a changed replica, and
+    for the new one at a replica that is still to change.
+
+    Args:
+        run: Runs an attempt.
+        model: Returns the model that the engine has loaded; empty when it is not known.
+    """
+
+    def run_with_model(job: Job, stream: Stream, cancelled: threading.Event) -> Ending:
+        loaded = model()
+        if job.operation == CHAT and loaded:
+            job = job._replace(body=_naming(job.body, loaded))
+        return run(job, stream, cancelled)
+
+    return run_with_model
+
+
+def _naming(body: bytes, model: str) -> bytes:
+    named = msgspec.json.encode(model)
+    if body.startswith(b'{"model":' + named + b","):
+        return body
+    fields = msgspec.json.decode(body, type=dict[str, msgspec.Raw])
+    return msgspec.json.encode({**fields, "model": msgspec.Raw(named)})
+
+
 def runner(upstream_url: str, silence_s: float) -> Run:
     """Returns the function that runs attempts.
 
--- a/packages/endiveworks-standins/src/endiveworks_standins/engine/__main__.py
+++ b/packages/endiveworks-standins/src/endiveworks_standins/engine/__main__.py
@@ -12,7 +12,7 @@
 
 from .http import make_app
 from .loop import Log, Loop, Options
-from .orders import Orders
+from .orders import Loaded, Orders
 
 _RATES = Rates()
 _OPTIONS = Options()
@@ -22,6 +22,9 @@
 _THREADS = flags.DEFINE_integer("threads", 256, "Streams served at once.")
 _NATURAL = flags.DEFINE_integer("answer_tokens", 64, "Mean length of an answer, in tokens.")
 _FENCING = flags.DEFINE_bool("check_fencing", False, "Refuse orders with an old fencing number.")
+_LOAD_S = flags.DEFINE_float("load_s", 0.0, "Time that a load of weights takes.")
+_MODEL = flags.DEFINE_string("model", "", "Model loaded at the start; empty answers for any.")
+_VERSION = flags.DEFINE_string("model_version", "", "Version loaded at the start.")
 
 
 def _define(name: str, default: float | int) -> None:
@@ -58,9 +61,12 @@
 def main(argv: list[str]) -> None:
     """Serves until the process is killed."""
     del argv
-    loop = Loop(_values(_RATES), _values(_OPTIONS), _open_log(_LOG_FILE.value))
+    log = _open_log(_LOG_FILE.value)
+    loop = Loop(_values(_RATES), _values(_OPTIONS), log)
     threading.Thread(target=loop.run, daemon=True).start()
-    wsgi_app = make_app(loop, Orders(_FENCING.value), _NATURAL.value)
+    loaded = Loaded(_MODEL.value, _VERSION.value)
+    orders = Orders(_FENCING.value, _LOAD_S.value, loaded, log, loop.interrupt)
+    wsgi_app = make_app(loop, orders, _NATURAL.value)
     server = wsgi.Server(("127.0.0.1", _PORT.value), wsgi_app, numthreads=_THREADS.value)
     server.prepare()
     host, port = server.bind_addr
--- a/packages/endiveworks-standins/src/endiveworks_standins/engine/http.py
+++ b/packages/endiveworks-standins/src/endiveworks_standins/engine/http.py
@@ -8,7 +8,7 @@
 
 from .faults import Faults
 from .loop import Loop, Request
-from .orders import KINDS, Orders
+from .orders import KINDS, OrderFaults, Orders
 from .text import answer_pieces, read_prompt
 
 READ_WAIT_S = 5.0
@@ -40,7 +40,7 @@
 ) -> Callable[[Environ, StartResponse], Iterable[bytes]]:
     """Makes the WSGI application of the stand-in."""
     routes: dict[tuple[str, str], Callable[[Environ], Reply | Stream]] = {
-        ("POST", "/v1/chat/completions"): lambda env: _complete(loop, natural_tokens, env),
+        ("POST", "/v1/chat/completions"): lambda env: _complete(loop, orders, natural_tokens, env),
         ("POST", "/v1/cancel"): lambda env: _cancel(loop, env),
         ("GET", "/load"): lambda env: Reply(OK, loop.read_load()._asdict()),
         ("GET", "/cache/events"): lambda env: _events(loop, env),
@@ -49,7 +49,8 @@
         ("POST", "/cache/export"): lambda env: _memory(loop.export_prefix, env),
         ("POST", "/cache/import"): lambda env: _memory(loop.import_prefix, env),
         ("POST", "/orders"): lambda env: _order(orders, env),
-        ("GET", "/orders"): lambda env: Reply(OK, {**orders.values, "fencing": orders.fencing}),
+        ("GET", "/orders"): lambda env: Reply(OK, orders.listed()),
+        ("POST", "/standin/order_faults"): lambda env: _set_order_faults(orders, env),
         ("POST", "/standin/faults"): lambda env: _set_faults(loop, env),
     }
 
@@ -78,8 +79,11 @@
     return json.loads(environ["wsgi.input"].read() or b"{}")
 
 
-def _complete(loop: Loop, natural_tokens: int, environ: Environ) -> Reply | Stream:
+def _complete(loop: Loop, orders: Orders, natural_tokens: int, environ: Environ) -> Reply | Stream:
     body = _body(environ)
+    if not orders.serves(str(body.get("model", ""))):
+        loop.log("not_served", model=str(body.get("model", "")))
+        return _problem("503 Service Unavailable", "the model is not loaded")
     request_id = environ.get("HTTP_X_REQUEST_ID") or uuid.uuid4().hex
     after = int(environ.get("HTTP_LAST_EVENT_ID") or 0)
     if after and request_id not in loop.requests:
@@ -188,12 +192,24 @@
     return Reply(OK, {"tokens": order(str(_body(environ)["cache_salt"]))})
 
 
-def _order(orders: Orders, environ: Environ) -> Reply:
+def _order(orders: Orders, environ: Environ) -> Reply | Stream:
     body = _body(environ)
     if body["kind"] not in KINDS:
         return _problem("400 Bad Request", f"kind must be one of {', '.join(KINDS)}")
     done = orders.apply(body["kind"], str(body["value"]), int(body.get("fencing", 0)))
-    return Reply(OK if done.accepted else "409 Conflict", done._asdict())
+    if done.lose_answer:
+        return Stream(_cut())
+    return Reply(done.status, {"fencing": done.fencing})
+
+
+def _cut() -> Iterator[bytes]:
+    yield b"{"
+    raise ConnectionAbortedError("answer cut on order")
+
+
+def _set_order_faults(orders: Orders, environ: Environ) -> Reply:
+    orders.faults = OrderFaults(**_body(environ))
+    return Reply(OK, orders.faults._asdict())
 
 
 def _set_faults(loop: Loop, environ: Environ) -> Reply:
--- a/packages/endiveworks-standins/src/endiveworks_standins/engine/loop.py
+++ b/packages/endiveworks-standins/src/endiveworks_standins/engine/loop.py
@@ -208,6 +208,14 @@
                 self._restart()
             self.wake.notify_all()
 
+    def interrupt(self) -> int:
+        """Cuts off every request and drops the cache; returns how many requests were cut off."""
+        with self.lock:
+            cut_off = sum(not request.ending for request in self.requests.values())
+            self._restart()
+            self.wake.notify_all()
+            return cut_off
+
     def _restart(self) -> None:
         for request in self.requests.values():
             if not request.ending:
--- a/packages/endiveworks/src/endiveworks/calls/executor.py
+++ b/packages/endiveworks/src/endiveworks/calls/executor.py
@@ -60,6 +60,7 @@
         self._epochs: dict[int, int] = {}
         self._running = 0
         self._draining = False
+        self._admitting = True
 
     def submit(self, job: Job) -> Result[None, Failure]:
         """Accepts an attempt, or finds it accepted before.
@@ -163,6 +164,11 @@
                 self._idle.wait(min(left_s, _DRAIN_POLL_S))
         return True
 
+    def admit(self, admitting: bool) -> None:
+        """Takes new attempts from now on, or refuses them; those accepted before still run."""
+        with self._lock:
+            self._admitting = admitting
+
     def load(self) -> tuple[int, int]:
         """Returns how many attempts run and how many wait."""
         with self._lock:
@@ -202,6 +208,9 @@
         if self._draining:
             detail = "the upstream process is leaving"
             return Failure(Code.DRAINING, step, self.host, detail, True, _BUSY_RETRY_S)
+        if not self._admitting:
+            detail = "the upstream takes no calls while it is changed"
+            return Failure(Code.OVERLOADED, step, self.host, detail, True, _BUSY_RETRY_S)
         return None
 
     def _note_epoch(self, key: CallKey, epoch: int) -> bool:
--- a/packages/endiveworks/src/endiveworks/config/bundle.py
+++ b/packages/endiveworks/src/endiveworks/config/bundle.py
@@ -23,6 +23,26 @@
     wasted_cache: float
 
 
+class EngineTerms(NamedTuple):
+    """What the engines of a service are to have loaded, and how many may change at once.
+
+    Attributes:
+        version: Version of the model; empty leaves it as it is.
+        role: Role, such as "mixed", "prefill" or "decode"; empty leaves it as it is.
+        adapters: Adapters that must be loaded.
+        reloads_at_once: Replicas that may be out of service for an order at once.
+        min_serving: Other replicas that must serve while one is out.
+        store_loads: Loads that the weight store bears at once, of all services together.
+    """
+
+    version: str = ""
+    role: str = ""
+    adapters: tuple[str, ...] = ()
+    reloads_at_once: int = 1
+    min_serving: int = 1
+    store_loads: int = 1
+
+
 class Service(NamedTuple):
     """One service as its file describes it.
 
@@ -39,6 +59,7 @@
         deadline_s: Seconds after which a waiting call is given up.
         max_tokens: Largest answer of one call, in tokens.
         slots: Calls that one upstream runs at once, at most.
+        engine: What its engines are to have loaded; None gives them no orders.
     """
 
     name: str
@@ -53,6 +74,7 @@
     deadline_s: float
     max_tokens: int
     slots: int
+    engine: EngineTerms | None = None
 
 
 class Bundle(NamedTuple):
--- a/packages/endiveworks/src/endiveworks/config/codec.py
+++ b/packages/endiveworks/src/endiveworks/config/codec.py
@@ -13,7 +13,7 @@
 from returns.result import Result, Success
 
 from ..errors import Code, Failure
-from .bundle import Bundle, CostWeights, Service, TenantTerms
+from .bundle import Bundle, CostWeights, EngineTerms, Service, TenantTerms
 
 # The key-value service takes values up to a megabyte.
 MAX_BUNDLE_BYTES = 1_000_000
@@ -68,7 +68,8 @@
     if hasattr(value, "_asdict"):
         return _plain(value._asdict())
     if isinstance(value, Mapping):
-        return {name: _plain(item) for name, item in value.items()}
+        # What is not set is left out, so that digests agree with versions that do not know it.
+        return {name: _plain(item) for name, item in value.items() if item is not None}
     if isinstance(value, frozenset):
         return sorted(value)
     return value
@@ -84,4 +85,5 @@
 def _service(fields: dict[str, Any]) -> Service:
     tenants = {name: TenantTerms(**terms) for name, terms in fields["tenants"].items()}
     weights = CostWeights(**fields["weights"])
-    return Service(**{**fields, "tenants": tenants, "weights": weights})
+    engine = EngineTerms(**fields["engine"]) if "engine" in fields else None
+    return Service(**{**fields, "tenants": tenants, "weights": weights, "engine": engine})
--- a/packages/endiveworks/src/endiveworks/config/service_file.py
+++ b/packages/endiveworks/src/endiveworks/config/service_file.py
@@ -11,7 +11,7 @@
 from returns.result import Result, Success
 
 from . import rules
-from .bundle import CostWeights, Service, TenantTerms
+from .bundle import CostWeights, EngineTerms, Service, TenantTerms
 from .rules import REQUIRED, Rule
 
 _MAX_FILE_BYTES = 65_536
@@ -62,6 +62,15 @@
     "deadline_s": Rule("seconds from 0.1 to 86400", rules.is_number(0.1, 86_400.0)),
     "max_tokens": Rule("a whole number from 1 to 1000000", rules.is_integer(1, 1_000_000), 1),
     "slots": Rule("a whole number from 1 to 10000", rules.is_integer(1, 10_000)),
+    "engine": Rule("a table of what the engines are to have loaded", rules.is_table, None),
+}
+_ENGINE_RULES: Mapping[str, Rule] = {
+    "version": Rule("the version of a model", rules.is_text, ""),
+    "role": Rule("the name of a role", rules.is_text, ""),
+    "adapters": Rule("a list of different adapter names", rules.is_name_list, ()),
+    "reloads_at_once": Rule("a whole number from 1 to 1000", rules.is_integer(1, 1_000), 1),
+    "min_serving": Rule("a whole number from 0 to 1000", rules.is_integer(0, 1_000), 1),
+    "store_loads": Rule("a whole number from 1 to 1000", rules.is_integer(1, 1_000), 1),
 }
 _TENANT_RULES: Mapping[str, Rule] = {
     "weight": Rule("a number from 0.001 to 1000", rules.is_number(0.001, 1000.0), 1.0),
@@ -148,6 +157,7 @@
         wrong = _check_value(_TENANT_RULE, terms, f"tenants.{name}")
         problems.extend(wrong or _check_table(_TENANT_RULES, terms, f"tenants.{name}."))
     problems.extend(_check_table(_WEIGHT_RULES, dict(_entries(table, "weights")), "weights."))
+    problems.extend(_check_table(_ENGINE_RULES, dict(_entries(table, "engine")), "engine."))
     return problems
 
 
@@ -162,6 +172,8 @@
         problems.append(Problem("", "model", _NOT_SET, "a model name, as the kind is model"))
     if table.get("kind") == _PLAIN and model != "":
         problems.append(Problem("", "model", _shown(model), "nothing, as the kind is plain"))
+    if table.get("kind") == _PLAIN and "engine" in table:
+        problems.append(Problem("", "engine", "a table", "nothing, as the kind is plain"))
     return problems
 
 
@@ -219,7 +231,8 @@
         for name, terms in table["tenants"].items()
     }
     weights = CostWeights(**_filled(_WEIGHT_RULES, fields["weights"]))
-    once = frozenset(fields["at_most_once"])
-    service = Service(**{**fields, "tenants": tenants, "weights": weights, "at_most_once": once})
+    engine = EngineTerms(**_filled(_ENGINE_RULES, table["engine"])) if "engine" in table else None
+    parts = {"tenants": tenants, "weights": weights, "engine": engine}
+    service = Service(**{**fields, **parts, "at_most_once": frozenset(fields["at_most_once"])})
     # TOML's whole numbers become floats where the bundle has floats, so that digests agree.
     return msgspec.convert(msgspec.to_builtins(service), Service)
--- /dev/null
+++ b/packages/endiveworks/src/endiveworks/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Orders to an engine: what it is to have loaded, when it may reload, and who may order it."""
--- a/packages/endiveworks/src/endiveworks/settings/shared.py
+++ b/packages/endiveworks/src/endiveworks/settings/shared.py
@@ -33,6 +33,7 @@
     "service",
     "upstream_url",
     "transfer_tokens_per_s",
+    "order_guard",
     "max_waiting",
     "silence_s",
 )
--- a/packages/endiveworks/src/endiveworks/telemetry/status.py
+++ b/packages/endiveworks/src/endiveworks/telemetry/status.py
@@ -1,7 +1,7 @@
 """What a process tells operators about itself, in the form that its HTTP address serves."""
 
 from collections.abc import Callable
-from typing import NamedTuple, TypedDict, TypeVar
+from typing import NamedTuple, NotRequired, TypedDict, TypeVar
 
 import msgspec
 from returns.result import Failure as Failed
@@ -39,6 +39,9 @@
         threads: Threads of the process.
         open_files: Open file descriptors.
         uptime_s: Seconds since the start.
+        engine_wanted: What the engine is to have loaded; empty when it gets no orders.
+        engine_present: What the engine lists.
+        engine_waits_for: What the next order to the engine waits for.
     """
 
     host: str
@@ -56,6 +59,9 @@
     threads: int
     open_files: int
     uptime_s: float
+    engine_wanted: NotRequired[str]
+    engine_present: NotRequired[str]
+    engine_waits_for: NotRequired[str]
 
 
 class ProgramRow(TypedDict):
