--- a/packages/endiveworks-daemon/src/endiveworks_daemon/deployment.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/deployment.py
@@ -101,7 +101,7 @@
             self._membership.answered(member.host, member.incarnation, draining=False)
         elif failure.code is Code.DRAINING:
             self._membership.answered(member.host, member.incarnation, draining=True)
-        elif failure.code in (Code.UNREACHABLE, Code.TIMEOUT):
+        elif failure.code in (Code.UNREACHABLE, Code.TIMEOUT, Code.NO_UPSTREAM):
             self._membership.unanswered(member.host, member.incarnation)
 
     def announce(self, member: Member) -> None:
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/engine_orders.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/engine_orders.py
@@ -91,6 +91,7 @@
         lease: Returns the lease of this process's entry; 0 for none.
         others: Returns the other hosts of the service that take new work.
         admit: Takes new calls from now on, or refuses them.
+        take_work: Tells the other processes whether this one takes new work.
         idle: Returns whether no call runs or waits.
         guard: Keeps other processes of the host from giving orders.
     """
@@ -102,6 +103,7 @@
     lease: Callable[[], int]
     others: Callable[[], frozenset[str]]
     admit: Callable[[bool], None]
+    take_work: Callable[[bool], None]
     idle: Callable[[], bool]
     guard: Guard
 
@@ -120,6 +122,7 @@
         self._status = EngineRow()
         self._model = ""
         self._admitting = True
+        self._announced = False
         self._holding = False
         self._slots: tuple[Slot, ...] = ()
         self._right: Right | None = None
@@ -174,6 +177,8 @@
         service = around.service()
         wanted = wanted_of(service)
         engine = around.engine.read().value_or(None) if wanted is not None else None
+        if wanted is None:
+            around.guard.release()
         situation = Situation(
             wanted=wanted,
             engine=engine,
@@ -251,6 +256,11 @@
     def _admit(self, admitting: bool, wait: Wait) -> None:
         self._around.admit(admitting)
         self._admitting = admitting
+        # A reload holds a slot, which tells the other replicas. Owners learn of it from refusals,
+        # which they forget within seconds, so that calls come again also in an outage.
+        if wait is Wait.LOADING or self._announced:
+            self._announced = not admitting
+            self._around.take_work(admitting)
         event = "admission_opened" if admitting else "admission_closed"
         logger("orders").info(event, reason=wait.value)
 
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/upstream.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/upstream.py
@@ -128,14 +128,6 @@
         found = (host for host, member in deployment.usable().items() if member.service == name)
         return frozenset(found) - {identity.host}
 
-    def admit(admitting: bool) -> None:
-        # The gate is shut last and opened first: calls that come meanwhile are still whole.
-        if admitting:
-            executor.admit(True)
-        deployment.take_work(admitting)
-        if not admitting:
-            executor.admit(False)
-
     return Around(
         me=Holder(identity.host, identity.incarnation),
         kv=deployment.kv,
@@ -143,7 +135,8 @@
         service=lambda: None if deployment.leaving else _service(deployment, name),
         lease=deployment.lease,
         others=others,
-        admit=admit,
+        admit=executor.admit,
+        take_work=deployment.take_work,
         idle=lambda: executor.load() == (0, 0),
         guard=Guard(cfg.text("order_guard")),
     )
--- a/packages/endiveworks/src/endiveworks/calls/executor.py
+++ b/packages/endiveworks/src/endiveworks/calls/executor.py
@@ -210,7 +210,7 @@
             return Failure(Code.DRAINING, step, self.host, detail, True, _BUSY_RETRY_S)
         if not self._admitting:
             detail = "the upstream takes no calls while it is changed"
-            return Failure(Code.OVERLOADED, step, self.host, detail, True, _BUSY_RETRY_S)
+            return Failure(Code.NO_UPSTREAM, step, self.host, detail, True, _BUSY_RETRY_S)
         return None
 
     def _note_epoch(self, key: CallKey, epoch: int) -> bool:
--- a/packages/endiveworks/src/endiveworks/orders/right.py
+++ b/packages/endiveworks/src/endiveworks/orders/right.py
@@ -18,8 +18,8 @@
 
 PROOF_S = 2.0
 # A new process waits until every proof of the one before it is over.
-SETTLE_S = 2 * PROOF_S
-_COUNTER_BITS = 12
+SETTLE_S = PROOF_S + 1.0
+_COUNTER_BITS = 16
 _MAX_COUNTER = 2**_COUNTER_BITS - 1
 
 
@@ -56,14 +56,15 @@
 
 
 def next_fence(last: Fence, right: Right) -> Fence:
-    """Returns the next fencing number; it is above every one used before it."""
+    """Returns the next fencing number, above those before it.
+
+    It stays the same once a revision's numbers are used up: it must never reach the next revision.
+    """
     if right.revision > last.revision:
         return Fence(right.revision, 0)
-    if last.used >= _MAX_COUNTER:
-        return Fence(last.revision + 1, 0)
-    return last._replace(used=last.used + 1)
+    return last._replace(used=min(last.used + 1, _MAX_COUNTER))
 
 
 def number(fence: Fence) -> int:
-    """Returns the number as an engine gets it; it stays below 2**53 up to revision 2**41."""
+    """Returns the number as an engine gets it; it stays below 2**53 up to revision 2**37."""
     return (fence.revision << _COUNTER_BITS) | fence.used
--- a/tests/test_engine_orders.py
+++ b/tests/test_engine_orders.py
@@ -109,8 +109,10 @@
         """Returns the orders that an engine has carried out, by its own log."""
         return [line["order"] for line in self.logged(number, "order")]
 
-    def sent(self, proc: Proc) -> list[dict[str, Any]]:
-        return [line for line in proc.events if line.get("event") in ("order_sent", "order_failed")]
+    def numbers(self) -> list[int]:
+        """Returns the fencing numbers that have reached the first engine, in their order."""
+        lines = self.logged(1, "order", "order_refused", "order_repeated", "order_busy")
+        return [int(line["fencing"]) for line in lines]
 
 
 class Load:
@@ -215,20 +217,21 @@
     ) -> None:
         place = site()
         place.add_replica(1)
-        hung = place.hang_a_call(place.start_entry())
+        place.set_order_faults(1, refuse_loads=1_000_000)
         place.publish("2")
-        wait_until(lambda: place.waits_for() == "calls")
         frozen = place.fleet.procs["up-1"]
+        frozen.wait_event("order_failed")
         frozen.freeze()
-        place.set_order_faults(1, refuse_loads=1_000_000)
+        of_frozen = len(place.numbers())
         place.start_upstream(1)
-        wait_until(lambda: place.logged(1, "order_refused"))
-        place.ask(place.engines["engine-1"], "/v1/cancel", {"request_id": hung})
+        wait_until(lambda: len(place.numbers()) > of_frozen)
+        lowest = place.numbers()[of_frozen]
         frozen.thaw()
-        wait_until(lambda: place.waits_for(frozen) == "superseded")
+        frozen.wait_event("superseded")
         place.set_order_faults(1)
         wait_until(lambda: place.version() == "2")
-        assert place.sent(frozen) == []
+        assert lowest > max(place.numbers()[:of_frozen])
+        assert min(place.numbers()[of_frozen:]) == lowest
         assert place.executed() == ["set_version 2"]
 
 
