--- a/packages/endiveworks/src/endiveworks/orders/tests/fake_site.py
+++ b/packages/endiveworks/src/endiveworks/orders/tests/fake_site.py
@@ -17,6 +17,7 @@
         self.admitting = True
         self.calls = 0
         self.tried: Order | None = None
+        self.next = Step(Action.NOTHING)
         self.executed: list[Order] = []
 
     def takes_calls(self) -> bool:
@@ -36,9 +37,8 @@
         self.cut_off = 0
 
     def round(self, replica: Replica, lose_order: bool = False, lose_answer: bool = False) -> Step:
-        """Lets the process beside an engine take one step."""
-        situation = self.situation(replica)
-        step = decide(situation)
+        """Lets a process act on what it saw at its last step, and look again."""
+        step = replica.next
         if step.action is Action.TAKE_SLOT and step.key not in self.slots:
             self.revision += 1
             self.slots[step.key] = Slot(step.key, replica.me, self.revision)
@@ -51,6 +51,7 @@
         elif step.action is Action.SEND and step.order is not None and not lose_order:
             self.execute(replica, step.order)
             replica.tried = step.order if lose_answer else None
+        replica.next = decide(self.situation(replica))
         return step
 
     def situation(self, replica: Replica) -> Situation:
@@ -97,6 +98,7 @@
         self.slots = {key: slot for key, slot in self.slots.items() if slot.holder != replica.me}
         replica.me = replica.me._replace(incarnation=replica.me.incarnation + 1)
         replica.admitting, replica.calls, replica.tried = True, 0, None
+        replica.next = Step(Action.NOTHING)
 
     def loading(self) -> int:
         return sum(bool(replica.engine.loading) for replica in self.replicas)
--- a/packages/endiveworks/src/endiveworks/orders/tests/test_decide.py
+++ b/packages/endiveworks/src/endiveworks/orders/tests/test_decide.py
@@ -1,3 +1,5 @@
+import random
+
 from endiveworks.orders.decide import Action, Situation, Step, Wait, decide
 from endiveworks.orders.state import (
     EngineState,
@@ -12,8 +14,15 @@
 from hypothesis import strategies as st
 
 WANTED = Wanted("m", "2", "prefill", ("gold",), 1)
-EVENTS = ("round", "round", "call", "end_call", "finish", "outage", "lose_order", "lose_answer")
-STEPS = st.lists(st.tuples(st.integers(0, 2), st.sampled_from(EVENTS)), max_size=60)
+EVENTS = (*("round",) * 12, "call", "end_call", "finish", "outage", "lose_order", "lose_answer")
+STEPS = 150
+SEEDS = st.integers(0, 2**32)
+
+
+def random_steps(seed: int, *more: str) -> list[tuple[int, str]]:
+    # Lists that hypothesis draws itself are too short to bring several replicas to an order.
+    rng = random.Random(seed)
+    return [(rng.randrange(3), rng.choice((*EVENTS, *more))) for _ in range(STEPS)]
 
 
 def happen(site: Site, at: int, event: str) -> None:
@@ -41,13 +50,13 @@
 
 
 class TestEveryOrderOfEvents:
-    @settings(derandomize=True, max_examples=300, deadline=None)
-    @given(STEPS, st.integers(1, 3), st.integers(1, 2))
+    @settings(derandomize=True, max_examples=200, deadline=None)
+    @given(SEEDS, st.integers(1, 3), st.integers(1, 3))
     def test_replicas_serve_no_call_is_cut_off_and_the_store_is_not_overrun(
-        self, steps: list[tuple[int, str]], reloads: int, loads: int
+        self, seed: int, reloads: int, loads: int
     ) -> None:
         site = Site(3, WANTED, reloads, loads)
-        for at, event in steps:
+        for at, event in random_steps(seed):
             happen(site, at, event)
             assert sum(replica.takes_calls() for replica in site.replicas) >= WANTED.min_serving
             assert site.loading() <= loads
@@ -59,11 +68,11 @@
             assert replica.takes_calls()
         assert site.slots == {}
 
-    @settings(derandomize=True, max_examples=200, deadline=None)
-    @given(st.lists(st.tuples(st.integers(0, 2), st.sampled_from((*EVENTS, "kill"))), max_size=60))
-    def test_killed_processes_change_no_outcome(self, steps: list[tuple[int, str]]) -> None:
+    @settings(derandomize=True, max_examples=100, deadline=None)
+    @given(SEEDS)
+    def test_killed_processes_change_no_outcome(self, seed: int) -> None:
         site = Site(3, WANTED, reloads=1, loads=1)
-        for at, event in steps:
+        for at, event in random_steps(seed, "kill"):
             if event == "kill":
                 site.restart(site.replicas[at])
             else:
--- a/tests/test_engine_orders.py
+++ b/tests/test_engine_orders.py
@@ -206,6 +206,7 @@
         place.publish("3")
         wait_until(lambda: place.version() == "3")
         assert place.executed() == ["set_version 2", "set_version 3"]
+        assert place.logged(1, "order_busy", "order_repeated") == []
         first, second = (int(line["fencing"]) for line in place.logged(1, "order"))
         assert first < second
         late = {"kind": "set_version", "value": "2", "fencing": first}
@@ -231,7 +232,8 @@
         place.set_order_faults(1)
         wait_until(lambda: place.version() == "2")
         assert lowest > max(place.numbers()[:of_frozen])
-        assert min(place.numbers()[of_frozen:]) == lowest
+        later = place.numbers()[of_frozen:]
+        assert later == sorted(set(later))
         assert place.executed() == ["set_version 2"]
 
 
@@ -243,11 +245,11 @@
         hung = place.hang_a_call(entry)
         place.publish("2")
         wait_until(lambda: place.waits_for() == "calls")
+        place.ask(place.fleet.kv_address, "/standin/faults", {"down": True})
+        wait_until(lambda: place.waits_for() == "key-value service")
+        place.ask(place.engines["engine-1"], "/v1/cancel", {"request_id": hung})
         with Load(entry, programs=1) as load:
-            place.ask(place.fleet.kv_address, "/standin/faults", {"down": True})
-            place.ask(place.engines["engine-1"], "/v1/cancel", {"request_id": hung})
-            answered = load.answers
-            wait_until(lambda: load.answers > answered + 2)
+            wait_until(lambda: load.answers > 2)
             assert place.executed() == []
             place.ask(place.fleet.kv_address, "/standin/faults", {"down": False})
             wait_until(lambda: place.version() == "2")
