--- a/packages/endiveworks/src/endiveworks/calls/tests/test_executor.py
+++ b/packages/endiveworks/src/endiveworks/calls/tests/test_executor.py
@@ -172,6 +172,20 @@
         assert bench.executor.drain(0.0, lambda: before)
 
 
+class TestAdmit:
+    def test_refuses_new_attempts_while_those_accepted_before_end(self) -> None:
+        bench = Bench()
+        bench.executor.submit(JOB).unwrap()
+        bench.executor.admit(False)
+        later = JOB._replace(key=KEY._replace(attempt=2))
+        failure = bench.executor.submit(later).failure()
+        assert failure.code is Code.NO_UPSTREAM and failure.not_run
+        bench.executor.submit(JOB).unwrap()
+        assert bench.finish(KEY) == b"whole"
+        bench.executor.admit(True)
+        bench.executor.submit(later).unwrap()
+
+
 class TestDeadline:
     def test_late_attempt_is_answered_as_not_run_and_never_runs(self) -> None:
         service = Service(
--- a/packages/endiveworks/src/endiveworks/config/tests/test_service_file.py
+++ b/packages/endiveworks/src/endiveworks/config/tests/test_service_file.py
@@ -1,6 +1,6 @@
 from pathlib import Path
 
-from endiveworks.config.bundle import Bundle, CostWeights, TenantTerms
+from endiveworks.config.bundle import Bundle, CostWeights, EngineTerms, TenantTerms
 from endiveworks.config.codec import decode_bundle, digest, encode_bundle
 from endiveworks.config.service_file import Problem, check, collect
 
@@ -70,6 +70,32 @@
         assert check(tmp_path / "none.toml").failure()[0].found == "No such file or directory"
 
 
+class TestEngine:
+    TEXT = (EXAMPLES / "assistant.toml").read_text()
+
+    def test_terms_are_decoded_as_they_were_published(self, tmp_path: Path) -> None:
+        path = tmp_path / "engine.toml"
+        path.write_text(self.TEXT + '[engine]\nversion = "2"\nadapters = ["gold"]\n')
+        services = {"assistant": check(path).unwrap()}
+        assert services["assistant"].engine == EngineTerms("2", "", ("gold",), 1, 1, 1)
+        bundle = Bundle(1, "ops", 0.0, digest(services), services)
+        assert decode_bundle(encode_bundle(bundle)).unwrap() == bundle
+
+    def test_without_the_table_the_bundle_is_the_one_of_older_versions(self) -> None:
+        services = {"assistant": check(EXAMPLES / "assistant.toml").unwrap()}
+        assert services["assistant"].engine is None
+        bundle = Bundle(1, "ops", 0.0, digest(services), services)
+        assert b'"engine"' not in encode_bundle(bundle)
+
+    def test_wrong_terms_and_a_plain_service_are_problems(self, tmp_path: Path) -> None:
+        path = tmp_path / "engine.toml"
+        path.write_text(self.TEXT + '[engine]\nversion = 2\nadapters = ["a", "a"]\nroles = ""\n')
+        keys = {problem.key for problem in check(path).failure()}
+        assert keys == {"engine.version", "engine.adapters", "engine.roles"}
+        path.write_text((EXAMPLES / "shop.toml").read_text() + "[engine]\n")
+        assert [problem.key for problem in check(path).failure()] == ["engine"]
+
+
 class TestCollect:
     def test_reads_every_file_of_a_folder(self) -> None:
         assert set(collect([EXAMPLES]).unwrap().services) == {"assistant", "shop"}
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -5,7 +5,7 @@
 from pathlib import Path
 
 import pytest
-from endiveworks.config.bundle import CostWeights, Service, TenantTerms
+from endiveworks.config.bundle import CostWeights, EngineTerms, Service, TenantTerms
 from endiveworks.errors import Code
 from endiveworks.settings.flags import Flags
 from endiveworks.telemetry.fields import ALLOWED
@@ -47,6 +47,7 @@
     def test_every_key(self) -> None:
         keys = [*Service._fields]
         keys += [f"tenants.NAME.{key}" for key in TenantTerms._fields]
+        keys += [f"engine.{key}" for key in EngineTerms._fields]
         keys += [f"weights.{key}" for key in CostWeights._fields]
         assert not _rows_without(keys)
 
