--- a/packages/endiveworks-daemon/src/endiveworks_daemon/engine_orders.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/engine_orders.py
@@ -193,7 +193,7 @@
             doubtful=self._doubtful,
             settled_at_s=self._settled_at_s,
         )
-        if not self._holding and not needs_control(situation):
+        if not needs_control(situation, self._holding):
             return situation
         terms = service.engine if service is not None else None
         return self._with_control(situation, service, terms or EngineTerms())
--- a/packages/endiveworks/src/endiveworks/orders/decide.py
+++ b/packages/endiveworks/src/endiveworks/orders/decide.py
@@ -96,12 +96,19 @@
     key: str = ""
 
 
-def needs_control(situation: Situation) -> bool:
-    """Returns whether the decision needs the key-value service."""
+def needs_control(situation: Situation, holding: bool) -> bool:
+    """Returns whether the decision needs the key-value service.
+
+    Args:
+        situation: The situation, without what the service says.
+        holding: Whether this process may hold slots.
+    """
     wanted, engine = situation.wanted, situation.engine
-    if wanted is None or engine is None:
+    if wanted is None:
+        return holding
+    if engine is None or engine.loading:
         return False
-    return bool(missing_orders(wanted, engine))
+    return holding or bool(missing_orders(wanted, engine))
 
 
 def decide(now: Situation) -> Step:
