--- a/packages/endiveworks-daemon/src/endiveworks_daemon/engine_orders.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/engine_orders.py
@@ -1,7 +1,6 @@
 """Gives the engine beside this process the orders that the configuration asks for."""
 
 import random
-import socket
 import threading
 import time
 from collections.abc import Callable
@@ -35,6 +34,7 @@
 from endiveworks.telemetry.logs import logger
 from returns.result import Success
 
+from .address_guard import AddressGuard
 from .operators import EngineRow
 
 _REST_S = 1.0
@@ -47,39 +47,6 @@
 _LOCAL_WAITS = (Wait.LOADING, Wait.CALLS, Wait.OUTCOME, Wait.ENGINE)
 
 
-class Guard:
-    """A local address that only one process of the host can have bound.
-
-    Args:
-        address: The address; empty binds none.
-    """
-
-    def __init__(self, address: str) -> None:
-        self._address = address
-        self._bound: socket.socket | None = None
-
-    def hold(self) -> bool:
-        """Binds the address; returns whether this process has it."""
-        if not self._address or self._bound is not None:
-            return True
-        host, _, port = self._address.rpartition(":")
-        family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        sock = socket.socket(family, socket.SOCK_STREAM)
-        try:
-            sock.bind((host.strip("[]"), int(port)))
-        except OSError:
-            sock.close()
-            return False
-        self._bound = sock
-        return True
-
-    def release(self) -> None:
-        """Lets another process have the address."""
-        if self._bound is not None:
-            self._bound.close()
-            self._bound = None
-
-
 class Around(NamedTuple):
     """What the sender of orders uses of the process around it.
 
@@ -105,7 +72,7 @@
     admit: Callable[[bool], None]
     take_work: Callable[[bool], None]
     idle: Callable[[], bool]
-    guard: Guard
+    guard: AddressGuard
 
 
 class OrderSender:
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/tests/test_engine_orders.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/tests/test_engine_orders.py
@@ -4,16 +4,16 @@
 from endiveworks.calls.messages import CallKey, Job
 from endiveworks.calls.stream import Ending, Stream
 from endiveworks.programs.records import CHAT
-from endiveworks_daemon.engine_orders import Guard
+from endiveworks_daemon.address_guard import AddressGuard
 from endiveworks_daemon.upstream_run import with_model
 
 
-class TestGuard:
+class TestAddressGuard:
     def test_one_of_two_holds_the_address_until_it_gives_it_up(self) -> None:
         with socket.create_server(("127.0.0.1", 0)) as sock:
             address = f"127.0.0.1:{sock.getsockname()[1]}"
-            assert not Guard(address).hold()
-        first, second = Guard(address), Guard(address)
+            assert not AddressGuard(address).hold()
+        first, second = AddressGuard(address), AddressGuard(address)
         assert first.hold() and first.hold()
         assert not second.hold()
         first.release()
@@ -21,7 +21,7 @@
         second.release()
 
     def test_without_an_address_nothing_is_bound(self) -> None:
-        assert Guard("").hold() and Guard("").hold()
+        assert AddressGuard("").hold() and AddressGuard("").hold()
 
 
 class TestModel:
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/upstream.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/upstream.py
@@ -20,9 +20,10 @@
 from endiveworks.telemetry.metrics import Metrics
 from endiveworks.wire.gen import Executor as ExecutorThrift
 
+from .address_guard import AddressGuard
 from .deployment import Deployment, join
 from .engine_keeper import EngineKeeper
-from .engine_orders import Around, Guard, OrderSender
+from .engine_orders import Around, OrderSender
 from .executor_service import ExecutorService
 from .explain import admit_reasons
 from .metering import measured_queue
@@ -138,7 +139,7 @@
         admit=executor.admit,
         take_work=deployment.take_work,
         idle=lambda: executor.load() == (0, 0),
-        guard=Guard(cfg.text("order_guard")),
+        guard=AddressGuard(cfg.text("order_guard")),
     )
 
 
