--- a/packages/endiveworks/src/endiveworks/replay/replica.py
+++ b/packages/endiveworks/src/endiveworks/replay/replica.py
@@ -4,15 +4,13 @@
 from typing import NamedTuple
 
 from ..admission import limit, preempt, queue, refuse
-from ..cache import eviction, pauses
 from .clock import Clock
-from .engine import Boundary, Cached, Engine, Rates, Sequence, Step
+from .engine import Boundary, Engine, Rates, Sequence, Step
 from .policy import Policy
+from .prefixes import Prefixes
 
 MAX_JUMP_S = 0.2
 REPORT_S = 1.0
-TRANSFER_TOKENS_PER_S = 60_000.0
-HOST_STORE_SHARE = 4
 EWMA_SHARE = 0.1
 FIRST_COST_S = 5.0
 FIRST_NEED_TOKENS = 1_000.0
@@ -47,13 +45,6 @@
     at_s: float
 
 
-class Paused(NamedTuple):
-    """A program in a tool pause, and what is known of the tool."""
-
-    since_s: float
-    tool: pauses.Pauses
-
-
 class Report(NamedTuple):
     """What the upstream reports of its load."""
 
@@ -83,6 +74,7 @@
         self.spread = spread
         self.priorities = priorities
         self.engine = Engine(rates)
+        self.prefixes = Prefixes(self.engine, policy.export, lambda: clock.now_s)
         self.queue = queue.Queue(_queue_rules(policy))
         self.target = limit.Target(
             slots=rates.max_sequences,
@@ -90,10 +82,6 @@
         )
         self.jobs: dict[str, Job] = {}
         self.started: dict[str, Started] = {}
-        self.exported: dict[str, Cached] = {}
-        self.paused: dict[str, Paused] = {}
-        self.exported_tokens = 0
-        self.moved_tokens = 0
         self.cost_s = FIRST_COST_S
         self.need_tokens = FIRST_NEED_TOKENS
         self.report = Report({}, 0.0)
@@ -121,11 +109,7 @@
     def finish_program(self, salt: str) -> None:
         """Releases the memory of a program that has ended."""
         if self.policy.release:
-            self._release(salt)
-
-    def pause_program(self, salt: str, tool: pauses.Pauses) -> None:
-        """Notes that a program waits for a tool."""
-        self.paused[salt] = Paused(self.clock.now_s, tool)
+            self.prefixes.release(salt)
 
     def vanish(self) -> None:
         """Loses the upstream with all it holds."""
@@ -211,10 +195,10 @@
     def _start(self, job: Job) -> None:
         key = job.waiting.key
         self.started[key] = Started(job, self.clock.now_s)
-        self.paused.pop(job.seq.salt, None)
+        self.prefixes.resume(job.seq.salt)
         if self.policy.pauses:
-            self._make_room(job)
-            self._import(job.seq.salt)
+            self.prefixes.make_room(job.seq, self._reserved_tokens())
+            self.prefixes.bring_back(job.seq.salt)
         self.engine.submit(job.seq)
 
     def _step(self) -> None:
@@ -243,52 +227,6 @@
             job.done(seq)
         self._pump() if self.policy.queue else self._step()
 
-    def _make_room(self, job: Job) -> None:
-        engine = self.engine
-        cached = engine.cache.get(job.seq.salt)
-        need = job.seq.reserved_tokens - (cached.tokens if cached else 0)
-        free = self.rates.memory_tokens - self._reserved_tokens() - engine.cached_tokens
-        if need <= free:
-            return
-        idle = [self._idle(salt) for salt in engine.cache if salt != job.seq.salt]
-        speed = eviction.Speed(self.rates.prefill_tokens_per_s, TRANSFER_TOKENS_PER_S)
-        for move in eviction.make_room(idle, need - free, speed):
-            found = engine.cache[move.program]
-            if move.action is eviction.Action.EXPORT and self.policy.export:
-                self._export(move.program, found)
-            engine.release(move.program)
-
-    def _idle(self, salt: str) -> eviction.Idle:
-        # A program without a pause has its next call in the queue.
-        paused = self.paused.get(salt)
-        return_s = 0.0
-        if paused is not None:
-            return_s = eviction.expected_return_s(paused.tool, self.clock.now_s - paused.since_s)
-        return eviction.Idle(salt, self.engine.cache[salt].tokens, return_s)
-
-    def _release(self, salt: str) -> None:
-        self.paused.pop(salt, None)
-        found = self.exported.pop(salt, None)
-        if found is not None:
-            self.exported_tokens -= found.tokens
-        self.engine.release(salt)
-
-    def _export(self, salt: str, found: Cached) -> None:
-        self.exported[salt] = found
-        self.exported_tokens += found.tokens
-        self.moved_tokens += found.tokens
-        while self.exported_tokens > HOST_STORE_SHARE * self.rates.memory_tokens:
-            oldest = next(iter(self.exported))
-            self.exported_tokens -= self.exported.pop(oldest).tokens
-
-    def _import(self, salt: str) -> None:
-        found = self.exported.pop(salt, None)
-        if found is None:
-            return
-        self.exported_tokens -= found.tokens
-        self.moved_tokens += found.tokens
-        self.engine.store(salt, found)
-
 
 def _queue_rules(policy: Policy) -> queue.Rules:
     usual = queue.Rules()
--- a/packages/endiveworks/src/endiveworks/replay/run.py
+++ b/packages/endiveworks/src/endiveworks/replay/run.py
@@ -181,7 +181,7 @@
             return
         following = program.calls[program.next]
         seen_pauses = self.pauses.get(following.tool, pauses.Pauses())
-        replica.pause_program(call.program, seen_pauses)
+        replica.prefixes.pause(call.program, seen_pauses)
         program.ready = False
         self.clock.after(following.pause_s, partial(self.returned, program, following))
 
@@ -242,5 +242,5 @@
     last_s = max((call.at_s for call in trace.calls), default=0.0)
     run.clock.run(last_s + MAX_SIMULATED_S)
     preempted = sum(replica.preempted for replica in run.replicas)
-    moved = sum(replica.moved_tokens for replica in run.replicas)
+    moved = sum(replica.prefixes.moved_tokens for replica in run.replicas)
     return measure(trace, policy.name, run.calls_seen, run.programs_seen, preempted, moved)
