Replay: end a program's pause as its next call is queued

Cause: the replay ended a pause only as the engine took the call up. A call in the queue looked like a pause that outlasts the usual ones, so its prefix was expected last and left first. Change: the pause ends as the call is queued. The test fails without it (the pause is still there). Small alone: two more faults hide it.

--- a/packages/endiveworks/src/endiveworks/replay/replica.py
+++ b/packages/endiveworks/src/endiveworks/replay/replica.py
@@ -102,6 +102,7 @@
             return
         if self.policy.refuse and self._refuses(job):
             return
+        self.prefixes.resume(job.seq.salt)
         self.jobs[key] = job
         queue.offer(self.queue, job.waiting)
         self._pump()
@@ -195,7 +196,6 @@
     def _start(self, job: Job) -> None:
         key = job.waiting.key
         self.started[key] = Started(job, self.clock.now_s)
-        self.prefixes.resume(job.seq.salt)
         if self.policy.pauses:
             self.prefixes.make_room(job.seq, self._reserved_tokens())
             self.prefixes.bring_back(job.seq.salt)
