Replay: keep the prefixes of calls that the engine has not taken up

Cause of the missed targets of the authority: jobs that start between two steps of the engine reserve their whole need, but their prefixes still counted as idle: counted twice, more room was made than needed, and a prefix just imported for one call was moved out again for the next. Change: prefixes of started jobs stay and are covered by what the jobs reserve. The test fails without it (the prefix of the first call is gone).

--- a/packages/endiveworks/src/endiveworks/replay/prefixes.py
+++ b/packages/endiveworks/src/endiveworks/replay/prefixes.py
@@ -1,6 +1,7 @@
 """Prefixes around one engine in a replay: pauses of their programs, room, export and import."""
 
 from collections.abc import Callable
+from collections.abc import Set as AbstractSet
 from typing import NamedTuple
 
 from ..cache import eviction, pauses
@@ -51,15 +52,23 @@
             self.exported_tokens -= found.tokens
         self.engine.release(salt)
 
-    def make_room(self, seq: Sequence, reserved_tokens: int) -> None:
-        """Moves out prefixes until a request fits beside what is reserved."""
+    def make_room(self, seq: Sequence, reserved_tokens: int, started: AbstractSet[str]) -> None:
+        """Moves out prefixes until a request fits beside what is reserved.
+
+        Args:
+            seq: The request.
+            reserved_tokens: Memory that started requests take, which covers their prefixes.
+            started: Programs of these requests, also where the engine has not taken them up yet.
+        """
         engine = self.engine
         cached = engine.cache.get(seq.salt)
         need = seq.reserved_tokens - (cached.tokens if cached else 0)
-        free = engine.rates.memory_tokens - reserved_tokens - engine.cached_tokens
+        idle = [self._idle(salt) for salt in engine.cache if salt not in started | {seq.salt}]
+        taken = reserved_tokens + sum(prefix.tokens for prefix in idle)
+        taken += cached.tokens if cached else 0
+        free = engine.rates.memory_tokens - taken
         if need <= free:
             return
-        idle = [self._idle(salt) for salt in engine.cache if salt != seq.salt]
         speed = eviction.Speed(engine.rates.prefill_tokens_per_s, TRANSFER_TOKENS_PER_S)
         for move in eviction.make_room(idle, need - free, speed):
             found = engine.cache[move.program]
--- a/packages/endiveworks/src/endiveworks/replay/replica.py
+++ b/packages/endiveworks/src/endiveworks/replay/replica.py
@@ -194,11 +194,11 @@
         return True
 
     def _start(self, job: Job) -> None:
-        key = job.waiting.key
-        self.started[key] = Started(job, self.clock.now_s)
         if self.policy.pauses:
-            self.prefixes.make_room(job.seq, self._reserved_tokens())
+            started = {known.job.seq.salt for known in self.started.values()}
+            self.prefixes.make_room(job.seq, self._reserved_tokens(), started)
             self.prefixes.bring_back(job.seq.salt)
+        self.started[job.waiting.key] = Started(job, self.clock.now_s)
         self.engine.submit(job.seq)
 
     def _step(self) -> None:
--- a/packages/endiveworks/src/endiveworks/replay/tests/test_prefixes.py
+++ b/packages/endiveworks/src/endiveworks/replay/tests/test_prefixes.py
@@ -1,13 +1,30 @@
 from endiveworks.admission.queue import Waiting
-from endiveworks.cache.pauses import Pauses
+from endiveworks.cache.pauses import Pauses, add
 from endiveworks.replay.clock import Clock
-from endiveworks.replay.engine import Boundary, Rates, Sequence
+from endiveworks.replay.engine import Boundary, Cached, Engine, Rates, Sequence
 from endiveworks.replay.policy import FULL
+from endiveworks.replay.prefixes import Prefixes
 from endiveworks.replay.replica import Job, Replica
 
 MEMORY_TOKENS = 1_000
 
 
+class Site:
+    """An engine whose programs have a tool that usually takes a second, and seldom long."""
+
+    def __init__(self) -> None:
+        self.now_s = 0.0
+        self.engine = Engine(Rates(memory_tokens=MEMORY_TOKENS))
+        self.prefixes = Prefixes(self.engine, True, lambda: self.now_s)
+        self.tool = Pauses()
+        for pause_s in (*[1.0] * 30, *[1_000.0] * 3):
+            self.tool = add(self.tool, pause_s)
+
+    def hold(self, salt: str, tokens: int) -> None:
+        self.engine.store(salt, Cached(frozenset({"end"}), tokens))
+        self.prefixes.pause(salt, self.tool)
+
+
 def request(salt: str, tokens: int) -> Sequence:
     return Sequence(f"{salt}/1", salt, (Boundary("end", 300),), tokens - 1, 1, str)
 
@@ -27,3 +44,17 @@
         replica.submit(job("back", 900))
         assert list(replica.queue.waiting) == ["back/1"]
         assert not replica.prefixes.paused
+
+
+class TestRoom:
+    def test_prefix_of_a_call_that_the_engine_has_not_taken_up_stays(self) -> None:
+        site = Site()
+        site.hold("first", 300)
+        site.hold("second", 300)
+        first = request("first", 400)
+        site.prefixes.make_room(first, 0, set())
+        # The engine admits it with its next step only.
+        site.prefixes.make_room(request("third", 300), first.reserved_tokens, {"first"})
+        assert list(site.engine.cache) == ["first", "second"]
+        site.prefixes.make_room(request("fourth", 600), first.reserved_tokens, {"first"})
+        assert list(site.engine.cache) == ["first"]
