Replay: count a prefix that is exported again once

Exporting a prefix of which the host already stores an older one added its tokens without taking off the older ones, so the store shrank for good.

--- a/packages/endiveworks/src/endiveworks/replay/prefixes.py
+++ b/packages/endiveworks/src/endiveworks/replay/prefixes.py
@@ -47,9 +47,7 @@
     def release(self, salt: str) -> None:
         """Frees what is held for a program."""
         self.paused.pop(salt, None)
-        found = self.exported.pop(salt, None)
-        if found is not None:
-            self.exported_tokens -= found.tokens
+        self._forget_exported(salt)
         self.engine.release(salt)
 
     def make_room(self, seq: Sequence, reserved_tokens: int, started: AbstractSet[str]) -> None:
@@ -78,10 +76,9 @@
 
     def bring_back(self, salt: str) -> None:
         """Imports a program's prefix if it was exported."""
-        found = self.exported.pop(salt, None)
+        found = self._forget_exported(salt)
         if found is None:
             return
-        self.exported_tokens -= found.tokens
         self.moved_tokens += found.tokens
         self.engine.store(salt, found)
 
@@ -93,10 +90,16 @@
             return_s = eviction.expected_return_s(paused.tool, self.now_s() - paused.since_s)
         return eviction.Idle(salt, self.engine.cache[salt].tokens, return_s)
 
+    def _forget_exported(self, salt: str) -> Cached | None:
+        found = self.exported.pop(salt, None)
+        if found is not None:
+            self.exported_tokens -= found.tokens
+        return found
+
     def _export(self, salt: str, found: Cached) -> None:
+        self._forget_exported(salt)
         self.exported[salt] = found
         self.exported_tokens += found.tokens
         self.moved_tokens += found.tokens
         while self.exported_tokens > HOST_STORE_SHARE * self.engine.rates.memory_tokens:
-            oldest = next(iter(self.exported))
-            self.exported_tokens -= self.exported.pop(oldest).tokens
+            self._forget_exported(next(iter(self.exported)))
--- a/packages/endiveworks/src/endiveworks/replay/tests/test_prefixes.py
+++ b/packages/endiveworks/src/endiveworks/replay/tests/test_prefixes.py
@@ -3,7 +3,7 @@
 from endiveworks.replay.clock import Clock
 from endiveworks.replay.engine import Boundary, Cached, Engine, Rates, Sequence
 from endiveworks.replay.policy import FULL
-from endiveworks.replay.prefixes import Prefixes
+from endiveworks.replay.prefixes import HOST_STORE_SHARE, Prefixes
 from endiveworks.replay.replica import Job, Replica
 
 MEMORY_TOKENS = 1_000
@@ -58,3 +58,13 @@
         assert list(site.engine.cache) == ["first", "second"]
         site.prefixes.make_room(request("fourth", 600), first.reserved_tokens, {"first"})
         assert list(site.engine.cache) == ["first"]
+
+
+class TestHostStore:
+    def test_prefix_exported_again_counts_once(self) -> None:
+        site = Site()
+        for _ in range(2 * HOST_STORE_SHARE):
+            site.hold("again", 900)
+            site.prefixes.make_room(request("new", MEMORY_TOKENS), 0, set())
+        assert site.prefixes.exported_tokens == 900
+        assert list(site.prefixes.exported) == ["again"]
