Keep the prefixes of programs whose calls wait or run beside an engine

A process beside an engine ended a program's pause only as its call started, so that a queued call's prefix left before those of programs in their usual pauses and the wait in the queue was learnt as part of the pause. And the prefix of a call that starts counted beside the memory that the call was expected to take, until the engine took it up. Change: the pause ends as the call is accepted, and begins again as it ends, expires or is withdrawn; a call that made way for another has no pause. What a running call needs covers its prefix. The three tests fail without it: run with the former lines put back.

--- /dev/null
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/program_returns.py
@@ -0,0 +1,56 @@
+"""When the programs that use an engine are expected to need their prefixes again."""
+
+import threading
+import time
+from collections.abc import Callable
+
+from endiveworks.cache.eviction import expected_return_s
+from endiveworks.cache.pauses import Pauses, add
+
+_MAX_PROGRAMS = 65_536
+
+
+class ProgramReturns:
+    """Programs in a tool pause, programs whose call is queued or runs here, and the pauses seen.
+
+    Args:
+        now_s: Returns the time.
+    """
+
+    def __init__(self, now_s: Callable[[], float] = time.monotonic) -> None:
+        self._now_s = now_s
+        self._lock = threading.Lock()
+        self._pauses = Pauses()
+        self._paused_s: dict[str, float] = {}
+        self._here: set[str] = set()
+
+    def arrived(self, program: str) -> None:
+        """Notes that a program's next call has arrived: its pause is over."""
+        with self._lock:
+            since_s = self._paused_s.pop(program, None)
+            if since_s is not None:
+                self._pauses = add(self._pauses, self._now_s() - since_s)
+            self._here.add(program)
+
+    def interrupted(self, program: str) -> None:
+        """Notes that a program's call was queued again before it had ended: no pause."""
+        with self._lock:
+            self._paused_s.pop(program, None)
+            self._here.add(program)
+
+    def paused(self, program: str) -> None:
+        """Notes that a program's call has ended or left the queue: its pause begins."""
+        with self._lock:
+            self._here.discard(program)
+            self._paused_s[program] = self._now_s()
+            if len(self._paused_s) > _MAX_PROGRAMS:
+                self._paused_s.pop(next(iter(self._paused_s)))
+
+    def return_s(self, program: str) -> float:
+        """Returns the seconds until a program is expected to need its prefix."""
+        with self._lock:
+            if program in self._here:
+                return 0.0
+            since_s = self._paused_s.get(program)
+            elapsed_s = self._now_s() - since_s if since_s is not None else 0.0
+            return expected_return_s(self._pauses, elapsed_s)
--- /dev/null
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/tests/test_prefix_eviction.py
@@ -0,0 +1,101 @@
+from collections.abc import Sequence
+from typing import Any
+
+from endiveworks.cache.eviction import Speed
+from endiveworks.calls.messages import CallKey, Job
+from endiveworks.calls.queue import Queue
+from endiveworks.calls.stream import Ending
+from endiveworks.engines.memory import Cached, EngineMemory
+from endiveworks.errors import Code, Failure
+from endiveworks_daemon.prefix_eviction import PrefixEviction
+from endiveworks_daemon.program_returns import ProgramReturns
+from endiveworks_daemon.upstream_run import with_returns
+from returns.result import Result, Success
+
+MEMORY_TOKENS = 1_000
+
+
+class Site:
+    """An engine's memory, with what moves in it, and a clock."""
+
+    def __init__(self) -> None:
+        self.now_s = 0.0
+        self.prefixes: dict[str, int] = {}
+        self.returns = ProgramReturns(lambda: self.now_s)
+        memory: Any = EngineMemory(
+            load=self.cached,
+            cached=self.cached,
+            release=self.move_out,
+            move_out=self.move_out,
+            move_in=self.move_out,
+        )
+        speed = Speed(prefill_tokens_per_s=1_000.0, transfer_tokens_per_s=50_000.0)
+        self.eviction = PrefixEviction(memory, lambda: MEMORY_TOKENS, speed, self.returns)
+
+    def cached(self) -> Result[Cached, Failure]:
+        return Success({"prefixes": dict(self.prefixes), "exported": {}})
+
+    def move_out(self, program: str) -> Result[None, Failure]:
+        del self.prefixes[program]
+        return Success(None)
+
+    def learn(self, *pauses_s: float) -> None:
+        for pause_s in pauses_s:
+            self.returns.paused("other")
+            self.now_s += pause_s
+            self.returns.arrived("other")
+
+
+class TestRoom:
+    def test_prefix_whose_program_waits_here_stays_before_one_in_a_pause(self) -> None:
+        site = Site()
+        site.learn(*[1.0] * 30, *[100.0] * 3)
+        site.prefixes = {"waiting": 400, "paused": 400}
+        site.returns.paused("waiting")
+        site.now_s += 10.0
+        site.returns.arrived("waiting")
+        site.returns.paused("paused")
+        site.eviction.begin("new", 500)
+        assert site.prefixes == {"waiting": 400}
+
+    def test_prefix_of_a_running_call_is_not_counted_twice(self) -> None:
+        site = Site()
+        site.prefixes = {"running": 300, "paused": 300}
+        site.eviction.begin("running", 400)
+        site.eviction.begin("new", 300)
+        assert site.prefixes == {"running": 300, "paused": 300}
+
+
+class TestReturns:
+    def queue(self, returns: ProgramReturns, late: Sequence[Job] = ()) -> Queue:
+        why = Failure(Code.OVERLOADED, "s", "h", "", True, 1.0)
+        inner = Queue(
+            offer=lambda job, now_s: why if job.tenant == "refused" else None,
+            take=lambda now_s: None,
+            withdraw=lambda key: None,
+            finished=lambda job, ending, now_s: None,
+            size=lambda: 0,
+            expire=lambda now_s: [(job, why) for job in late],
+        )
+        return with_returns(inner, returns)
+
+    def job(self, program: str, tenant: str = "t") -> Job:
+        key = CallKey(program, 1, 1)
+        return Job(key, 1, 1, tenant, "s", "chat", "c", False, 0, 60.0, 1, 1, b"")
+
+    def test_program_is_needed_at_once_while_it_has_a_call_here(self) -> None:
+        returns = ProgramReturns()
+        late = self.job("late")
+        queue = self.queue(returns, [late])
+        for job in (late, self.job("done"), self.job("withdrawn"), self.job("interrupted")):
+            assert queue.offer(job, 0.0) is None
+            assert returns.return_s(job.key.program) == 0.0
+        queue.offer(self.job("refused", "refused"), 0.0)
+        queue.expire(0.0)
+        queue.withdraw(CallKey("withdrawn", 1, 1))
+        for name in ("done", "interrupted"):
+            queue.finished(self.job(name), Ending(200, ""), 0.0)
+        queue.requeue(self.job("interrupted"), 0.0)
+        names = ("late", "done", "withdrawn", "interrupted", "refused")
+        here = [name for name in names if returns.return_s(name) == 0.0]
+        assert here == ["interrupted"]
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/upstream.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/upstream.py
@@ -29,8 +29,9 @@
 from .metering import measured_queue
 from .operators import Work, serve_operators
 from .prefix_eviction import PrefixEviction
+from .program_returns import ProgramReturns
 from .pull_replies import replying_later
-from .upstream_run import runner, with_model, with_room
+from .upstream_run import runner, with_model, with_returns, with_room
 
 _SLOTS_BEFORE_CONFIG = 1
 _EXPIRE_S = 1.0
@@ -53,16 +54,17 @@
     )
     admission = Admission(around, random.Random(identity.incarnation))
     sender: OrderSender
+    returns = ProgramReturns()
     executor = Executor(
         host=identity.host,
         incarnation=identity.incarnation,
-        queue=measured_queue(executor_queue(admission), metrics),
+        queue=with_returns(measured_queue(executor_queue(admission), metrics), returns),
         run=with_room(
             with_model(
                 runner(cfg.text("upstream_url"), cfg.number("silence_s")),
                 lambda: sender.model(),
             ),
-            PrefixEviction(memory, keeper.memory_tokens, _speed(cfg)),
+            PrefixEviction(memory, keeper.memory_tokens, _speed(cfg), returns),
             admission.usual.need_of,
         ),
         slots=lambda: _slots(deployment, cfg.text("service")),
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/upstream_run.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/upstream_run.py
@@ -1,19 +1,22 @@
 """Runs one attempt on the upstream of this process."""
 
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import msgspec
 import urllib3
 from endiveworks.calls.executor import Run
-from endiveworks.calls.messages import Job
+from endiveworks.calls.messages import CallKey, Job
+from endiveworks.calls.queue import Queue
 from endiveworks.calls.stream import Ending, Stream
 from endiveworks.engines.chat import ChatJob, run_chat
 from endiveworks.engines.chat_format import continued_request, count_events
 from endiveworks.engines.plain import PlainJob, run_plain
+from endiveworks.errors import Failure
 from endiveworks.programs.records import CHAT
 
 from .prefix_eviction import PrefixEviction
+from .program_returns import ProgramReturns
 
 _MAX_ENGINE_CONNECTIONS = 256
 
@@ -67,6 +70,38 @@
     return msgspec.json.encode({**fields, "model": msgspec.Raw(named)})
 
 
+def with_returns(waiting: Queue, returns: ProgramReturns) -> Queue:
+    """Returns the same queue, which tells when programs have calls here and when they pause."""
+
+    def offer(job: Job, now_s: float) -> Failure | None:
+        refused = waiting.offer(job, now_s)
+        if refused is None:
+            returns.arrived(job.key.program)
+        return refused
+
+    def withdraw(key: CallKey) -> None:
+        waiting.withdraw(key)
+        returns.paused(key.program)
+
+    def requeue(job: Job, now_s: float) -> None:
+        waiting.requeue(job, now_s)
+        returns.interrupted(job.key.program)
+
+    def finished(job: Job, ending: Ending, now_s: float) -> None:
+        waiting.finished(job, ending, now_s)
+        returns.paused(job.key.program)
+
+    def expire(now_s: float) -> Sequence[tuple[Job, Failure]]:
+        late = waiting.expire(now_s)
+        for job, _ in late:
+            returns.paused(job.key.program)
+        return late
+
+    return waiting._replace(
+        offer=offer, withdraw=withdraw, finished=finished, requeue=requeue, expire=expire
+    )
+
+
 def runner(upstream_url: str, silence_s: float) -> Run:
     """Returns the function that runs attempts.
 
