Replay: answer queued calls whose deadline is over, by the daemons' decision

The daemons answered such a call as not run, with a spread time to ask again; the replay let it wait. The decision is now one function, judge_waiting, that both call; the replay asks it each second as the daemons do, and the part can be switched off. The job of a replayed upstream moved to its own module.

--- a/packages/endiveworks/src/endiveworks/admission/refuse.py
+++ b/packages/endiveworks/src/endiveworks/admission/refuse.py
@@ -1,4 +1,4 @@
-"""Refusal at once of calls that would wait past their deadline."""
+"""Refusal of calls that would wait, or have waited, past their deadline."""
 
 from typing import NamedTuple
 
@@ -24,6 +24,20 @@
     first: bool
 
 
+class Waited(NamedTuple):
+    """How long a call has been in the queue.
+
+    Attributes:
+        waited_s: Time since it was queued.
+        deadline_s: Longest wait that it bears.
+        begun: Whether it had begun its answer before and made way for another.
+    """
+
+    waited_s: float
+    deadline_s: float
+    begun: bool
+
+
 class Refusal(NamedTuple):
     """Whether the call is refused, when to ask again, and the reasons."""
 
@@ -54,3 +68,16 @@
         return Refusal(False, 0.0, reasons)
     excess_s = max(MIN_RETRY_S, wait_s - bears_s)
     return Refusal(True, excess_s * (1.0 + spread), reasons)
+
+
+def judge_waiting(call: Waited, spread: float) -> Refusal:
+    """Refuses a queued call whose deadline is over, unless it has begun its answer.
+
+    Args:
+        call: The call.
+        spread: Random number in [0, 1) that spreads the return of refused callers.
+    """
+    reasons = (Reason("waited_s", call.waited_s), Reason("bears_s", call.deadline_s))
+    if call.begun or call.waited_s <= call.deadline_s:
+        return Refusal(False, 0.0, reasons)
+    return Refusal(True, call.deadline_s * (1.0 + spread), reasons)
--- a/packages/endiveworks/src/endiveworks/admission/waiting.py
+++ b/packages/endiveworks/src/endiveworks/admission/waiting.py
@@ -14,7 +14,7 @@
 from . import queue
 from .limit import Running, Target, may_start, usual_calls
 from .preempt import Victim, choose_victim
-from .refuse import Expected, Refusal, judge
+from .refuse import Expected, Refusal, Waited, judge, judge_waiting
 
 _STEP = "admission.offer"
 _FIRST_CALL = 1
@@ -163,19 +163,15 @@
 
     def expire(self, now_s: float) -> list[tuple[Job, Failure]]:
         """Removes the jobs that have waited past their deadline; paused ones go on waiting."""
-        late = [
-            job
-            for key, job in self.jobs.items()
-            if key not in self.preemptions
-            and now_s - self.queue.waiting[key].arrived_s > job.deadline_s
-        ]
         refusals = []
-        for job in late:
-            self.withdraw(job.key)
-            retry_after_s = job.deadline_s * (1.0 + self.source.random())
-            refusals.append(
-                (job, self._refused("the call waited past its deadline", retry_after_s))
-            )
+        for key, job in list(self.jobs.items()):
+            waited_s = now_s - self.queue.waiting[key].arrived_s
+            waited = Waited(waited_s, job.deadline_s, key in self.preemptions)
+            refusal = judge_waiting(waited, self.source.random())
+            if refusal.refused:
+                self.withdraw(job.key)
+                detail = "the call waited past its deadline"
+                refusals.append((job, self._refused(detail, refusal.retry_after_s)))
         return refusals
 
     def _victim(self, key: str, started: _Started) -> Victim:
--- a/packages/endiveworks/src/endiveworks/replay/policy.py
+++ b/packages/endiveworks/src/endiveworks/replay/policy.py
@@ -16,6 +16,7 @@
         shares: Whether the order heeds tenants' shares.
         memory: Whether running calls leave room for cached prefixes.
         refuse: Whether calls that would wait too long are refused.
+        expire: Whether queued calls are answered once their deadline is over.
         preempt: Whether a running call is cancelled for a higher class.
         pauses: Whether prefixes leave by the expected return of their programs; else by LRU.
         export: Whether those that leave are exported; else they are dropped.
@@ -32,6 +33,7 @@
     shares: bool = True
     memory: bool = True
     refuse: bool = True
+    expire: bool = True
     preempt: bool = True
     pauses: bool = True
     export: bool = True
@@ -46,6 +48,7 @@
     "order": False,
     "memory": False,
     "refuse": False,
+    "expire": False,
     "preempt": False,
     "pauses": False,
     "export": False,
@@ -63,6 +66,7 @@
     "shares",
     "memory",
     "refuse",
+    "expire",
     "preempt",
     "pauses",
     "export",
--- a/packages/endiveworks/src/endiveworks/replay/replica.py
+++ b/packages/endiveworks/src/endiveworks/replay/replica.py
@@ -5,7 +5,8 @@
 
 from ..admission import limit, preempt, queue, refuse
 from .clock import Clock
-from .engine import Boundary, Engine, Rates, Sequence, Step
+from .engine import Engine, Rates, Step
+from .job import Job, resumed
 from .policy import Policy
 from .prefixes import Prefixes
 
@@ -16,28 +17,6 @@
 FIRST_NEED_TOKENS = 1_000.0
 
 
-class Job(NamedTuple):
-    """A call at an upstream.
-
-    Attributes:
-        waiting: The call as the queue sees it.
-        seq: The request as the engine sees it.
-        deadline_s: Longest wait that it bears.
-        done: Called with the request once it has ended.
-        refused: Called with the seconds after which to ask again.
-        lost: Called when the upstream vanishes.
-    """
-
-    waiting: queue.Waiting
-    seq: Sequence
-    deadline_s: float
-    done: Callable[[Sequence], None]
-    refused: Callable[[float], None]
-    lost: Callable[[], None]
-    first: bool = False
-    preemptions: int = 0
-
-
 class Started(NamedTuple):
     """A job in the engine and when it went there."""
 
@@ -138,11 +117,25 @@
         whole = limit.Target(self.rates.max_sequences, self.rates.memory_tokens)
         return limit.usual_calls(whole, self.need_tokens)
 
-    def renew_report(self) -> None:
-        """Publishes the load every second for as long as the upstream lives."""
+    def each_second(self) -> None:
+        """Publishes the load and answers late calls for as long as the upstream lives."""
         if self.alive:
+            self._expire()
             self.report = self.make_report()
-            self.clock.after(REPORT_S, self.renew_report)
+            self.clock.after(REPORT_S, self.each_second)
+
+    def _expire(self) -> None:
+        if not self.policy.expire:
+            return
+        for key, call in list(self.queue.waiting.items()):
+            job = self.jobs[key]
+            waited_s = self.clock.now_s - call.arrived_s
+            waited = refuse.Waited(waited_s, job.deadline_s, job.preemptions > 0)
+            refusal = refuse.judge_waiting(waited, self.spread())
+            if refusal.refused:
+                queue.remove(self.queue, key)
+                del self.jobs[key]
+                job.refused(refusal.retry_after_s)
 
     def _refuses(self, job: Job) -> bool:
         ahead_s = queue.cost_ahead_s(self.queue, job.waiting.priority)
@@ -188,7 +181,7 @@
         if seq is None:
             return False
         self.preempted += 1
-        again = _resumed(job, seq)
+        again = resumed(job, seq)
         self.jobs[chosen.key] = again
         queue.offer(self.queue, again.waiting)
         return True
@@ -231,17 +224,3 @@
 def _queue_rules(policy: Policy) -> queue.Rules:
     usual = queue.Rules()
     return usual if policy.service else usual._replace(level_gap_s=0.0)
-
-
-def _resumed(job: Job, seq: Sequence) -> Job:
-    produced = seq.produced
-    reached = Boundary(seq.mark_after(produced), seq.prompt_tokens + produced)
-    left = Sequence(
-        seq.request,
-        seq.salt,
-        (*seq.boundaries, reached),
-        reached.tokens,
-        max(1, seq.output_tokens - produced),
-        lambda n: seq.mark_after(produced + n),
-    )
-    return job._replace(seq=left, preemptions=job.preemptions + 1)
--- a/packages/endiveworks/src/endiveworks/replay/run.py
+++ b/packages/endiveworks/src/endiveworks/replay/run.py
@@ -8,9 +8,10 @@
 from ..routing import choose
 from .clock import Clock
 from .engine import Boundary, Sequence
+from .job import Job
 from .measures import CallSeen, Measures, ProgramSeen, measure
 from .policy import Policy
-from .replica import Job, Replica
+from .replica import Replica
 from .router import Router
 from .trace import Call, Trace, programs, weight_of
 
@@ -84,7 +85,7 @@
         for loss in self.trace.losses:
             self.clock.after(loss.at_s, by_host[loss.lost].vanish)
         for replica in self.replicas:
-            replica.renew_report()
+            replica.each_second()
 
     def arrive(self, program: _Program) -> None:
         """Begins a program."""
--- a/packages/endiveworks/src/endiveworks/replay/tests/test_prefixes.py
+++ b/packages/endiveworks/src/endiveworks/replay/tests/test_prefixes.py
@@ -2,9 +2,10 @@
 from endiveworks.cache.pauses import Pauses, add
 from endiveworks.replay.clock import Clock
 from endiveworks.replay.engine import Boundary, Cached, Engine, Rates, Sequence
+from endiveworks.replay.job import Job
 from endiveworks.replay.policy import FULL
 from endiveworks.replay.prefixes import HOST_STORE_SHARE, Prefixes
-from endiveworks.replay.replica import Job, Replica
+from endiveworks.replay.replica import Replica
 
 MEMORY_TOKENS = 1_000
 
--- a/packages/endiveworks/src/endiveworks/replay/tests/test_run.py
+++ b/packages/endiveworks/src/endiveworks/replay/tests/test_run.py
@@ -67,6 +67,16 @@
         for policy in (FULL, *BASELINES):
             assert replay(trace, policy).done_share == 1.0
 
+    def test_queued_call_is_answered_once_its_deadline_is_over(self) -> None:
+        header = HEADER._replace(
+            replicas=HEADER.replicas[:1], rates=Rates(memory_tokens=300), deadline_s=1.0
+        )
+        calls = (call("a", 0, output_tokens=200), call("b", 0, output_tokens=200))
+        trace = Trace(header, calls, ())
+        assert replay(trace, FULL).refusals > 0
+        assert replay(trace, FULL).done_share == 1.0
+        assert replay(trace, without("expire")).refusals == 0
+
     def test_parent_waits_for_its_sub_agents(self) -> None:
         calls = (
             call("p", 0),
