Carry the load of an upstream in the answer to each call sent there

Cause: an owner asks eight upstreams a second, so that at 600 a report is 75 s old. The replay hid it: each owner saw every upstream each second. Change: the answer to submit carries how many calls run and wait, also when it refuses; a later report is not replaced by an earlier one; explanations give the age of the report that the choice used. A fresh report shows an accepted call as running, not queued, so running calls now count in the wait, by the function that the replay used already: without that calls would pile up at the first of several idle upstreams. Tests, seen failing with the three changes of the daemon taken out: test_choice.py.

--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -21,6 +21,7 @@
 from endiveworks.replay.policy import (
     BASELINES,
     FULL,
+    LAGGING,
     PARTS,
     ROUND_ROBIN,
     STICKY,
@@ -51,7 +52,15 @@
     "wasted_tokens",
     "goodput",
 )
-REPORTED = ("done_share", "tenant_share", "link_share", "refusals", "preempted", "moved_tokens")
+REPORTED = (
+    "done_share",
+    "tenant_share",
+    "link_share",
+    "refusals",
+    "preempted",
+    "moved_tokens",
+    "report_age_s",
+)
 TIMED_ROUNDS = 2_000
 
 
@@ -84,6 +93,12 @@
         for policy in (FULL, *BASELINES)
         for load, loss in (*((load, False) for load in LOADS), (workloads.LOSS_LOAD, True))
     ]
+    found += [
+        Task(name, 1.0, False, seed, policy, duration_s)
+        for name in names
+        for seed in seeds
+        for policy in LAGGING
+    ]
     if parts:
         found += _part_tasks(names, duration_s)
     return found
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/choice.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/choice.py
@@ -13,7 +13,7 @@
 from endiveworks.members.member import Member
 from endiveworks.programs.plan import Wanted
 from endiveworks.reasons import Reasons
-from endiveworks.routing.choose import Call, Costs, Held, Replica, choose
+from endiveworks.routing.choose import Call, Costs, Held, Replica, choose, wait_of_load
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
@@ -117,9 +117,10 @@
             self._cost_s[name] = cost_s + _EWMA_SHARE * (time.monotonic() - sent_s - cost_s)
 
     def reported(self, host: str, report: Report) -> None:
-        """Takes a load report."""
+        """Takes a load report unless a later one is known."""
         with self._lock:
-            self._reports[host] = report
+            if report.at_s >= self._reports.get(host, _NO_REPORT).at_s:
+                self._reports[host] = report
 
     def explain(self, program: str) -> tuple[Chosen, ...]:
         """Returns the last choices for a program's calls, oldest first."""
@@ -128,15 +129,16 @@
 
     def _view(self, wanted: Wanted, member: Member, now_s: float) -> Replica:
         report = self._reports.get(member.host, _NO_REPORT)
-        per_call_s = self._cost_s.get(wanted.service.name, _FIRST_COST_S) / wanted.service.slots
+        slots = wanted.service.slots
+        cost_s = self._cost_s.get(wanted.service.name, _FIRST_COST_S)
         sent = self._sent_s[member.host].values()
         unreported = sum(sent_s > report.at_s for sent_s in sent)
         return Replica(
             host=member.host,
             region=member.region,
-            wait_s=report.queued * per_call_s,
+            wait_s=wait_of_load(report.queued * cost_s, report.running, slots, cost_s),
             reported_s=report.at_s,
-            unreported_s=unreported * per_call_s,
+            unreported_s=unreported * cost_s / slots,
             running=max(report.running, len(sent)),
             draining=member.draining,
         )
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/entry.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/entry.py
@@ -55,6 +55,7 @@
         lambda wanted: choices.choose(wanted, deployment.usable()),
         choices.done,
         deployment.contacted,
+        choices.reported,
     )
     metrics = Metrics(cfg.text("statsd"), cfg.text("host"))
     measured = measured_upstreams(_recorded(cfg, deployment, links), metrics)
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/executor_service.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/executor_service.py
@@ -56,7 +56,8 @@
         if isinstance(outcome, Success):
             self._keeper.touch(req.key.program, req.epoch)
         fault = None if isinstance(outcome, Success) else to_fault(outcome.failure())
-        return ttypes.SubmitReply(req.key, self._executor.incarnation, fault)
+        load = ttypes.Load(*self._executor.load())
+        return ttypes.SubmitReply(req.key, self._executor.incarnation, fault, load)
 
     def read(
         self, origin: ttypes.Origin, key: ttypes.CallKey, offset: int, wait_ms: int
--- /dev/null
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/tests/test_choice.py
@@ -0,0 +1,79 @@
+import random
+import time
+from typing import Any
+
+from endiveworks.calls.messages import CallKey, Job
+from endiveworks.config.bundle import CostWeights, Service
+from endiveworks.errors import Code, Failure
+from endiveworks.members.member import Member
+from endiveworks.programs.plan import Wanted
+from endiveworks.wire.faults import to_fault
+from endiveworks.wire.gen import ttypes
+from endiveworks_daemon.choice import Choices, Link, Report
+from endiveworks_daemon.identity import Identity
+from endiveworks_daemon.upstream_links import upstream_links
+from returns.result import Success
+
+SERVICE = Service(
+    "s", "model", "m", {"front": 0}, "front", {}, frozenset(), False,
+    CostWeights(1.0, 1.0), 60.0, 10, 4,
+)  # fmt: skip
+MEMBERS = {
+    host: Member(host, f"{host}:1", "upstream", "s", "east", "east-1", 1)
+    for host in ("up-1", "up-2", "up-3")
+}
+JOB = Job(CallKey("p", 1, 1), 1, 1, "t", "s", "chat", "front", False, 0, 60.0, 1, 1, b"")
+
+
+class Peers:
+    """Upstream processes that answer each request with one reply."""
+
+    def __init__(self, reply: ttypes.SubmitReply) -> None:
+        self.reply = reply
+
+    def call(self, *args: Any) -> Any:
+        return Success(self.reply)
+
+
+class TestReports:
+    def choices(self) -> Choices:
+        return Choices("east", Link(1e6, 0.02), 1_000.0, random.Random(1))
+
+    def wanted(self, program: str) -> Wanted:
+        return Wanted(SERVICE, program, "t", "front", "", 0, 10, 10, 0, frozenset())
+
+    def pick(self, choices: Choices, program: str) -> str:
+        wanted = self.wanted(program)
+        return choices.choose(wanted, MEMBERS).unwrap().host
+
+    def test_answers_to_calls_carry_the_load_also_when_they_refuse(self) -> None:
+        fault = to_fault(Failure(Code.OVERLOADED, "s", "up-1", "", True, 1.0))
+        heard: list[tuple[str, Report]] = []
+        for refusal in (None, fault):
+            reply = ttypes.SubmitReply(ttypes.CallKey(*JOB.key), 1, refusal, ttypes.Load(3, 5))
+            identity = Identity("e", 1, "east", "east-1", lambda: 1)
+            peers: Any = Peers(reply)
+            links = upstream_links(
+                identity, peers, lambda: MEMBERS, lambda: None, lambda: None,
+                reported=lambda host, report: heard.append((host, report)),
+            )  # fmt: skip
+            links.submit(MEMBERS["up-1"], JOB)
+        assert [(host, report.running, report.queued) for host, report in heard] == [
+            ("up-1", 3, 5)
+        ] * 2
+
+    def test_earlier_report_does_not_replace_a_later_one(self) -> None:
+        choices = self.choices()
+        now_s = time.monotonic()
+        for host in MEMBERS:
+            choices.reported(host, Report(now_s, 0, 0))
+        choices.reported("up-1", Report(now_s, 0, 100))
+        choices.reported("up-1", Report(now_s - 1.0, 0, 0))
+        assert "up-1" not in {self.pick(choices, f"p{at}") for at in range(4)}
+
+    def test_calls_that_run_count_once_a_report_shows_them(self) -> None:
+        choices = self.choices()
+        now_s = time.monotonic() + 1.0
+        for host, running in (("up-1", 3), ("up-2", 3), ("up-3", 1)):
+            choices.reported(host, Report(now_s, running, 0))
+        assert self.pick(choices, "p") == "up-3"
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/upstream_links.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/upstream_links.py
@@ -1,5 +1,6 @@
 """How owners reach the processes beside upstreams."""
 
+import time
 from collections.abc import Callable, Mapping
 from typing import TypeVar
 
@@ -16,6 +17,7 @@
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
+from .choice import Report
 from .identity import Identity
 from .node import ANSWER_TIMEOUT_S, puller
 
@@ -31,6 +33,7 @@
     choose: Callable[..., Result[Member, Failure]],
     done: Callable[..., None],
     contacted: Callable[[Member, Failure | None], None] = lambda member, failure: None,
+    reported: Callable[[str, Report], None] = lambda host, report: None,
 ) -> Upstreams:
     """Returns the functions that owners call.
 
@@ -41,6 +44,7 @@
         choose: Chooses the upstream process for a call.
         done: Is told that an attempt has ended.
         contacted: Is told the outcome of each contact with a process.
+        reported: Takes the load that a process reports as it answers a call.
     """
     pull = puller(peers, identity.origin)
 
@@ -51,12 +55,16 @@
     def submit(member: Member, job: Job) -> Result[None, Failure]:
         req = _dispatch(job)
         call = peers.call_once if job.at_most_once else peers.call
+        asked_s = time.monotonic()
         answered = call(
             member.address,
             "upstream.submit",
             ANSWER_TIMEOUT_S,
             lambda client: client.submit(identity.origin(), req),
         )
+        if isinstance(answered, Success) and answered.unwrap().load is not None:
+            load = answered.unwrap().load
+            reported(member.host, Report(asked_s, load.running, load.queued))
         accepted = noted(member, answered.bind(_accepted))
         return accepted if job.at_most_once else accepted.alt(_unless_restarted)
 
--- a/packages/endiveworks/src/endiveworks/replay/clock.py
+++ b/packages/endiveworks/src/endiveworks/replay/clock.py
@@ -17,8 +17,8 @@
         """Calls a function after a delay."""
         heapq.heappush(self._events, (self.now_s + delay_s, next(self._numbers), act))
 
-    def run(self, until_s: float) -> None:
-        """Runs events until none is left or the time is over."""
-        while self._events and self._events[0][0] <= until_s:
+    def run(self, until_s: float, is_over: Callable[[], bool]) -> None:
+        """Runs events until none is left, the time is over or nothing more is of interest."""
+        while self._events and self._events[0][0] <= until_s and not is_over():
             self.now_s, _, act = heapq.heappop(self._events)
             act()
--- a/packages/endiveworks/src/endiveworks/replay/measures.py
+++ b/packages/endiveworks/src/endiveworks/replay/measures.py
@@ -52,6 +52,7 @@
         refusals: Refused calls.
         preempted: Calls cancelled for a higher class.
         moved_tokens: Prefix tokens exported to or imported from the memory of the same host.
+        report_age_s: Mean age of the load report of the upstream that was chosen.
     """
 
     policy: str
@@ -72,6 +73,7 @@
     refusals: int
     preempted: int
     moved_tokens: int
+    report_age_s: float = 0.0
 
 
 class Breach(NamedTuple):
--- a/packages/endiveworks/src/endiveworks/replay/policy.py
+++ b/packages/endiveworks/src/endiveworks/replay/policy.py
@@ -22,6 +22,9 @@
         export: Whether those that leave are exported; else they are dropped.
         release: Whether the memory of ended programs is released.
         own_sends: Whether routing counts its own unreported sends.
+        owners: Owners of programs in each region, each with its own view of the upstreams.
+        report_s: Period in which an owner asks an upstream for its load.
+        replies: Whether the answer to a call carries the load too.
     """
 
     name: str
@@ -39,6 +42,9 @@
     export: bool = True
     release: bool = True
     own_sends: bool = True
+    owners: int = 1
+    report_s: float = 1.0
+    replies: bool = True
 
 
 FULL = Policy("endiveworks")
@@ -56,6 +62,16 @@
     "own_sends": False,
 }
 
+LAGGING = tuple(
+    FULL._replace(name=f"{name}_{owners}_owners", owners=owners, report_s=report_s, replies=replies)
+    for owners in (1, 40)
+    for name, report_s, replies in (
+        ("asked_each_second", 1.0, False),
+        ("asked_each_75_s", 75.0, False),
+        ("asked_each_75_s_and_told", 75.0, True),
+    )
+)
+
 ROUND_ROBIN = Policy("round_robin_fcfs", routing="round_robin", **_ENGINE_ALONE)
 STICKY = Policy("sticky_fcfs", routing="sticky", **_ENGINE_ALONE)
 BASELINES = (ROUND_ROBIN, STICKY)
--- a/packages/endiveworks/src/endiveworks/replay/replica.py
+++ b/packages/endiveworks/src/endiveworks/replay/replica.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from ..admission import limit, preempt, queue, refuse
+from ..routing.choose import wait_of_load
 from .clock import Clock
 from .engine import Engine, Rates, Step
 from .job import Job, resumed
@@ -11,7 +12,7 @@
 from .prefixes import Prefixes
 
 MAX_JUMP_S = 0.2
-REPORT_S = 1.0
+EXPIRE_S = 1.0
 EWMA_SHARE = 0.1
 FIRST_COST_S = 5.0
 FIRST_NEED_TOKENS = 1_000.0
@@ -63,7 +64,6 @@
         self.started: dict[str, Started] = {}
         self.cost_s = FIRST_COST_S
         self.need_tokens = FIRST_NEED_TOKENS
-        self.report = Report({}, 0.0)
         self.stepping = False
         self.alive = True
         self.preempted = 0
@@ -105,9 +105,10 @@
         """Predicts the wait of a new call of each class."""
         allowed = self.usual_calls()
         running = len(self.started)
-        running_s = min(1.0, running / allowed) * running * self.cost_s / 2
         waits_s = {
-            priority: (queue.cost_ahead_s(self.queue, priority) + running_s) / allowed
+            priority: wait_of_load(
+                queue.cost_ahead_s(self.queue, priority), running, allowed, self.cost_s
+            )
             for priority in self.priorities
         }
         return Report(waits_s, self.clock.now_s, running)
@@ -118,11 +119,10 @@
         return limit.usual_calls(whole, self.need_tokens)
 
     def each_second(self) -> None:
-        """Publishes the load and answers late calls for as long as the upstream lives."""
+        """Answers late calls for as long as the upstream lives."""
         if self.alive:
             self._expire()
-            self.report = self.make_report()
-            self.clock.after(REPORT_S, self.each_second)
+            self.clock.after(EXPIRE_S, self.each_second)
 
     def _expire(self) -> None:
         if not self.policy.expire:
--- a/packages/endiveworks/src/endiveworks/replay/router.py
+++ b/packages/endiveworks/src/endiveworks/replay/router.py
@@ -1,13 +1,14 @@
-"""An entry's choice of upstream in a replay."""
+"""An owner's choice of upstream in a replay."""
 
 import random
 from collections import deque
+from functools import partial
 from typing import NamedTuple
 
 from ..routing import choose
 from .clock import Clock
 from .policy import Policy
-from .replica import Replica
+from .replica import Replica, Report
 from .trace import Header
 
 LINK_SHARE = 0.5
@@ -22,7 +23,7 @@
 
 
 class Router:
-    """State of the entry of one region."""
+    """State of one owner."""
 
     def __init__(
         self,
@@ -40,6 +41,8 @@
         self.clock = clock
         self.source = source
         self.sent: dict[str, deque[Sent]] = {replica.host: deque() for replica in replicas}
+        self.reports = {replica.host: Report({}, 0.0) for replica in replicas}
+        self.ages_s: list[float] = []
         self.turn = 0
         self.link_bytes = self._burst_bytes
         self.link_at_s = 0.0
@@ -48,6 +51,22 @@
     def _burst_bytes(self) -> float:
         return self.header.link_bytes_per_s * LINK_SHARE * LINK_BURST_S
 
+    def start(self) -> None:
+        """Starts asking for the load, spread over the period."""
+        for at, replica in enumerate(self.replicas):
+            delay_s = self.policy.report_s * at / len(self.replicas)
+            self.clock.after(delay_s, partial(self._ask, replica))
+
+    def learn(self, replica: Replica) -> None:
+        """Takes the load of an upstream."""
+        if replica.alive:
+            self.reports[replica.host] = replica.make_report()
+
+    def _ask(self, replica: Replica) -> None:
+        if replica.alive:
+            self.learn(replica)
+            self.clock.after(self.policy.report_s, partial(self._ask, replica))
+
     def pick(self, call: choose.Call, priority: int) -> Replica | None:
         """Returns the upstream for a call; None when every one has vanished."""
         alive = [replica for replica in self.replicas if replica.alive]
@@ -74,12 +93,13 @@
         choice = choose.choose(call, views, costs, self.clock.now_s, self.source)
         for replica in alive:
             if replica.host == choice.host:
+                self.ages_s.append(self.clock.now_s - self.reports[replica.host].at_s)
                 self._count(replica, call)
                 return replica
         return None
 
     def _view(self, replica: Replica, priority: int) -> choose.Replica:
-        report = replica.report
+        report = self.reports[replica.host]
         unreported_s = 0.0
         if self.policy.own_sends:
             sent = self.sent[replica.host]
--- a/packages/endiveworks/src/endiveworks/replay/run.py
+++ b/packages/endiveworks/src/endiveworks/replay/run.py
@@ -1,6 +1,7 @@
 """Replay of a trace under a policy, as a discrete-event simulation of programs and upstreams."""
 
 import random
+import zlib
 from functools import partial
 
 from ..admission.queue import Waiting
@@ -63,7 +64,10 @@
         ]
         regions = sorted({call.region for call in trace.calls})
         self.routers = {
-            region: Router(region, header, self.replicas, policy, self.clock, self.source)
+            region: [
+                Router(region, header, self.replicas, policy, self.clock, self.source)
+                for _ in range(policy.owners)
+            ]
             for region in regions
         }
         self.programs = {name: _Program(calls) for name, calls in programs(trace.calls).items()}
@@ -86,6 +90,9 @@
             self.clock.after(loss.at_s, by_host[loss.lost].vanish)
         for replica in self.replicas:
             replica.each_second()
+        for routers in self.routers.values():
+            for router in routers:
+                router.start()
 
     def arrive(self, program: _Program) -> None:
         """Begins a program."""
@@ -103,7 +110,9 @@
         across = prompt_tokens * BYTES_PER_TOKEN + call.output_tokens * STREAM_BYTES_PER_TOKEN
         seen = choose.Call(call.region, prompt_tokens, across, program.held)
         priority = self.trace.header.classes[call.class_name] if self.policy.classes else 0
-        replica = self.routers[call.region].pick(seen, priority)
+        routers = self.routers[call.region]
+        router = routers[zlib.crc32(call.program.encode()) % len(routers)]
+        replica = router.pick(seen, priority)
         if replica is None:
             self.end(program, "no_upstream")
             return
@@ -112,6 +121,8 @@
         delay_s = self.trace.header.link_delay_s if crosses else LOCAL_DELAY_S
         job = self.job(program, call, replica, issued_s, across if crosses else 0)
         self.clock.after(delay_s, partial(replica.submit, job))
+        if self.policy.replies:
+            self.clock.after(2 * delay_s, partial(router.learn, replica))
 
     def leave(self, program: _Program, call: Call, chosen: Replica) -> None:
         """Releases the prefix that a program leaves behind at another upstream."""
@@ -241,7 +252,9 @@
     run = _Run(trace, policy, seed)
     run.start()
     last_s = max((call.at_s for call in trace.calls), default=0.0)
-    run.clock.run(last_s + MAX_SIMULATED_S)
+    run.clock.run(last_s + MAX_SIMULATED_S, lambda: len(run.programs_seen) == len(run.programs))
     preempted = sum(replica.preempted for replica in run.replicas)
     moved = sum(replica.prefixes.moved_tokens for replica in run.replicas)
-    return measure(trace, policy.name, run.calls_seen, run.programs_seen, preempted, moved)
+    ages_s = [age for found in run.routers.values() for one in found for age in one.ages_s]
+    measures = measure(trace, policy.name, run.calls_seen, run.programs_seen, preempted, moved)
+    return measures._replace(report_age_s=sum(ages_s) / max(1, len(ages_s)))
--- a/packages/endiveworks/src/endiveworks/routing/choose.py
+++ b/packages/endiveworks/src/endiveworks/routing/choose.py
@@ -9,6 +9,7 @@
 
 SAMPLE = 16
 STALE_REPORT_S = 5.0
+LONGEST_AGE_S = 3_600.0
 TOKENS_PER_WASTE_UNIT = 1_000
 
 
@@ -91,6 +92,19 @@
     recomputed_tokens: int
 
 
+def wait_of_load(ahead_s: float, running: int, slots: float, cost_s: float) -> float:
+    """Returns the wait that an upstream's load predicts for a new call.
+
+    Args:
+        ahead_s: Expected cost of the queued calls that go before it.
+        running: Calls that run; they count the more, the fewer slots are free.
+        slots: Calls that run at once, at most.
+        cost_s: Expected cost of one call.
+    """
+    running_s = min(1.0, running / slots) * running * cost_s / 2
+    return (ahead_s + running_s) / slots
+
+
 def choose(
     call: Call, replicas: Sequence[Replica], costs: Costs, now_s: float, source: random.Random
 ) -> Choice:
@@ -107,6 +121,9 @@
     best = min(scored)
     reasons = (
         Reason("wait_s", best.wait_s, best.replica.host),
+        Reason(
+            "report_age_s", min(LONGEST_AGE_S, now_s - best.replica.reported_s), best.replica.host
+        ),
         Reason("recomputed_tokens", best.recomputed_tokens, best.replica.host),
         Reason("crosses_regions", float(_crosses(call, best.replica)), best.replica.region),
         Reason("candidates", len(scored)),
--- a/packages/endiveworks/src/endiveworks/wire/endiveworks.thrift
+++ b/packages/endiveworks/src/endiveworks/wire/endiveworks.thrift
@@ -121,10 +121,18 @@
   7: binary body
 }
 
+// Calls at a process beside an upstream.
+struct Load {
+  1: i64 running
+  2: i64 queued
+}
+
+// load is set by processes beside upstreams, and counts the call that was accepted.
 struct SubmitReply {
   1: CallKey key
   2: i64 incarnation
   3: optional Fault fault
+  4: optional Load load
 }
 
 // State of a journal copy after a request.
--- a/packages/endiveworks/src/endiveworks/wire/gen/ttypes.py
+++ b/packages/endiveworks/src/endiveworks/wire/gen/ttypes.py
@@ -1279,20 +1279,90 @@
         return not (self == other)
 
 
+class Load(object):
+    """
+    Attributes:
+     - running
+     - queued
+
+    """
+
+
+    def __init__(self, running=None, queued=None,):
+        self.running = running
+        self.queued = queued
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.running = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.queued = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Load')
+        if self.running is not None:
+            oprot.writeFieldBegin('running', TType.I64, 1)
+            oprot.writeI64(self.running)
+            oprot.writeFieldEnd()
+        if self.queued is not None:
+            oprot.writeFieldBegin('queued', TType.I64, 2)
+            oprot.writeI64(self.queued)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class SubmitReply(object):
     """
     Attributes:
      - key
      - incarnation
      - fault
+     - load
 
     """
 
 
-    def __init__(self, key=None, incarnation=None, fault=None,):
+    def __init__(self, key=None, incarnation=None, fault=None, load=None,):
         self.key = key
         self.incarnation = incarnation
         self.fault = fault
+        self.load = load
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1320,6 +1390,12 @@
                     self.fault.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRUCT:
+                    self.load = Load()
+                    self.load.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1342,6 +1418,10 @@
             oprot.writeFieldBegin('fault', TType.STRUCT, 3)
             self.fault.write(oprot)
             oprot.writeFieldEnd()
+        if self.load is not None:
+            oprot.writeFieldBegin('load', TType.STRUCT, 4)
+            self.load.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2002,12 +2082,19 @@
     (6, TType.STRING, 'idempotency_key', 'UTF8', None, ),  # 6
     (7, TType.STRING, 'body', 'BINARY', None, ),  # 7
 )
+all_structs.append(Load)
+Load.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'running', None, None, ),  # 1
+    (2, TType.I64, 'queued', None, None, ),  # 2
+)
 all_structs.append(SubmitReply)
 SubmitReply.thrift_spec = (
     None,  # 0
     (1, TType.STRUCT, 'key', [CallKey, None], None, ),  # 1
     (2, TType.I64, 'incarnation', None, None, ),  # 2
     (3, TType.STRUCT, 'fault', [Fault, None], None, ),  # 3
+    (4, TType.STRUCT, 'load', [Load, None], None, ),  # 4
 )
 all_structs.append(CopyReply)
 CopyReply.thrift_spec = (
