Test that a load report frozen at idle does not draw every call

Three engines, the first with its report frozen at idle, nine calls at once. Seen failing with the owner's report of that upstream held at idle: it ran all of them or none, which the test forbids. What routing uses is the count of the process beside the engine, so the engine's frozen report is not believed in the first place.

--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -48,9 +48,9 @@
 
 
 class Site:
-    """One engine with its process, and one entry."""
+    """One engine with its process, and one entry; further engines with theirs on request."""
 
-    def __init__(self, fleet: Fleet, slots: int, *engine_flags: str) -> None:
+    def __init__(self, fleet: Fleet, slots: int, *engine_flags: str, upstreams: int = 1) -> None:
         self.fleet = fleet
         self.trace = fleet.folder / "trace"
         services = fleet.folder / "services"
@@ -60,6 +60,10 @@
         fleet.publish(services)
         self.engine = fleet.start_engine("engine", *engine_flags)
         self.start_upstream("up-1")
+        # Before the entry, which then knows all of them from its start.
+        for number in range(2, upstreams + 1):
+            engine = fleet.start_engine(f"engine-{number}", *engine_flags)
+            fleet.start_upstream(f"up-{number}", EAST, "assistant", engine, "--lease_s=2")
         self.deployment: Deployment = connect(
             (fleet.start_entry("entry", EAST, "--lease_s=2", f"--trace_file={self.trace}"),),
             "signs",
@@ -120,7 +124,7 @@
 @pytest.fixture
 def site(tmp_path: Path) -> Iterator[Callable[..., Site]]:
     with Fleet(tmp_path) as fleet:
-        yield lambda slots, *flags: Site(fleet, slots, "--load_lag_s=0", *flags)
+        yield lambda slots, *flags, **more: Site(fleet, slots, "--load_lag_s=0", *flags, **more)
 
 
 class TestPriority:
@@ -221,6 +225,22 @@
         assert replay(trace, FULL).done_share == 1.0
 
 
+class TestFrozenReport:
+    def test_upstream_whose_load_report_is_frozen_at_idle_does_not_get_every_call(
+        self, site: Callable[..., Site]
+    ) -> None:
+        place = site(4, "--step_s=0.02", "--answer_tokens=40", upstreams=3)
+        place.ask("/standin/faults", {"freeze_load": True})
+        programs = [place.open() for _ in range(9)]
+        calls = [say_later(program) for program in programs]
+        for thread, _ in calls:
+            thread.join(60.0)
+        assert all(isinstance(answers[0], Success) for _, answers in calls)
+        assert place.running() == 0  # The report, which is frozen.
+        ran = len(place.finished("stop"))
+        assert 0 < ran < len(programs)
+
+
 class TestExport:
     def test_prefix_of_a_paused_program_makes_room_and_comes_back(
         self, site: Callable[..., Site]
