Spread short times to ask again too

Cause: Retry-After is in whole seconds, and one second spread by a quarter was always rounded up to two; refusals while a request is read were not spread at all. Callers refused together while an entry or upstream is full or leaving therefore came back together. Change: whole seconds drawn from the time named up to a quarter more, and two more at least.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/http_protocol.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/http_protocol.py
@@ -14,7 +14,7 @@
 from endiveworks.errors import Code, Failure
 
 from .outlet import ChunkWriter
-from .problems import MEDIA_TYPE, problem
+from .problems import problem
 
 # Key of the WSGI environment: registers a function to call once the answer has been sent whole.
 AFTER_SENT = "endiveworks.after_sent"
@@ -117,18 +117,17 @@
         retry_s = _RETRY_S if code is Code.OVERLOADED else None
         detail = msg or f"{known.phrase}."
         not_run = code is not Code.INTERNAL
-        body = problem(Failure(code, "http.read", "", detail, not_run, retry_s)).body
+        found = problem(Failure(code, "http.read", "", detail, not_run, retry_s))
         lines = [
             f"HTTP/1.1 {known.value} {known.phrase}",
-            f"Content-Type: {MEDIA_TYPE}",
-            f"Content-Length: {len(body)}",
+            *(f"{name}: {value}" for name, value in found.headers),
+            f"Content-Length: {len(found.body)}",
             "Connection: close",
         ]
-        lines += [f"Retry-After: {int(retry_s)}"] if retry_s is not None else []
         self.close_connection = True
         self.conn.unread = True
         with contextlib.suppress(OSError):
-            self.conn.wfile.write("\r\n".join([*lines, "", ""]).encode("ascii") + body)
+            self.conn.wfile.write("\r\n".join([*lines, "", ""]).encode("ascii") + found.body)
 
 
 class _DeadlineIO(socket.SocketIO):
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/problems.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/problems.py
@@ -11,6 +11,7 @@
 MEDIA_TYPE = "application/problem+json"
 _TYPE_PREFIX = "urn:endiveworks:problem:"
 _SPREAD = 0.25
+_LEAST_SPREAD_S = 2
 
 _STATUS = {
     Code.BAD_REQUEST: HTTPStatus.BAD_REQUEST,
@@ -90,4 +91,7 @@
 
 def _spread(retry_after_s: float) -> int:
     """Returns whole seconds, spread so that callers refused together don't return together."""
-    return math.ceil(retry_after_s * random.uniform(1.0, 1.0 + _SPREAD))
+    if retry_after_s <= 0:
+        return 0
+    least_s = math.ceil(retry_after_s)
+    return random.randint(least_s, least_s + max(_LEAST_SPREAD_S, int(least_s * _SPREAD)))
