--- a/packages/endiveworks-daemon/src/endiveworks_daemon/tests/test_choice.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/tests/test_choice.py
@@ -5,6 +5,7 @@
 from endiveworks.calls.messages import CallKey, Job
 from endiveworks.config.bundle import CostWeights, Service
 from endiveworks.errors import Code, Failure
+from endiveworks.links.link_share import LinkShare
 from endiveworks.members.member import Member
 from endiveworks.programs.plan import Wanted
 from endiveworks.wire.faults import to_fault
@@ -37,7 +38,7 @@
 
 class TestReports:
     def choices(self) -> Choices:
-        return Choices("east", Link(1e6, 0.02), 1_000.0, random.Random(1))
+        return Choices("east", Link(1e6, 0.02, LinkShare(1e6)), 1_000.0, random.Random(1))
 
     def wanted(self, program: str) -> Wanted:
         return Wanted(SERVICE, program, "t", "front", "", 0, 10, 10, 0, frozenset())
