Test a short wait beside a long one with the thread at rest, and drop a flag of replies

The test asked both before the gatherer's thread had gone to wait, and passed without the guard it is for. It now waits until the thread means to sleep for the long one. Replies kept a flag whose removal no test noticed: a closed socket object refuses to write, so the lock is enough.

--- a/packages/endiveworks/src/endiveworks/calls/tests/test_gather.py
+++ b/packages/endiveworks/src/endiveworks/calls/tests/test_gather.py
@@ -1,4 +1,5 @@
 import threading
+import time
 from collections.abc import Sequence
 from queue import SimpleQueue
 
@@ -51,6 +52,8 @@
         gatherer = Gatherer()
         answers: SimpleQueue[str] = SimpleQueue()
         gatherer.ask([Success(Stream())], [0], 3600.0, lambda news: answers.put("long"))
+        while gatherer._wakes_at < time.monotonic() + 1800.0:
+            time.sleep(0.01)
         gatherer.ask([Success(Stream())], [0], 0.01, lambda news: answers.put("short"))
         assert answers.get(timeout=30) == "short"
 
--- a/packages/endiveworks/src/endiveworks/links/replies.py
+++ b/packages/endiveworks/src/endiveworks/links/replies.py
@@ -15,16 +15,13 @@
     def __init__(self, conn: socket.socket) -> None:
         self._conn = conn
         self._lock = threading.Lock()
-        self._open = True
 
     def write(self, frame: bytes) -> None:
         """Writes a reply; what a slow peer has no room for is left to a thread of its own.
 
-        A lost connection is left to the thread that reads from it.
+        A lost or closed connection is left to the thread that reads from it.
         """
         with self._lock:
-            if not self._open:
-                return
             try:
                 sent = self._conn.send(frame, socket.MSG_DONTWAIT)
             except BlockingIOError:
@@ -44,10 +41,8 @@
         with contextlib.suppress(OSError):
             self._conn.shutdown(socket.SHUT_RDWR)
         with self._lock:
-            self._open = False
             self._conn.close()
 
     def _finish(self, rest: bytes) -> None:
         with self._lock, contextlib.suppress(OSError):
-            if self._open:
-                self._conn.sendall(rest)
+            self._conn.sendall(rest)
