Measure how long a leaving and a killed upstream still get work

Failed try: all connections to a killed process's address were counted first, which gave 6.0 s, the whole time of watching, since load reports and renewals of holds go there too. The forwarder now counts those that begin with an attempt.

--- a/packages/endiveworks-standins/src/endiveworks_standins/forwarder.py
+++ b/packages/endiveworks-standins/src/endiveworks_standins/forwarder.py
@@ -16,6 +16,7 @@
 from cheroot import wsgi
 
 _READ_BYTES = 65536
+_KEPT_BYTES = 512
 _BACKLOG_CONNECTIONS = 256
 
 
@@ -102,6 +103,11 @@
         for direction in directions:
             threading.Thread(target=_copy, args=direction, daemon=True).start()
 
+    def begun_with(self, text: bytes) -> int:
+        """Returns how many connections had a text in their first message, such as a method."""
+        with self._lock:
+            return sum(text in link.first_bytes for link in self._links)
+
     def _connect(self, first: bytes) -> socket.socket | None:
         """Opens a connection to the target with its first bytes, if there are any."""
         if not first:
@@ -118,7 +124,7 @@
         """Takes note of bytes to the target before they are forwarded or dropped."""
         with self._lock:
             if not link.first_bytes:
-                link.first_bytes = data
+                link.first_bytes = data[:_KEPT_BYTES]
                 _silence(link, self._faults)
             if not link.drops_to_target:
                 self.sent_bytes += len(data)
@@ -170,7 +176,11 @@
         elif environ["PATH_INFO"] == "/standin/faults":
             forwarder.set_faults(Faults(**body))
         start_response("200 OK", [("Content-Type", "application/json")])
-        counters = {"accepted": forwarder.accepted, "sent_bytes": forwarder.sent_bytes}
+        counters = {
+            "accepted": forwarder.accepted,
+            "sent_bytes": forwarder.sent_bytes,
+            "submits": forwarder.begun_with(b"submit"),
+        }
         return [json.dumps(counters).encode()]
 
     return answer
