--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -63,6 +63,7 @@
     """Starts growing deployments of one fleet and prints the figures of each size."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--sizes", type=int, nargs="+", default=[5, 50, 150])
+    parser.add_argument("--role", choices=("upstream", "entry"), default="upstream")
     parser.add_argument("--window_s", type=float, default=15.0)
     parser.add_argument("--publications", type=int, default=5)
     args = parser.parse_args()
@@ -72,23 +73,27 @@
         names: list[str] = []
         version = 0
         for size in args.sizes:
-            _grow(fleet, names, size)
+            _grow(fleet, names, size, args.role)
             spreads = []
             for _ in range(args.publications):
                 spreads.append(_publish(fleet, names, version))
                 version += 1
             figures.append(_measure(fleet, names, spreads, args.window_s))
-            _show(f"at {size} nodes", figures[-1])
+            _show(f"at {size} {args.role} nodes", figures[-1])
     _show("slope per node", _slopes(figures))
 
 
-def _grow(fleet: Fleet, names: list[str], size: int) -> None:
-    """Starts processes beside upstreams until there are as many as wanted."""
+def _grow(fleet: Fleet, names: list[str], size: int, role: str) -> None:
+    """Starts processes of a role until there are as many as wanted."""
 
     def start(number: int) -> str:
         name = f"node-{number}"
         place = PLACES[number % len(PLACES)]
-        fleet.start_upstream(name, place, "shop", "127.0.0.1:9")
+        if role == "entry":
+            # Idle callers' threads of 150 entries exceed what one machine allows.
+            fleet.start_entry(name, place, "--max_open=16")
+        else:
+            fleet.start_upstream(name, place, "shop", "127.0.0.1:9")
         return name
 
     with ThreadPoolExecutor(_STARTS_AT_ONCE) as pool:
