End every process that a local deployment has started

A process whose name a later one took, as in the test of a frozen holder, was left running after the tests (seen after a whole run). The new test failed before the change.

--- a/packages/endiveworks-standins/src/endiveworks_standins/fleet.py
+++ b/packages/endiveworks-standins/src/endiveworks_standins/fleet.py
@@ -102,6 +102,7 @@
     def __init__(self, folder: Path) -> None:
         self.folder = folder
         self.procs: dict[str, Proc] = {}
+        self._started: list[Proc] = []
         self.kv_address = ""
         self._env = {k: v for k, v in os.environ.items() if not k.startswith("ENDIVEWORKS_")}
 
@@ -117,6 +118,7 @@
         """Starts a process under a name, in place of an earlier one of that name."""
         proc = Proc(name, args, self._env)
         self.procs[name] = proc
+        self._started.append(proc)
         return proc
 
     def start_standin(self, name: str, module: str, *flags: str) -> str:
@@ -172,10 +174,11 @@
 
     def close(self) -> None:
         """Ends all processes that are still running, and keeps what each has logged."""
-        for proc in self.procs.values():
+        for proc in self._started:
             if proc.popen.poll() is None:
                 proc.thaw()
                 proc.kill()
+        for proc in self.procs.values():
             events = "".join(f"{json.dumps(event)}\n" for event in proc.events)
             (self.folder / f"{proc.name}.events.jsonl").write_text(events)
 
