Keep the thread that follows a peer's answers when a listener or a message has a fault

Cause, found by reading: an exception in a listener, or in reading a peer's news, ended the thread of the address and left its group behind, so every answer followed there then or later hung.

Change: a listener that fails is told that its answer is lost, and the others go on; a fault in asking is a failure like a lost peer's. Both are logged.

Before: the two new tests fail (the followers hear nothing for 30 s). After: they pass.

--- a/packages/endiveworks/src/endiveworks/calls/pull.py
+++ b/packages/endiveworks/src/endiveworks/calls/pull.py
@@ -8,7 +8,8 @@
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
-from ..errors import Failure
+from ..errors import Code, Failure
+from ..telemetry.logs import logger
 from .messages import CallKey
 from .stream import Piece
 
@@ -114,29 +115,49 @@
                     del self._groups[address]
                     return
             wants = [follower.want for follower in followers.values()]
-            outcome = self._send(address, wants, PULL_WAIT_S)
+            outcome = self._ask(address, wants)
             if isinstance(outcome, Success):
                 self._deliver(group, followers, outcome.unwrap())
             else:
                 self._lose(group, followers, outcome.failure())
 
+    def _ask(self, address: str, wants: Sequence[Want]) -> Result[News, Failure]:
+        try:
+            return self._send(address, wants, PULL_WAIT_S)
+        except Exception as exc:  # Without its thread, the followers of the address would hang.
+            logger("calls").error("pull_failed", peer=address, exc_info=exc)
+            return Err(Failure(Code.INTERNAL, "calls.pull", address, "asking for news failed"))
+
     def _deliver(
         self, group: dict[int, _Follower], followers: Mapping[int, _Follower], news: News
     ) -> None:
         asked = list(followers.items())
         for position, generation, data in zip(*news[:3], strict=True):
-            follower = asked[position][1]
+            number, follower = asked[position]
             key, offset = follower.want
             follower.want = Want(key, offset + len(data))
-            follower.listener.take(Piece(offset, data, None, generation))
+            self._tell(group, number, follower, Piece(offset, data, None, generation))
         for position, outcome in news.others:
             number, follower = asked[position]
             if isinstance(outcome, Success):
                 self._end(group, number)
-                follower.listener.take(outcome.unwrap())
+                self._tell(group, number, follower, outcome.unwrap())
             else:
                 self._lose(group, {number: follower}, outcome.failure())
 
+    def _tell(
+        self, group: dict[int, _Follower], number: int, follower: _Follower, piece: Piece
+    ) -> None:
+        try:
+            follower.listener.take(piece)
+        except Exception as exc:  # The thread of the address serves the other followers too.
+            key = follower.want.key
+            logger("calls").error(
+                "listener_failed", program=key.program, call=key.call, exc_info=exc
+            )
+            failure = Failure(Code.INTERNAL, "calls.pull", "", "an answer could not be taken")
+            self._lose(group, {number: follower}, failure)
+
     def _lose(
         self, group: dict[int, _Follower], followers: Mapping[int, _Follower], failure: Failure
     ) -> None:
--- a/packages/endiveworks/src/endiveworks/calls/tests/test_pull.py
+++ b/packages/endiveworks/src/endiveworks/calls/tests/test_pull.py
@@ -4,8 +4,8 @@
 
 from endiveworks.calls.gather import Gatherer
 from endiveworks.calls.messages import CallKey
-from endiveworks.calls.pull import News, Puller, Want, pull_to_end
-from endiveworks.calls.stream import Ending, Stream
+from endiveworks.calls.pull import Listener, News, Puller, Want, pull_to_end
+from endiveworks.calls.stream import Ending, Piece, Stream
 from endiveworks.errors import Code, Failure
 from returns.result import Failure as Err
 from returns.result import Result, Success
@@ -53,3 +53,33 @@
         puller = Puller(lambda address, wants, wait_s: Err(GONE))
         outcome = pull_to_end(puller, "u", Want(key(1), 0), lambda piece: None, lambda: None)
         assert outcome.failure() == GONE
+
+    def test_a_listener_that_fails_is_lost_and_the_others_go_on(self) -> None:
+        gatherer = Gatherer()
+        streams = {key(1): Stream(), key(2): Stream()}
+
+        def send(address: str, wants: Sequence[Want], wait_s: float) -> Result[News, Failure]:
+            found: list[Result[Stream, Failure]] = [Success(streams[want.key]) for want in wants]
+            answers: SimpleQueue[News] = SimpleQueue()
+            gatherer.ask(found, [want.offset for want in wants], wait_s, answers.put)
+            return Success(answers.get(timeout=30))
+
+        def fail(piece: Piece) -> None:
+            raise ValueError("fault")
+
+        puller = Puller(send)
+        lost: SimpleQueue[Failure] = SimpleQueue()
+        puller.follow("u", Want(key(1), 0), Listener(fail, lost.put))
+        streams[key(1)].append(b"x")
+        assert lost.get(timeout=30).code is Code.INTERNAL
+        streams[key(2)].finish(DONE)
+        ended = pull_to_end(puller, "u", Want(key(2), 0), lambda piece: None, lambda: None)
+        assert ended.unwrap().ending == DONE
+
+    def test_a_fault_in_asking_ends_every_follower(self) -> None:
+        def send(address: str, wants: Sequence[Want], wait_s: float) -> Result[News, Failure]:
+            raise ValueError("fault")
+
+        lost: SimpleQueue[Failure] = SimpleQueue()
+        Puller(send).follow("u", Want(key(1), 0), Listener(lambda piece: None, lost.put))
+        assert lost.get(timeout=30).code is Code.INTERNAL
