Hand on what a leaving host is given, and wait for it in a planned stop

Cause: a host that stops waited until it held no partition. One that another host had just handed to it was in the table and not yet open, so the stop ended with a dead owner in the table, and the programs there waited for a take-over. Besides, a leaving host planned no hand-over once placement had been looked at, so what it was given after that stayed with it. Seen once in test_planned_stop_hands_over, on a busy machine.

Change: a leaving host always hands on what the table gives it; a stop waits until the table names it no more, and looks once again before its entry goes.

Before: both new tests fail. After: they pass, as do the tests of ownership and of stops.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/entry.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/entry.py
@@ -121,6 +121,8 @@
         partitions.move_copies(_MOVE_COPIES_S)
         drained = gate.wait_empty(cfg.number("drain_s"))
         http.settle(_SETTLE_S)
+        # Another host may have handed one over before it heard that this one is leaving.
+        partitions.hand_over_all(_HANDOVER_S)
         deployment.forget()
         return drained
 
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/partitions.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/partitions.py
@@ -126,10 +126,10 @@
             return True
         self._me = self._me._replace(draining=True)
         deadline = time.monotonic() + timeout_s
-        while self.held() and self._has_successor() and time.monotonic() < deadline:
+        while self._is_owner() and self._has_successor() and time.monotonic() < deadline:
             self._wake.set()
             time.sleep(_POLL_S)
-        return not self.held()
+        return not self._is_owner()
 
     def move_copies(self, timeout_s: float) -> bool:
         """Waits until the owners have moved the copies kept here; returns whether they have."""
@@ -141,6 +141,12 @@
             time.sleep(_POLL_S)
         return True
 
+    def _is_owner(self) -> bool:
+        """Tells whether this host acts on a partition, or was given one that it has not opened."""
+        me = _id(self._self())
+        named = any(record.owner == me for record in self.table.records().values())
+        return named or bool(self.held())
+
     def _has_successor(self) -> bool:
         return any(
             member.role == "entry" and not member.draining and member.host != self._self().host
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/tests/test_partitions.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/tests/test_partitions.py
@@ -4,9 +4,15 @@
 import pytest
 from endiveworks.errors import Code, Failure
 from endiveworks.members.member import Member
-from endiveworks.ownership.record import OwnerId, PartitionRecord, encode_record, key_of
+from endiveworks.ownership.record import (
+    OwnerId,
+    PartitionRecord,
+    decode_record,
+    encode_record,
+    key_of,
+)
 from endiveworks.ownership.terms import agree_terms
-from endiveworks.platform.kv import Entry, Kv, Snapshot
+from endiveworks.platform.kv import Entry, Kv, Snapshot, Swapped
 from endiveworks_daemon import partition_timers
 from endiveworks_daemon.partitions import Partitions, Parts
 from endiveworks_daemon.suspects import Suspects
@@ -55,6 +61,33 @@
         return Err(Failure(Code.UNREACHABLE, "kv", "", "down"))
 
 
+class TableKv:
+    """A table in which a partition has just been given to a process that is leaving."""
+
+    def __init__(self, given: PartitionRecord) -> None:
+        self.entries: dict[str, Entry] = {}
+        self._revision = 1
+        self.put(key_of(given.partition), encode_record(given))
+        agree_terms(self.kv(), 1).unwrap()
+
+    def put(self, key: str, value: bytes) -> None:
+        self._revision += 1
+        self.entries[key] = Entry(key, value, self._revision)
+
+    def kv(self) -> Kv:
+        def swap(wanted: Any) -> Any:
+            self.put(wanted.key, wanted.value)
+            return Success(Swapped(True, self._revision, None))
+
+        def read_prefix(prefix: str) -> Any:
+            found = [entry for key, entry in self.entries.items() if key.startswith(prefix)]
+            return Success(Snapshot(self._revision, tuple(found)))
+
+        failed = Err(Failure(Code.UNREACHABLE, "kv", "", "down"))
+        read = lambda key: Success(self.entries.get(key))  # noqa: E731
+        return Kv(read, read_prefix, swap, None, None, lambda *args: failed)  # type: ignore[arg-type]
+
+
 class Clock:
     """Time that passes when the test says so, and pauses of full length."""
 
@@ -104,3 +137,26 @@
         assert self.down.asked == asked
         self.clock.now_s += 10.0
         wait_until(lambda: self.down.asked > asked)
+
+
+class TestHandOver:
+    def test_waits_for_partitions_that_the_table_names_and_that_were_never_opened(self) -> None:
+        leaving = ME._replace(draining=True)
+        heir = Member("heir", "", "entry", "", "r", "d2", 3)
+        given = PartitionRecord(0, OwnerId(ME.host, ME.incarnation), 4, (), 1)
+        table = TableKv(given)
+        parts: Any = Parts(
+            kv=table.kv(),
+            owner=SimpleNamespace(give_up=lambda partition: None),
+            store=None,
+            links=None,
+            members=lambda: {ME.host: leaving, heir.host: heir},
+            notify=lambda member, partition: None,
+            suspects=Suspects(lambda member: False),
+            region="r",
+        )
+        partitions = Partitions(parts)
+        partitions.start(leaving)
+        assert partitions.hand_over_all(30.0)
+        record = decode_record(key_of(0), table.entries[key_of(0)].value).unwrap()
+        assert record.owner == OwnerId(heir.host, heir.incarnation)
--- a/packages/endiveworks/src/endiveworks/ownership/keeper.py
+++ b/packages/endiveworks/src/endiveworks/ownership/keeper.py
@@ -137,7 +137,7 @@
 
 def _hand_over(now: Situation, record: PartitionRecord) -> Action | None:
     """Gives a partition to the host that should own it, if that is another one."""
-    if not now.is_placement_due:
+    if not now.is_placement_due and not now.me.draining:
         return None
     wanted = placement.owners(record.partition, now.members.values())
     if not wanted or wanted[0].host == now.me.host:
--- a/packages/endiveworks/src/endiveworks/ownership/tests/test_keeper.py
+++ b/packages/endiveworks/src/endiveworks/ownership/tests/test_keeper.py
@@ -71,6 +71,11 @@
         action = decide(self.OWN, me=me, members={"a": me, "b": B}, held={FIRST: 5})
         assert action == keeper.HandOver(self.OWN, B)
 
+    def test_hands_on_what_it_is_given_while_draining(self) -> None:
+        me = A._replace(draining=True)
+        given = decide(self.OWN, me=me, members={"a": me, "b": B}, is_placement_due=False)
+        assert given == keeper.HandOver(self.OWN, B)
+
 
 class TestDrops:
     def test_only_copies_of_older_epochs_outside_the_set(self) -> None:
