Keep the tests of a file together in the run of the proofs

Cause of the failure of test_planned_stop_hands_over in two runs of ./dev proofs: the run spread single tests over workers, so this one began with a deployment of its own, in which entry-2 still ran, and started a second process of that name beside it.

Change: the run keeps files together, as ./dev test does, and restart_entry ends the earlier process, so the test passes alone too (seen).

--- a/tests/ownership/test_partitions.py
+++ b/tests/ownership/test_partitions.py
@@ -39,6 +39,9 @@
         return self.start_entry(name, PLACES[name], *FLAGS, disk=name != WITHOUT_DISK)
 
     def restart_entry(self, name: str) -> None:
+        """Starts an entry in place of an earlier process of its name, which ends at once."""
+        if name in self.procs:
+            self.procs[name].kill()
         self.addresses[name] = self.add_entry(name)
 
     def records(self) -> list[PartitionRecord]:
--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -71,7 +71,8 @@
     """Runs every test that a row names, once, and returns the outcomes by test id."""
     recorder = Recorder()
     wanted = sorted({test for row in rows for test in row.tests})
-    options = ["-q", f"-n{TESTS_AT_ONCE}", "--rootdir", str(ROOT)]
+    # The tests of a file may share a deployment, so they stay together.
+    options = ["-q", f"-n{TESTS_AT_ONCE}", "--dist=loadfile", "--rootdir", str(ROOT)]
     pytest.main([*options, *wanted], plugins=[recorder])
     return recorder.outcomes
 
