End the processes that the tests of a removed guard have started

A run that had to be ended after 75 s left its deployment running: 27 processes after a whole run. Each run has a session of its own now, which ends with it; seen with the guard takeover.

--- a/tests/guards.py
+++ b/tests/guards.py
@@ -2,11 +2,12 @@
 
 import os
 import shutil
+import signal
 import subprocess
 import sys
 import tempfile
 import tomllib
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from pathlib import Path
 from typing import NamedTuple
 
@@ -54,16 +55,27 @@
         sources = (str(path) for path in sorted(copy.glob("packages/*/src")))
         # Found before the installed packages, also by the processes that the tests start.
         env = {**os.environ, "PYTHONPATH": os.pathsep.join(sources)}
-        args = [sys.executable, "-m", "pytest", "-q", "-x", "-p", "no:cacheprovider", *guard.tests]
+        code = _run(guard.tests, env)
+    if code is None:
+        return "did not end"
+    if code == _TESTS_FAILED:
+        return "failed"
+    return "passed" if code == 0 else f"did not run ({code})"
+
+
+def _run(tests: Sequence[str], env: Mapping[str, str]) -> int | None:
+    """Returns the exit status of a run of tests; None if it had to be ended."""
+    args = [sys.executable, "-m", "pytest", "-q", "-x", "-p", "no:cacheprovider", *tests]
+    quiet = subprocess.DEVNULL
+    # A session of its own, so that the processes that the tests started end with them.
+    with subprocess.Popen(
+        args, cwd=ROOT, env=env, stdout=quiet, stderr=quiet, start_new_session=True
+    ) as ran:
         try:
-            ran = subprocess.run(
-                args, cwd=ROOT, env=env, capture_output=True, timeout=TEST_TIMEOUT_S, check=False
-            )
+            return ran.wait(TEST_TIMEOUT_S)
         except subprocess.TimeoutExpired:
-            return "did not end"
-    if ran.returncode == _TESTS_FAILED:
-        return "failed"
-    return "passed" if ran.returncode == 0 else f"did not run ({ran.returncode})"
+            os.killpg(ran.pid, signal.SIGKILL)
+            return None
 
 
 def main(names: Sequence[str]) -> int:
