--- a/packages/endiveworks-daemon/src/endiveworks_daemon/engine_keeper.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/engine_keeper.py
@@ -40,6 +40,12 @@
         """Returns the engine's memory in tokens; 0 while it is not known."""
         return self._memory_tokens
 
+    def read_memory_tokens(self) -> int:
+        """Returns the same, and asks the engine if it is not known yet."""
+        if not self._memory_tokens:
+            self._read_load()
+        return self._memory_tokens
+
     def renew(self, renewals: Iterable[Renewal]) -> None:
         """Extends the leases of programs."""
         with self._lock:
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/upstream.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/upstream.py
@@ -64,7 +64,7 @@
                 runner(cfg.text("upstream_url"), cfg.number("silence_s")),
                 lambda: sender.model(),
             ),
-            PrefixEviction(memory, keeper.memory_tokens, _speed(cfg), returns),
+            PrefixEviction(memory, keeper.read_memory_tokens, _speed(cfg), returns),
             admission.usual.need_of,
         ),
         slots=lambda: _slots(deployment, cfg.text("service")),
