Ask for an engine's memory once for each call that starts

Making room asked for the memory twice, under the lock that every start takes. Since the question may go to the engine while its memory is unknown, an engine that does not tell it cost two requests a start. It is asked once, and the answer handed on. Nothing else changes.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/prefix_eviction.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/prefix_eviction.py
@@ -48,8 +48,9 @@
         starting = _Starting(program, need_tokens)
         with self._lock:
             cached = self._memory.cached()
-            if isinstance(cached, Success) and self._memory_tokens() > 0:
-                self._make_room(starting, cached.unwrap())
+            memory_tokens = self._memory_tokens() if isinstance(cached, Success) else 0
+            if isinstance(cached, Success) and memory_tokens > 0:
+                self._make_room(starting, cached.unwrap(), memory_tokens)
                 if program in cached.unwrap()["exported"]:
                     self._memory.move_in(program)
             self._running[program] = need_tokens
@@ -59,7 +60,7 @@
         with self._lock:
             self._running.pop(program, None)
 
-    def _make_room(self, starting: _Starting, cached: Cached) -> None:
+    def _make_room(self, starting: _Starting, cached: Cached, memory_tokens: int) -> None:
         prefixes = cached["prefixes"]
         idle = [
             Idle(program, tokens, self._returns.return_s(program))
@@ -68,7 +69,7 @@
         ]
         # What a running call needs covers its prefix, also before the engine has taken it up.
         taken = sum(self._running.values()) + sum(prefix.tokens for prefix in idle)
-        free = self._memory_tokens() - taken
+        free = memory_tokens - taken
         need = starting.need_tokens
         for move in make_room(idle, need - free, self._speed):
             exports = move.action is Action.EXPORT
