Read an answer at another process in one place

Owners reading from upstream processes and entries reading from owners made the same Thrift call with the same silence margin, each in a copy. Both call node.read_answer now.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/node.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/node.py
@@ -94,6 +94,25 @@
     return Puller(send)
 
 
+def read_answer(
+    peers: Peers,
+    origin: Callable[[], ttypes.Origin],
+    address: str,
+    step: str,
+    want: Want,
+    wait_s: float,
+) -> Result[ttypes.Chunk, Failure]:
+    """Asks the process at an address for bytes of an answer, waiting for news of it."""
+    return peers.call(
+        address,
+        step,
+        wait_s + _SILENCE_MARGIN_S,
+        lambda client: client.read(
+            origin(), ttypes.CallKey(*want.key), want.offset, int(wait_s * 1000)
+        ),
+    )
+
+
 def remote_node(
     peers: Peers, pull: Puller, origin: Callable[[], ttypes.Origin], address: str
 ) -> Node:
@@ -113,22 +132,14 @@
         )
         return answered.bind(_submit_reply)
 
-    def read_there(key: CallKey, offset: int) -> Result[Piece, Failure]:
-        answered = peers.call(
-            address,
-            "node.read",
-            READ_WAIT_S + _SILENCE_MARGIN_S,
-            lambda client: client.read(
-                origin(), ttypes.CallKey(*key), offset, int(READ_WAIT_S * 1000)
-            ),
-        )
-        return answered.bind(read_reply)
-
     def pieces(program: str, number: int, offset: int, outlet: Outlet) -> Pieces:
         key = CallKey(program, number, 0)
         data = b""
         while not data:
-            outcome = read_there(key, offset)
+            answered = read_answer(
+                peers, origin, address, "node.read", Want(key, offset), READ_WAIT_S
+            )
+            outcome = answered.bind(read_reply)
             yield outcome
             data = outcome.unwrap().data if isinstance(outcome, Success) else b""
         yield from _tail(pull, address, Want(key, offset + len(data)), outlet)
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/upstream_links.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/upstream_links.py
@@ -19,9 +19,7 @@
 
 from .choice import Report
 from .identity import Identity
-from .node import ANSWER_TIMEOUT_S, puller
-
-_SILENCE_MARGIN_S = 2.0
+from .node import ANSWER_TIMEOUT_S, puller, read_answer
 
 T = TypeVar("T")
 
@@ -69,17 +67,11 @@
         return accepted if job.at_most_once else accepted.alt(_unless_restarted)
 
     def read(host: str, key: CallKey, offset: int, wait_s: float) -> Result[Piece, Failure]:
+        step, want = "upstream.read", Want(key, offset)
         member = members().get(host)
         if member is None:
-            return Err(_gone(host, "upstream.read"))
-        answered = peers.call(
-            member.address,
-            "upstream.read",
-            wait_s + _SILENCE_MARGIN_S,
-            lambda client: client.read(
-                identity.origin(), ttypes.CallKey(*key), offset, int(wait_s * 1000)
-            ),
-        )
+            return Err(_gone(host, step))
+        answered = read_answer(peers, identity.origin, member.address, step, want, wait_s)
         return noted(member, answered).bind(read_reply)
 
     def tail(
