Give tests, the quick start and benchmarks one way to open a program and to repeat calls

Opening a program as soon as the deployment allows stood in five places, threads that repeat calls until they are told to stop in three, and a sender for the tests of pulls twice. They are callers.open_when_ready, callers.Repeated and one function of test_pull.py now. Assertions, numbers of calls and limits are as before.

--- a/bench/leaving.py
+++ b/bench/leaving.py
@@ -18,7 +18,8 @@
 from typing import Any, NamedTuple
 
 import urllib3
-from endiveworks.client.caller import Program, connect, open_program
+from endiveworks.client.caller import Program, connect
+from endiveworks_standins.callers import open_when_ready
 from endiveworks_standins.fleet import Fleet, Place, wait_until
 from returns.result import Success
 
@@ -92,15 +93,7 @@
     def open_program(self) -> Program:
         """Opens a program as soon as the deployment allows."""
         reached = connect(self.addresses, "signs", 60.0, 10.0)
-        opened: list[Program] = []
-
-        def attempt() -> bool:
-            outcome = open_program(reached, "shop", "front", 400_000)
-            opened.extend([outcome.unwrap()] if isinstance(outcome, Success) else [])
-            return bool(opened)
-
-        wait_until(attempt)
-        return opened[0]
+        return open_when_ready(reached, "shop", "front", 400_000)
 
     def load(self) -> None:
         """Makes calls, each of a program of its own now and then, until it is told to stop."""
--- a/packages/endiveworks-standins/src/endiveworks_standins/demo.py
+++ b/packages/endiveworks-standins/src/endiveworks_standins/demo.py
@@ -6,12 +6,13 @@
 from pathlib import Path
 from typing import NamedTuple, TypeVar
 
-from endiveworks.client.caller import Message, Program, connect, open_program
+from endiveworks.client.caller import Message, Program, connect
 from endiveworks.client.transport import Deployment
 from endiveworks.errors import Failure
 from returns.result import Result, Success
 
-from .fleet import Fleet, Place, wait_until
+from .callers import open_when_ready
+from .fleet import Fleet, Place
 
 SERVICES = Path(__file__).parents[4] / "examples" / "services"
 EAST = Place("east", "east-1")
@@ -89,16 +90,7 @@
 
 def _ready(deployment: Deployment) -> Program:
     """Opens the program once the deployment has its configuration."""
-    opened: list[Program] = []
-
-    def try_open() -> bool:
-        outcome = open_program(deployment, "assistant", "front", 200_000)
-        if isinstance(outcome, Success):
-            opened.append(outcome.unwrap())
-        return bool(opened)
-
-    wait_until(try_open)
-    return opened[0]
+    return open_when_ready(deployment, "assistant", "front", 200_000)
 
 
 def _say(program: Program, text: str) -> None:
--- a/packages/endiveworks/src/endiveworks/calls/tests/test_pull.py
+++ b/packages/endiveworks/src/endiveworks/calls/tests/test_pull.py
@@ -1,10 +1,10 @@
 import threading
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from queue import SimpleQueue
 
 from endiveworks.calls.gather import Gatherer
 from endiveworks.calls.messages import CallKey
-from endiveworks.calls.pull import Listener, News, Puller, Want, pull_to_end
+from endiveworks.calls.pull import Listener, News, Puller, Send, Want, pull_to_end
 from endiveworks.calls.stream import Ending, Piece, Stream
 from endiveworks.errors import Code, Failure
 from returns.result import Failure as Err
@@ -18,19 +18,24 @@
     return CallKey("0001-a", number, 1)
 
 
+def sending(streams: Mapping[CallKey, Stream]) -> Send:
+    """Returns what asks a gatherer in the same process for news of streams."""
+    gatherer = Gatherer()
+
+    def send(address: str, wants: Sequence[Want], wait_s: float) -> Result[News, Failure]:
+        found: list[Result[Stream, Failure]] = [Success(streams[want.key]) for want in wants]
+        answers: SimpleQueue[News] = SimpleQueue()
+        gatherer.ask(found, [want.offset for want in wants], wait_s, answers.put)
+        return Success(answers.get(timeout=30))
+
+    return send
+
+
 class TestPuller:
     def test_follows_many_answers_to_their_ends(self) -> None:
         streams = {key(number): Stream() for number in range(20)}
 
-        gatherer = Gatherer()
-
-        def send(address: str, wants: Sequence[Want], wait_s: float) -> Result[News, Failure]:
-            found: list[Result[Stream, Failure]] = [Success(streams[want.key]) for want in wants]
-            answers: SimpleQueue[News] = SimpleQueue()
-            gatherer.ask(found, [want.offset for want in wants], wait_s, answers.put)
-            return Success(answers.get(timeout=30))
-
-        puller = Puller(send)
+        puller = Puller(sending(streams))
         got: dict[CallKey, bytearray] = {name: bytearray() for name in streams}
 
         def follow(name: CallKey) -> None:
@@ -55,19 +60,12 @@
         assert outcome.failure() == GONE
 
     def test_a_listener_that_fails_is_lost_and_the_others_go_on(self) -> None:
-        gatherer = Gatherer()
         streams = {key(1): Stream(), key(2): Stream()}
 
-        def send(address: str, wants: Sequence[Want], wait_s: float) -> Result[News, Failure]:
-            found: list[Result[Stream, Failure]] = [Success(streams[want.key]) for want in wants]
-            answers: SimpleQueue[News] = SimpleQueue()
-            gatherer.ask(found, [want.offset for want in wants], wait_s, answers.put)
-            return Success(answers.get(timeout=30))
-
         def fail(piece: Piece) -> None:
             raise ValueError("fault")
 
-        puller = Puller(send)
+        puller = Puller(sending(streams))
         lost: SimpleQueue[Failure] = SimpleQueue()
         puller.follow("u", Want(key(1), 0), Listener(fail, lost.put))
         streams[key(1)].append(b"x")
--- a/tests/failures/test_outages.py
+++ b/tests/failures/test_outages.py
@@ -1,10 +1,13 @@
 import json
-import threading
 from collections import Counter
+from collections.abc import Iterator
 from concurrent.futures import Future
+from functools import partial
+from itertools import count
 from typing import Any, NamedTuple
 
 import pytest
+from endiveworks_standins.callers import Repeated
 from endiveworks_standins.fleet import wait_until
 from pytest_bdd import given, parsers, scenarios, then, when
 
@@ -34,22 +37,14 @@
         self.answers: dict[str, list[Any]] = {program: [] for program in owners}
         self._deployment = deployment
         self._make_order = make_order
-        self._stopped = threading.Event()
-        self._threads = [threading.Thread(target=self._run, args=each) for each in owners.items()]
-        for thread in self._threads:
-            thread.start()
-
-    def _run(self, program: str, entry: str) -> None:
-        call = 3
-        while not self._stopped.is_set():
-            answer = self._deployment.send(entry, self._make_order(program, call))
-            self.answers[program].append(answer)
-            call += 1
+        self._orders = Repeated([partial(self._order, *each, count(3)) for each in owners.items()])
+
+    def _order(self, program: str, entry: str, numbers: Iterator[int]) -> None:
+        order = self._make_order(program, next(numbers))
+        self.answers[program].append(self._deployment.send(entry, order))
 
     def stop(self) -> None:
-        self._stopped.set()
-        for thread in self._threads:
-            thread.join()
+        self._orders.close()
 
 
 class Outage:
--- a/tests/fleet/conftest.py
+++ b/tests/fleet/conftest.py
@@ -1,21 +1,22 @@
 """A deployment of one plain service, with what the tests of the fleet ask of it."""
 
 import json
-import threading
 import time
 from collections.abc import Callable, Iterator
+from functools import partial
 from pathlib import Path
 from typing import Any
 
 import pytest
 import urllib3
-from endiveworks.client.caller import Program, connect, open_program
+from endiveworks.client.caller import Program, connect
 from endiveworks.config import publish as publication
 from endiveworks.config.publish import Published, Refused, Request
 from endiveworks.config.service_file import collect
 from endiveworks.members.member import Member
 from endiveworks.members.registry import read_members
 from endiveworks.platform.etcd import connect as connect_kv
+from endiveworks_standins.callers import Repeated, open_when_ready
 from endiveworks_standins.fleet import Fleet, Place, wait_until
 from returns.result import Result, Success
 
@@ -31,29 +32,23 @@
     def __init__(self, cluster: Any, programs: int) -> None:
         self.failures: list[Any] = []
         self.receipts: list[int] = []
-        self._stop = threading.Event()
         opened = [cluster.open_program() for _ in range(programs)]
-        self._threads = [threading.Thread(target=self._run, args=(each,)) for each in opened]
-        for thread in self._threads:
-            thread.start()
+        self._calls = Repeated([partial(self._call, program) for program in opened])
 
     def __enter__(self) -> "Load":
         return self
 
     def __exit__(self, *exc: object) -> None:
-        self._stop.set()
-        for thread in self._threads:
-            thread.join()
+        self._calls.close()
 
-    def _run(self, program: Any) -> None:
-        while not self._stop.is_set():
-            outcome = program.call("shop", "lookup", {"item": "fascia"})
-            if not isinstance(outcome, Success):
-                self.failures.append(outcome.failure())
-            elif outcome.unwrap().status != 200:
-                self.failures.append(outcome.unwrap())
-            else:
-                self.receipts.append(json.loads(outcome.unwrap().body)["receipt"])
+    def _call(self, program: Any) -> None:
+        outcome = program.call("shop", "lookup", {"item": "fascia"})
+        if not isinstance(outcome, Success):
+            self.failures.append(outcome.failure())
+        elif outcome.unwrap().status != 200:
+            self.failures.append(outcome.unwrap())
+        else:
+            self.receipts.append(json.loads(outcome.unwrap().body)["receipt"])
 
 
 class Cluster(Fleet):
@@ -141,16 +136,7 @@
     def open_program(self, *entries: str) -> Program:
         addresses = [self.entries[name] for name in entries or self.entries]
         deployment = connect(addresses, "signs", timeout_s=60.0, silence_s=10.0)
-        opened: list[Program] = []
-
-        def attempt() -> bool:
-            outcome = open_program(deployment, "shop", "front", 400_000)
-            if isinstance(outcome, Success):
-                opened.append(outcome.unwrap())
-            return bool(opened)
-
-        wait_until(attempt)
-        return opened[0]
+        return open_when_ready(deployment, "shop", "front", 400_000)
 
     def _standin(self, method: str, address: str, path: str, body: Any) -> Any:
         resp = urllib3.request(method, f"http://{address}{path}", json=body, timeout=5.0)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -9,12 +9,13 @@
 
 import pytest
 import urllib3
-from endiveworks.client.caller import Program, connect, open_program
+from endiveworks.client.caller import Program, connect
 from endiveworks.client.transport import Deployment
 from endiveworks.replay.policy import FULL
 from endiveworks.replay.run import replay
 from endiveworks.replay.trace import read
 from endiveworks_ctl.main import main as endivectl
+from endiveworks_standins.callers import open_when_ready
 from endiveworks_standins.fleet import Fleet, Place, wait_until
 from returns.result import Success
 
@@ -73,16 +74,7 @@
         self.fleet.start_upstream(name, EAST, "assistant", self.engine, "--lease_s=2")
 
     def open(self, class_name: str = "") -> Program:
-        found: list[Program] = []
-
-        def opened() -> bool:
-            program = open_program(self.deployment, "assistant", class_name, 100_000)
-            if isinstance(program, Success):
-                found.append(program.unwrap())
-            return bool(found)
-
-        wait_until(opened)
-        return found[0]
+        return open_when_ready(self.deployment, "assistant", class_name, 100_000)
 
     def ask(self, path: str, body: dict[str, Any] | None = None) -> Any:
         method = "GET" if body is None else "POST"
--- a/tests/test_engine_orders.py
+++ b/tests/test_engine_orders.py
@@ -4,13 +4,15 @@
 import json
 import threading
 from collections.abc import Callable, Iterator
+from functools import partial
 from pathlib import Path
 from typing import Any
 
 import pytest
 import urllib3
-from endiveworks.client.caller import Program, connect, open_program
+from endiveworks.client.caller import Program, connect
 from endiveworks_ctl.main import main as endivectl
+from endiveworks_standins.callers import Repeated, open_when_ready
 from endiveworks_standins.fleet import Fleet, Place, Proc, wait_until
 from returns.result import Success
 
@@ -130,27 +132,21 @@
     def __init__(self, address: str, programs: int) -> None:
         self.failures: list[Any] = []
         self.answers = 0
-        self._stop = threading.Event()
         opened = [_open(address) for _ in range(programs)]
-        self._threads = [threading.Thread(target=self._run, args=(each,)) for each in opened]
-        for thread in self._threads:
-            thread.start()
+        self._calls = Repeated([partial(self._call, program) for program in opened])
 
     def __enter__(self) -> "Load":
         return self
 
     def __exit__(self, *exc: object) -> None:
-        self._stop.set()
-        for thread in self._threads:
-            thread.join()
+        self._calls.close()
 
-    def _run(self, program: Program) -> None:
-        while not self._stop.is_set():
-            outcome = _say(program)
-            if isinstance(outcome, Success):
-                self.answers += 1
-            else:
-                self.failures.append(outcome.failure())
+    def _call(self, program: Program) -> None:
+        outcome = _say(program)
+        if isinstance(outcome, Success):
+            self.answers += 1
+        else:
+            self.failures.append(outcome.failure())
 
 
 def _say(program: Program) -> Any:
@@ -158,16 +154,7 @@
 
 
 def _open(address: str) -> Program:
-    deployment = connect((address,), "signs")
-    found: list[Program] = []
-
-    def opened() -> bool:
-        outcome = open_program(deployment, "assistant", "", 400_000)
-        found.extend([outcome.unwrap()] if isinstance(outcome, Success) else [])
-        return bool(found)
-
-    wait_until(opened)
-    return found[0]
+    return open_when_ready(connect((address,), "signs"), "assistant", "", 400_000)
 
 
 @pytest.fixture
