--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -21,7 +21,7 @@
 import urllib3
 from endiveworks.config.publish import Request, publish
 from endiveworks.config.service_file import collect
-from endiveworks.platform.etcd import connect
+from endiveworks.kvservice.etcd import connect
 from endiveworks_standins.fleet import Fleet, Place, wait_until
 
 SERVICES = Path(__file__).parents[1] / "examples" / "services"
--- a/packages/endiveworks-ctl/src/endiveworks_ctl/deployment.py
+++ b/packages/endiveworks-ctl/src/endiveworks_ctl/deployment.py
@@ -1,10 +1,10 @@
 """The processes that a command asks: as the key-value service lists them, or as named."""
 
 from endiveworks.errors import Failure
+from endiveworks.kvservice.etcd import connect
+from endiveworks.kvservice.kv import Kv
 from endiveworks.members.member import Member
 from endiveworks.members.registry import read_members
-from endiveworks.platform.etcd import connect
-from endiveworks.platform.kv import Kv
 from endiveworks.settings.flags import Values
 from returns.result import Result, Success
 
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/copy_sets.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/copy_sets.py
@@ -9,12 +9,12 @@
 from endiveworks.journal.peer import CopyId, Peer
 from endiveworks.journal.replicated_log import OpenedReplica
 from endiveworks.journal.replication import CopySet
+from endiveworks.kvservice.kv import Kv
 from endiveworks.members.member import Member
 from endiveworks.ownership import placement, table
 from endiveworks.ownership.record import PartitionRecord
 from endiveworks.ownership.table import Located
 from endiveworks.ownership.view import TableView
-from endiveworks.platform.kv import Kv
 from endiveworks.telemetry.logs import logger
 from returns.result import Result, Success
 
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/deployment.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/deployment.py
@@ -10,13 +10,13 @@
 from endiveworks.config.follower import Follower
 from endiveworks.config.publish import BUNDLE_KEY
 from endiveworks.errors import Code, Failure
+from endiveworks.kvservice.etcd import connect
+from endiveworks.kvservice.host_list import read_host_list
+from endiveworks.kvservice.kv import Kv
 from endiveworks.links.client import Peers
 from endiveworks.links.retry import backoff_s
 from endiveworks.members.member import Member
 from endiveworks.members.membership import Membership
-from endiveworks.platform.etcd import connect
-from endiveworks.platform.host_list import read_host_list
-from endiveworks.platform.kv import Kv
 from endiveworks.settings.flags import Values
 from endiveworks.telemetry.logs import logger
 from endiveworks.wire.gen import Node, ttypes
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/engine_orders.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/engine_orders.py
@@ -9,6 +9,7 @@
 from endiveworks.config.bundle import EngineTerms, Service
 from endiveworks.engines.orders import EngineOrders
 from endiveworks.errors import Code, Failure
+from endiveworks.kvservice.kv import Kv
 from endiveworks.links.retry import backoff_s
 from endiveworks.orders.decide import (
     Action,
@@ -30,7 +31,6 @@
     view_of,
 )
 from endiveworks.orders.state import EngineState, Order, describe, wanted_of
-from endiveworks.platform.kv import Kv
 from endiveworks.telemetry.logs import logger
 from returns.result import Success
 
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/journal_folder.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/journal_folder.py
@@ -5,8 +5,8 @@
 from endiveworks.errors import Code, Failure
 from endiveworks.journal.identity import deployment_of, set_aside
 from endiveworks.journal.store import Store, open_store
+from endiveworks.kvservice.kv import Kv
 from endiveworks.ownership.terms import agree_terms
-from endiveworks.platform.kv import Kv
 from endiveworks.telemetry.logs import logger
 from returns.result import Result, Success
 
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/partitions.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/partitions.py
@@ -11,12 +11,12 @@
 from endiveworks.journal import copy_state
 from endiveworks.journal.peer import CopyId
 from endiveworks.journal.store import Store
+from endiveworks.kvservice.kv import Kv
 from endiveworks.members.member import Member
 from endiveworks.ownership import keeper
 from endiveworks.ownership.record import OwnerId, PartitionRecord
 from endiveworks.ownership.table import Located
 from endiveworks.ownership.terms import Terms, agree_terms
-from endiveworks.platform.kv import Kv
 from endiveworks.programs.owner import Owner
 from endiveworks.telemetry.logs import logger
 from returns.result import Success
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/presence.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/presence.py
@@ -5,10 +5,10 @@
 import time
 from collections.abc import Callable
 
+from endiveworks.kvservice.kv import Kv
 from endiveworks.links.retry import backoff_s
 from endiveworks.members.member import Member
 from endiveworks.members.registration import Registration, Standing, renew, withdraw
-from endiveworks.platform.kv import Kv
 from endiveworks.telemetry.logs import logger
 
 _RENEWALS_PER_LEASE = 3
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/table_access.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/table_access.py
@@ -4,11 +4,11 @@
 from collections.abc import Callable
 
 from endiveworks.errors import Code, Failure
+from endiveworks.kvservice.kv import Kv
 from endiveworks.ownership import table
 from endiveworks.ownership.record import PartitionRecord
 from endiveworks.ownership.table import Located
 from endiveworks.ownership.view import TableView
-from endiveworks.platform.kv import Kv
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/tests/test_partitions.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/tests/test_partitions.py
@@ -3,6 +3,7 @@
 
 import pytest
 from endiveworks.errors import Code, Failure
+from endiveworks.kvservice.kv import Entry, Kv, Snapshot, Swapped
 from endiveworks.members.member import Member
 from endiveworks.ownership.record import (
     OwnerId,
@@ -12,7 +13,6 @@
     key_of,
 )
 from endiveworks.ownership.terms import agree_terms
-from endiveworks.platform.kv import Entry, Kv, Snapshot, Swapped
 from endiveworks_daemon import partition_timers
 from endiveworks_daemon.partitions import Partitions, Parts
 from endiveworks_daemon.suspects import Suspects
--- a/packages/endiveworks/src/endiveworks/config/follower.py
+++ b/packages/endiveworks/src/endiveworks/config/follower.py
@@ -8,8 +8,8 @@
 from returns.result import Result, Success
 
 from ..errors import Code, Failure
+from ..kvservice.kv import Change, Kv
 from ..members.member import Member
-from ..platform.kv import Change, Kv
 from .adopt import Adoption
 from .publish import BUNDLE_KEY
 from .spread import WATCHERS, Place, place_of
--- a/packages/endiveworks/src/endiveworks/config/publish.py
+++ b/packages/endiveworks/src/endiveworks/config/publish.py
@@ -7,7 +7,7 @@
 from returns.result import Result, Success
 
 from ..errors import Code, Failure
-from ..platform.kv import Entry, Kv, Swap
+from ..kvservice.kv import Entry, Kv, Swap
 from .bundle import EMPTY, Bundle, Service
 from .codec import MAX_BUNDLE_BYTES, decode_bundle, digest, encode_bundle
 from .differences import Difference, differences
--- a/packages/endiveworks/src/endiveworks/config/tests/test_follower.py
+++ b/packages/endiveworks/src/endiveworks/config/tests/test_follower.py
@@ -7,8 +7,8 @@
 from endiveworks.config.spread import FAN_OUT, place_of
 from endiveworks.config.tests.test_codec import BUNDLE
 from endiveworks.errors import Code, Failure
+from endiveworks.kvservice.kv import Change, Entry, Kv, Snapshot
 from endiveworks.members.member import Member
-from endiveworks.platform.kv import Change, Entry, Kv, Snapshot
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from returns.result import Failure as Err
--- a/packages/endiveworks/src/endiveworks/config/tests/test_publish.py
+++ b/packages/endiveworks/src/endiveworks/config/tests/test_publish.py
@@ -12,7 +12,7 @@
 )
 from endiveworks.config.tests.test_codec import SHOP
 from endiveworks.errors import Code, Failure
-from endiveworks.platform.kv import Entry, Kv, Swap, Swapped
+from endiveworks.kvservice.kv import Entry, Kv, Swap, Swapped
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
--- a/packages/endiveworks/src/endiveworks/platform/tests/test_etcd.py
+++ b/packages/endiveworks/src/endiveworks/kvservice/tests/test_etcd.py
@@ -8,8 +8,8 @@
 import pytest
 import urllib3
 from endiveworks.errors import Code
-from endiveworks.platform.etcd import connect
-from endiveworks.platform.kv import Change, Entry, Kv, Swap
+from endiveworks.kvservice.etcd import connect
+from endiveworks.kvservice.kv import Change, Entry, Kv, Swap
 from endiveworks_standins.kv import serve
 
 SILENCE_S = 0.5
--- a/packages/endiveworks/src/endiveworks/platform/tests/test_following.py
+++ b/packages/endiveworks/src/endiveworks/kvservice/tests/test_following.py
@@ -1,7 +1,7 @@
 import random
 
 from endiveworks.errors import Code, Failure
-from endiveworks.platform.following import Source, follow
+from endiveworks.kvservice.following import Source, follow
 from returns.result import Failure as Err
 from returns.result import Result
 
--- a/packages/endiveworks/src/endiveworks/members/membership.py
+++ b/packages/endiveworks/src/endiveworks/members/membership.py
@@ -8,9 +8,9 @@
 from returns.result import Result, Success
 
 from ..errors import Failure
-from ..platform.following import Source, follow
-from ..platform.host_list import ListedHost
-from ..platform.kv import Change, Kv
+from ..kvservice.following import Source, follow
+from ..kvservice.host_list import ListedHost
+from ..kvservice.kv import Change, Kv
 from ..telemetry.logs import logger
 from . import view as views
 from .member import Member
--- a/packages/endiveworks/src/endiveworks/members/registration.py
+++ b/packages/endiveworks/src/endiveworks/members/registration.py
@@ -7,7 +7,7 @@
 from returns.result import Result, Success
 
 from ..errors import Code, Failure
-from ..platform.kv import Entry, Kv, Swap
+from ..kvservice.kv import Entry, Kv, Swap
 from .member import Member
 from .registry import HOSTS_PREFIX, decode_member, encode_member
 
--- a/packages/endiveworks/src/endiveworks/members/registry.py
+++ b/packages/endiveworks/src/endiveworks/members/registry.py
@@ -4,7 +4,7 @@
 from returns.result import Result
 
 from ..errors import Failure
-from ..platform.kv import Kv
+from ..kvservice.kv import Kv
 from .member import Member
 
 HOSTS_PREFIX = "/endiveworks/hosts/"
--- a/packages/endiveworks/src/endiveworks/members/tests/test_registration.py
+++ b/packages/endiveworks/src/endiveworks/members/tests/test_registration.py
@@ -3,10 +3,10 @@
 
 import pytest
 from endiveworks.errors import Code, Failure
+from endiveworks.kvservice.kv import Entry, Kv, Snapshot, Swap, Swapped
 from endiveworks.members.registration import Registration, Standing, renew, withdraw
 from endiveworks.members.registry import HOSTS_PREFIX, read_members
 from endiveworks.members.tests.test_view import member
-from endiveworks.platform.kv import Entry, Kv, Snapshot, Swap, Swapped
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
--- a/packages/endiveworks/src/endiveworks/members/tests/test_view.py
+++ b/packages/endiveworks/src/endiveworks/members/tests/test_view.py
@@ -1,9 +1,9 @@
+from endiveworks.kvservice.host_list import ListedHost
+from endiveworks.kvservice.kv import Change, Entry, Snapshot
 from endiveworks.members import view as views
 from endiveworks.members.member import Member
 from endiveworks.members.registry import HOSTS_PREFIX, encode_member
 from endiveworks.members.view import GRACE_S, View
-from endiveworks.platform.host_list import ListedHost
-from endiveworks.platform.kv import Change, Entry, Snapshot
 
 
 def member(host: str, incarnation: int = 1, draining: bool = False) -> Member:
--- a/packages/endiveworks/src/endiveworks/members/view.py
+++ b/packages/endiveworks/src/endiveworks/members/view.py
@@ -3,8 +3,8 @@
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
-from ..platform.host_list import LEAVING, ListedHost
-from ..platform.kv import Change, Snapshot
+from ..kvservice.host_list import LEAVING, ListedHost
+from ..kvservice.kv import Change, Snapshot
 from .member import Member
 from .registry import HOSTS_PREFIX, decode_member
 
--- a/packages/endiveworks/src/endiveworks/orders/right.py
+++ b/packages/endiveworks/src/endiveworks/orders/right.py
@@ -12,8 +12,8 @@
 from returns.result import Result
 
 from ..errors import Failure
+from ..kvservice.kv import Entry, Kv
 from ..members.registry import HOSTS_PREFIX, decode_member
-from ..platform.kv import Entry, Kv
 from .slots import Holder
 
 PROOF_S = 2.0
--- a/packages/endiveworks/src/endiveworks/orders/slots.py
+++ b/packages/endiveworks/src/endiveworks/orders/slots.py
@@ -10,7 +10,7 @@
 from returns.result import Result
 
 from ..errors import Failure
-from ..platform.kv import Entry, Kv, Swap
+from ..kvservice.kv import Entry, Kv, Swap
 
 SLOTS_PREFIX = "/endiveworks/reloads/"
 
--- a/packages/endiveworks/src/endiveworks/orders/tests/test_slots.py
+++ b/packages/endiveworks/src/endiveworks/orders/tests/test_slots.py
@@ -1,3 +1,4 @@
+from endiveworks.kvservice.kv import Swap
 from endiveworks.members.member import Member
 from endiveworks.members.registry import HOSTS_PREFIX, encode_member
 from endiveworks.members.tests.test_registration import FakeKv
@@ -12,7 +13,6 @@
     take_slot,
     view_of,
 )
-from endiveworks.platform.kv import Swap
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
--- a/packages/endiveworks/src/endiveworks/ownership/table.py
+++ b/packages/endiveworks/src/endiveworks/ownership/table.py
@@ -7,7 +7,7 @@
 from returns.result import Result, Success
 
 from ..errors import Code, Failure
-from ..platform.kv import Kv, Swap
+from ..kvservice.kv import Kv, Swap
 from .record import PartitionRecord, decode_record, encode_record, key_of
 
 _ATTEMPTS = 3
--- a/packages/endiveworks/src/endiveworks/ownership/terms.py
+++ b/packages/endiveworks/src/endiveworks/ownership/terms.py
@@ -8,7 +8,7 @@
 from returns.result import Result, Success
 
 from ..errors import Code, Failure
-from ..platform.kv import Kv, Swap
+from ..kvservice.kv import Kv, Swap
 
 DEPLOYMENT_KEY = "/endiveworks/deployment"
 DEFAULT_PARTITIONS = 64
--- a/packages/endiveworks/src/endiveworks/ownership/tests/test_table.py
+++ b/packages/endiveworks/src/endiveworks/ownership/tests/test_table.py
@@ -1,9 +1,9 @@
 from endiveworks.errors import Code, Failure
 from endiveworks.journal.peer import CopyId
+from endiveworks.kvservice.kv import Entry, Kv, Swap, Swapped
 from endiveworks.ownership import table
 from endiveworks.ownership.record import OwnerId, PartitionRecord, key_of
 from endiveworks.ownership.terms import agree_terms
-from endiveworks.platform.kv import Entry, Kv, Swap, Swapped
 from returns.result import Failure as Err
 from returns.result import Success
 
--- a/packages/endiveworks/src/endiveworks/ownership/view.py
+++ b/packages/endiveworks/src/endiveworks/ownership/view.py
@@ -7,8 +7,8 @@
 from returns.result import Result, Success
 
 from ..errors import Failure
-from ..platform.following import Source, follow
-from ..platform.kv import Change, Entry, Kv
+from ..kvservice.following import Source, follow
+from ..kvservice.kv import Change, Entry, Kv
 from .record import PARTITIONS_PREFIX, PartitionRecord, decode_record
 from .table import Located, read
 
--- a/tests/failures/conftest.py
+++ b/tests/failures/conftest.py
@@ -11,10 +11,10 @@
 
 import pytest
 import urllib3
+from endiveworks.kvservice.etcd import connect as connect_kv
 from endiveworks.members.registry import read_members
 from endiveworks.ownership import placement
 from endiveworks.ownership.record import PARTITIONS_PREFIX, PartitionRecord, decode_record
-from endiveworks.platform.etcd import connect as connect_kv
 from endiveworks_standins.fleet import Fleet, Place, wait_until
 from pytest_bdd import given, parsers, then, when
 
--- a/tests/fleet/conftest.py
+++ b/tests/fleet/conftest.py
@@ -13,9 +13,9 @@
 from endiveworks.config import publish as publication
 from endiveworks.config.publish import Published, Refused, Request
 from endiveworks.config.service_file import collect
+from endiveworks.kvservice.etcd import connect as connect_kv
 from endiveworks.members.member import Member
 from endiveworks.members.registry import read_members
-from endiveworks.platform.etcd import connect as connect_kv
 from endiveworks_standins.callers import Repeated, open_when_ready
 from endiveworks_standins.fleet import Fleet, Place, wait_until
 from returns.result import Result, Success
--- a/tests/fleet/test_configuration.py
+++ b/tests/fleet/test_configuration.py
@@ -9,7 +9,7 @@
 import pytest
 from endiveworks.config.publish import BUNDLE_KEY, read_bundle
 from endiveworks.errors import Code
-from endiveworks.platform.kv import Swap
+from endiveworks.kvservice.kv import Swap
 from endiveworks_ctl.exits import Exit
 from endiveworks_standins.demo import SERVICES
 from endiveworks_standins.fleet import Place
--- a/tests/ownership/test_partitions.py
+++ b/tests/ownership/test_partitions.py
@@ -7,8 +7,8 @@
 
 import pytest
 from endiveworks.client.caller import Program, connect, open_program
+from endiveworks.kvservice.etcd import connect as connect_kv
 from endiveworks.ownership.record import PARTITIONS_PREFIX, PartitionRecord, decode_record
-from endiveworks.platform.etcd import connect as connect_kv
 from endiveworks_standins.fleet import Fleet, Place, wait_until
 from returns.result import Success
 
