--- /dev/null
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/disks/agreement.py
@@ -0,0 +1,182 @@
+"""Keeps the view of the disks in use: proposes changes and reads what a new disk lacks."""
+
+import asyncio
+import random
+import time
+from collections.abc import Callable, Mapping
+
+from endiveworks.errors import Failure
+from endiveworks.gateway.picture import Picture
+from endiveworks.kvservice.kv import Kv, Swap
+from endiveworks.members.member import Member
+from endiveworks.telemetry import logs
+from endiveworks.turns import messages
+from endiveworks.turns.change import Sighting, first_view, is_emptied, next_view
+from endiveworks.turns.view import Disk, View, encode, is_read, must_sync
+from returns.result import Result, Success
+
+from ..rpc import RpcClient
+from .host import DiskHost
+
+VIEW_KEY = "/endiveworks/turns/view"
+DISK_ROLE = "disk"
+PERIOD_S = 0.25
+# Time in which all hosts of a new deployment have registered.
+FIRST_VIEW_AFTER_S = 4.0
+# Spreads proposals of several hosts, of which one is enough.
+PROPOSAL_SPREAD_S = 0.4
+SYNC_TIMEOUT_S = 2.0
+
+
+class Agreement:
+    """What this host does for the view.
+
+    Args:
+        kv: The key-value service.
+        host: The disk of this host.
+        tolerance: Disks that may be lost at once.
+        bootstrap: Whether the deployment starts for the first time.
+        report_emptied: Tells the operator that nothing depends on the disk of a host any more.
+    """
+
+    def __init__(
+        self,
+        kv: Kv,
+        host: DiskHost,
+        name: str,
+        tolerance: int,
+        report_emptied: Callable[[str], bool],
+    ) -> None:
+        self._kv = kv
+        self._host = host
+        self._name = name
+        self._tolerance = tolerance
+        self._report_emptied = report_emptied
+        self._picture: Picture | None = None
+        self._started_s = time.monotonic()
+        self._absent_since: dict[str, float] = {}
+        self._seen: dict[str, Disk] = {}
+        self._synced_epoch = 0
+        self._reported: set[str] = set()
+        self._rng = random.Random()
+
+    def take(self, picture: Picture) -> None:
+        """Takes what the key-value service says."""
+        self._picture = picture
+        self._host.adopt(picture.view)
+
+    async def run(self) -> None:
+        """Looks for changes to make, again and again."""
+        while True:
+            await asyncio.sleep(PERIOD_S)
+            picture = self._picture
+            if picture is not None:
+                await self._step(picture)
+
+    async def _step(self, picture: Picture) -> None:
+        sightings = self._sightings(picture.members, picture.view)
+        if picture.view is None:
+            complete = time.monotonic() - self._started_s > FIRST_VIEW_AFTER_S
+            proposed = first_view(self._tolerance, sightings, complete)
+        else:
+            await self._sync_if_due(picture.view)
+            proposed = self._with_own_sync(picture.view) or next_view(
+                picture.view, sightings, picture.leaving
+            )
+        if proposed is not None:
+            await self._propose(picture, proposed)
+        elif picture.view is not None:
+            await self._report(picture.view, picture.leaving)
+
+    def _sightings(self, members: Mapping[str, Member], view: View | None) -> dict[str, Sighting]:
+        now_s = time.monotonic()
+        present = {m.host: _disk(m) for m in members.values() if m.role == DISK_ROLE}
+        self._seen |= {disk.host: disk for disk in view.members} if view else {}
+        self._seen |= present
+        for name in self._seen:
+            if name in present:
+                self._absent_since.pop(name, None)
+            else:
+                self._absent_since.setdefault(name, now_s)
+        return {
+            name: (
+                Sighting(disk, max(0.001, now_s - self._absent_since[name]))
+                if name in self._absent_since
+                else Sighting(disk)
+            )
+            for name, disk in self._seen.items()
+        }
+
+    def _with_own_sync(self, view: View) -> View | None:
+        folder = self._host.folder
+        needed = any(disk.folder == folder for disk in must_sync(view))
+        if not needed or folder in view.synced or self._synced_epoch != view.epoch:
+            return None
+        return view._replace(synced=(*view.synced, folder))
+
+    async def _propose(self, picture: Picture, proposed: View) -> None:
+        own = self._host.folder in proposed.synced
+        if not own:
+            await asyncio.sleep(self._rng.random() * PROPOSAL_SPREAD_S)
+            if self._picture is None or self._picture.view_revision != picture.view_revision:
+                return
+        swap = Swap(VIEW_KEY, encode(proposed), picture.view_revision)
+        done = await asyncio.to_thread(self._kv.swap, swap)
+        logs.logger("turns").info(
+            "view_proposed",
+            epoch=proposed.epoch,
+            copies=[disk.host for disk in proposed.members],
+            owner=self._name,
+            state=_outcome(done),
+            detail=", ".join(disk.host for disk in proposed.incoming),
+        )
+
+    async def _sync_if_due(self, view: View) -> None:
+        folder = self._host.folder
+        if self._synced_epoch == view.epoch or all(d.folder != folder for d in must_sync(view)):
+            return
+        sources = {folder} if any(d.folder == folder for d in view.members) else set()
+        others = [disk for disk in view.members if disk.folder != folder]
+        self._rng.shuffle(others)
+        for disk in others:
+            if is_read(view, sources):
+                break
+            if await self._read_all(view, disk):
+                sources.add(disk.folder)
+        if is_read(view, sources):
+            self._synced_epoch = view.epoch
+            logs.logger("turns").info("disk_synced", epoch=view.epoch, amount=len(self._host.state))
+
+    async def _read_all(self, view: View, disk: Disk) -> bool:
+        client = RpcClient(disk.address)
+        try:
+            page = 0
+            while True:
+                asked = messages.Sync(view, self._host.folder, page)
+                found = await client.call(messages.SYNC, asked, messages.Synced, SYNC_TIMEOUT_S)
+                if not isinstance(found, Success) or found.unwrap().folder != disk.folder:
+                    logs.logger("turns").warning(
+                        "sync_failed", peer=disk.host, detail=_outcome(found)
+                    )
+                    return False
+                await self._host.keep(found.unwrap().records)
+                if found.unwrap().last:
+                    return True
+                page += 1
+        finally:
+            client.close()
+
+    async def _report(self, view: View, leaving: frozenset[str]) -> None:
+        for name in leaving - self._reported:
+            if is_emptied(view, name) and await asyncio.to_thread(self._report_emptied, name):
+                self._reported.add(name)
+                logs.logger("turns").info("disk_emptied", peer=name, epoch=view.epoch)
+        self._reported &= leaving
+
+
+def _disk(member: Member) -> Disk:
+    return Disk(member.host, member.folder, member.address, member.failure_domain, member.region)
+
+
+def _outcome(result: "Result[object, Failure]") -> str:
+    return "done" if isinstance(result, Success) else str(result.failure())
--- /dev/null
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/disks/run.py
@@ -0,0 +1,72 @@
+"""The process that keeps turns and ledgers on the disk of its host."""
+
+import asyncio
+import random
+
+from endiveworks.gateway.picture import Picture
+from endiveworks.members.member import Member
+from endiveworks.telemetry import logs
+from endiveworks.telemetry.metrics import Metrics
+from returns.result import Success
+
+from .. import rpc
+from ..feed import Feed
+from ..identity import new_incarnation
+from ..metrics_page import serve_metrics
+from ..presence import Presence
+from ..site import Site, SiteSettings
+from .agreement import DISK_ROLE, Agreement
+from .host import handlers, open_host
+
+LEASE_S = 3.0  # Restarts of a process are shorter; a lost host is noticed soon after.
+
+
+async def serve_disk(site: Site, settings: SiteSettings, stop: asyncio.Event) -> None:
+    """Keeps turns until asked to stop or until the disk fails.
+
+    Raises:
+        OSError: The disk can't be used.
+    """
+    if settings.data_dir is None:
+        raise OSError("no data folder is configured")
+    opened = open_host(settings.data_dir)
+    if not isinstance(opened, Success):
+        raise OSError(str(opened.failure()))
+    host = opened.unwrap()
+    logs.logger("turns").info("disk_opened", amount=len(host.state), path=str(settings.data_dir))
+    kv = site.connect_kv()
+    agreement = Agreement(
+        kv, host, settings.host, settings.tolerance, lambda name: site.report_emptied(kv, name)
+    )
+
+    def take(picture: Picture) -> None:
+        agreement.take(picture)
+
+    server = await rpc.serve(settings.peer_address, handlers(host))
+    await serve_metrics(settings.metrics_address, Metrics("", settings.host))
+    presence = Presence(kv, LEASE_S, stop.set, random.Random())
+    member = Member(
+        settings.host,
+        settings.peer_address,
+        DISK_ROLE,
+        "",
+        settings.region,
+        settings.failure_domain,
+        new_incarnation(),
+        has_disk=True,
+        folder=host.folder,
+    )
+    Feed(kv, "", site.read_picture, take).start()
+    await asyncio.to_thread(presence.announce, member)
+    tasks = [
+        asyncio.create_task(work)
+        for work in (agreement.run(), host.expire_forever(), stop.wait(), host.failed.wait())
+    ]
+    # The work never ends by itself, so what ends first is a stop or a defect.
+    done, pending = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+    for task in pending:
+        task.cancel()
+    server.close()
+    host.close()
+    for task in done:
+        task.result()
--- /dev/null
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/quorum.py
@@ -0,0 +1,183 @@
+"""Questions to the disks that hold turns: near ones first, further ones when these are late."""
+
+import asyncio
+import time
+from collections.abc import Callable, Collection, Sequence
+from typing import Any, Generic, NamedTuple, Protocol, TypeVar
+
+from endiveworks.errors import Code, Failure
+from endiveworks.gateway.placement import Place
+from endiveworks.telemetry import logs
+from endiveworks.turns.view import Disk, View, disks
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+from ..rpc import RpcClient
+
+RPC_TIMEOUT_S = 1.0
+# A further disk is asked when those asked have not answered within the usual time of a sync and
+# of the way, which is longer where one of them is in another region.
+HEDGE_NEAR_S = 0.06
+HEDGE_FAR_S = 0.12
+SUSPECT_S = 1.5  # Time for which a disk that was late or failed is asked last.
+
+
+class Reply(Protocol):
+    """What every answer of a disk says."""
+
+    @property
+    def folder(self) -> str:
+        """Data folder that answers."""
+
+    @property
+    def newer(self) -> View | None:
+        """A view that is newer than the asker's, when the question was refused for it."""
+
+
+_R = TypeVar("_R", bound=Reply)
+
+
+class Question(NamedTuple, Generic[_R]):
+    """What is asked of the disks.
+
+    Attributes:
+        method: Name of the message.
+        answer: Type of the answer.
+        message: Returns the message for a view.
+        enough: Tells whether answers of these folders suffice.
+        suffices: Tells whether one answer suffices alone.
+    """
+
+    method: str
+    answer: type[_R]
+    message: Callable[[View], object]
+    enough: Callable[[View, Collection[str]], bool]
+    suffices: Callable[[_R], bool] = lambda _: False
+
+
+class Quorum:
+    """The disks in use as one process sees them."""
+
+    def __init__(self, here: Place) -> None:
+        self._here = here
+        self.view: View | None = None
+        self._clients: dict[str, RpcClient] = {}
+        self._suspects: dict[str, float] = {}
+        self._late: set[asyncio.Task[Any]] = set()
+
+    def adopt(self, view: View | None) -> None:
+        """Takes a view unless a newer one is known."""
+        if view is None or (self.view is not None and view.epoch <= self.view.epoch):
+            return
+        self.view = view
+        in_use = disks(view)
+        logs.logger("turns").info(
+            "view_adopted", epoch=view.epoch, copies=[disk.host for disk in in_use]
+        )
+        addresses = {disk.address for disk in in_use}
+        for address in [known for known in self._clients if known not in addresses]:
+            self._clients.pop(address).close()
+
+    async def ask(self, question: Question[_R], timeout_s: float) -> Result[list[_R], Failure]:
+        """Returns the answers of enough disks."""
+        deadline_s = time.monotonic() + timeout_s
+        while (view := self.view) is not None:
+            outcome = await self._ask(view, question, deadline_s)
+            if not isinstance(outcome, View):
+                return outcome
+            self.adopt(outcome)
+        detail = "the disks in use are not known"
+        return Err(Failure(Code.UNREACHABLE, question.method, "", detail, not_run=True))
+
+    async def _ask(
+        self, view: View, question: Question[_R], deadline_s: float
+    ) -> Result[list[_R], Failure] | View:
+        answers: dict[str, _R] = {}
+        waiting = self._ranked(view)
+        asked: dict[asyncio.Task[Result[_R, Failure]], Disk] = {}
+        while not question.enough(view, answers):
+            hoped = {*answers, *(disk.folder for disk in asked.values())}
+            while waiting and not question.enough(view, hoped):
+                hoped.add(waiting[0].folder)
+                self._send(asked, waiting.pop(0), view, question, deadline_s)
+            left_s = deadline_s - time.monotonic()
+            if not asked or left_s <= 0:
+                break
+            done, _ = await asyncio.wait(
+                asked,
+                timeout=min(left_s, self._hedge_s(asked.values())),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if not done:
+                self._suspect(asked.values())
+                if waiting:
+                    self._send(asked, waiting.pop(0), view, question, deadline_s)
+            for task in done:
+                disk = asked.pop(task)
+                reply = self._take(disk, task.result())
+                if reply is None:
+                    continue
+                if reply.newer is not None:
+                    return reply.newer
+                if question.suffices(reply):
+                    return Success([reply])
+                answers[disk.folder] = reply
+        else:
+            return Success(list(answers.values()))
+        hosts = [disk.host for disk in disks(view) if disk.folder not in answers]
+        detail = f"no answer of {', '.join(hosts)} at epoch {view.epoch}"
+        return Err(Failure(Code.UNREACHABLE, question.method, hosts[0] if hosts else "", detail))
+
+    def _send(
+        self,
+        asked: dict[asyncio.Task[Result[_R, Failure]], Disk],
+        disk: Disk,
+        view: View,
+        question: Question[_R],
+        deadline_s: float,
+    ) -> None:
+        client = self._clients.setdefault(disk.address, RpcClient(disk.address))
+        timeout_s = min(RPC_TIMEOUT_S, max(0.0, deadline_s - time.monotonic()))
+        task = asyncio.create_task(
+            client.call(question.method, question.message(view), question.answer, timeout_s)
+        )
+        # An answer that is no longer needed still has to arrive, so the task is kept.
+        self._late.add(task)
+        task.add_done_callback(self._late.discard)
+        asked[task] = disk
+
+    def _take(self, disk: Disk, result: Result[_R, Failure]) -> _R | None:
+        if not isinstance(result, Success):
+            self._suspect([disk])
+            logs.logger("turns").warning(
+                "disk_failed", peer=disk.host, detail=str(result.failure())
+            )
+            return None
+        reply = result.unwrap()
+        if reply.newer is None and reply.folder != disk.folder:
+            self._suspect([disk])
+            logs.logger("turns").warning("disk_was_lost", peer=disk.host)
+            return None
+        self._suspects.pop(disk.address, None)
+        return reply
+
+    def _ranked(self, view: View) -> list[Disk]:
+        now_s = time.monotonic()
+
+        def rank(disk: Disk) -> tuple[bool, bool, bool]:
+            return (
+                self._suspects.get(disk.address, 0.0) > now_s,
+                disk.region != self._here.region,
+                disk.failure_domain != self._here.failure_domain,
+            )
+
+        return sorted(disks(view), key=rank)
+
+    def _hedge_s(self, asked: Collection[Disk]) -> float:
+        far = any(disk.region != self._here.region for disk in asked)
+        return HEDGE_FAR_S if far else HEDGE_NEAR_S
+
+    def _suspect(self, late: Sequence[Disk] | Collection[Disk]) -> None:
+        until_s = time.monotonic() + SUSPECT_S
+        for disk in late:
+            self._suspects[disk.address] = until_s
--- /dev/null
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/run.py
@@ -0,0 +1,123 @@
+"""The process that serves callers."""
+
+import asyncio
+import time
+
+from endiveworks.gateway.messages import Dialect
+from endiveworks.gateway.picture import Picture
+from endiveworks.gateway.placement import Place
+from endiveworks.telemetry import logs
+from endiveworks.telemetry.metrics import Metrics
+
+from ..feed import Feed
+from ..metrics_page import serve_metrics
+from ..site import Site, SiteSettings
+from .app import Gateway
+from .callers import CallerConnection, Handle, Received, Responder
+from .exchange import Context
+from .fleet import Fleet
+from .sockets import ACCEPT_QUEUE
+from .turn_store import TurnStore
+from .upstreams import ConnectionPool
+
+SWEEP_PERIOD_S = 0.5
+# The platform sends no new connections once it has asked twice, a second apart.
+LINGER_S = 2.5
+# Part of the time for a stop that is left for the last settlements and logs.
+STOP_MARGIN_S = 1.0
+SETTLE_S = 0.5
+
+
+class _Callers:
+    """Open connections of callers, and whether the process is leaving."""
+
+    def __init__(self) -> None:
+        self.open: set[CallerConnection] = set()
+        self.closing = False
+
+
+async def serve_callers(site: Site, settings: SiteSettings, stop: asyncio.Event) -> None:
+    """Serves callers until asked to stop, then ends what is under way."""
+    place = Place(settings.failure_domain, settings.region)
+    fleet, pool, turns = Fleet(place), ConnectionPool(), TurnStore(place)
+    metrics = Metrics("", settings.host)
+    gateway = Gateway(Context(site.dialect, fleet, pool, turns), metrics)
+    pictures: list[Picture] = []
+
+    def take(picture: Picture) -> None:
+        pictures[:] = [picture]
+        gateway.take(picture)
+
+    Feed(site.connect_kv(), "", site.read_picture, take).start()
+    callers = _Callers()
+    front = await _listen(settings.callers_address, gateway.handle, gateway, callers)
+    probes = _Callers()
+    readiness = _readiness(site.dialect, gateway, callers)
+    await _listen(settings.readiness_address, readiness, gateway, probes)
+    await serve_metrics(settings.metrics_address, metrics)
+    sweeping = asyncio.create_task(_sweep(gateway, fleet, pool, pictures))
+    await stop.wait()
+    sweeping.cancel()
+    await _leave(settings, gateway, callers, front)
+    try:
+        async with asyncio.timeout(SETTLE_S):
+            await turns.settled()
+    except TimeoutError:
+        logs.logger("turns").warning("settlements_left")
+
+
+async def _listen(
+    address: str, handle: Handle, gateway: Gateway, callers: _Callers
+) -> asyncio.Server:
+    async def accepted(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        conn = CallerConnection(reader, writer, handle, gateway.limits, lambda: callers.closing)
+        callers.open.add(conn)
+        try:
+            await conn.run()
+        finally:
+            callers.open.discard(conn)
+
+    ip, _, port = address.rpartition(":")
+    return await asyncio.start_server(accepted, ip, int(port), backlog=ACCEPT_QUEUE)
+
+
+def _readiness(dialect: Dialect, gateway: Gateway, callers: _Callers) -> Handle:
+    state = {"ready": False}
+
+    async def handle(received: Received, responder: Responder) -> None:
+        ready = gateway.is_ready() and not callers.closing
+        if ready is not state["ready"]:
+            logs.logger("gateway").info("readiness_changed", state="ready" if ready else "not")
+            state["ready"] = ready
+        known = received.target.partition("?")[0] == dialect.readiness_path
+        await responder.answer(404 if not known else 200 if ready else 503, [], b"")
+
+    return handle
+
+
+async def _sweep(
+    gateway: Gateway, fleet: Fleet, pool: ConnectionPool, pictures: list[Picture]
+) -> None:
+    """Lets go of replicas that left and of connections that are too old."""
+    while True:
+        await asyncio.sleep(SWEEP_PERIOD_S)
+        if pictures:
+            gateway.take(pictures[0])
+        pool.sweep(fleet.ids())
+
+
+async def _leave(
+    settings: SiteSettings, gateway: Gateway, callers: _Callers, front: asyncio.Server
+) -> None:
+    """Takes new connections until the platform has noticed, then finishes what is under way."""
+    callers.closing = True
+    end_s = time.monotonic() + settings.stop_s - STOP_MARGIN_S
+    await asyncio.sleep(LINGER_S)
+    front.close()
+    while time.monotonic() < end_s:
+        for conn in list(callers.open):
+            conn.close_if_idle()
+        if not gateway.under_way and not callers.open:
+            return
+        await asyncio.sleep(0.02)
+    logs.logger("gateway").warning("requests_cut", running=gateway.under_way)
--- /dev/null
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/turn_store.py
@@ -0,0 +1,180 @@
+"""Turns and ledgers on a quorum of disks, as a process without a disk reads and writes them."""
+
+import asyncio
+from collections import OrderedDict
+from collections.abc import Collection, Sequence
+
+from endiveworks.errors import Code, Failure
+from endiveworks.gateway.placement import Place
+from endiveworks.telemetry import logs
+from endiveworks.turns import messages
+from endiveworks.turns.ledger import Ledger, Spending, fits, merge, spent
+from endiveworks.turns.records import Record, Reservation, Settlement, Turn, encode
+from endiveworks.turns.view import View, is_read, is_written
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+from .quorum import RPC_TIMEOUT_S, Question, Quorum
+
+CACHE_BYTES = 24 * 1024 * 1024
+CACHED_LEDGERS = 20_000
+SETTLE_TRIES = 5
+SETTLE_PAUSE_S = 0.5
+KNOWN_TURNS = 64  # Ids sent with a question for a chain, so that the answer leaves them out.
+
+
+class TurnStore:
+    """Turns and ledgers; keeps nothing itself but a cache of what is on disk.
+
+    Args:
+        here: Place of this process, by which near disks go first.
+    """
+
+    def __init__(self, here: Place) -> None:
+        self._quorum = Quorum(here)
+        self._turns: OrderedDict[str, Turn] = OrderedDict()
+        self._turn_bytes = 0
+        self._ledgers: OrderedDict[str, Ledger] = OrderedDict()
+        self._background: set[asyncio.Task[None]] = set()
+
+    def adopt(self, view: View | None) -> None:
+        """Takes a view unless a newer one is known."""
+        self._quorum.adopt(view)
+
+    def is_ready(self) -> bool:
+        """Tells whether the disks in use are known."""
+        return self._quorum.view is not None
+
+    def has_room(self, program: str, tokens: int, budget: int) -> bool:
+        """Tells whether the last ledger seen leaves room for two turns of a size."""
+        return spent(self._ledgers.get(program, {})) + 2 * tokens <= budget
+
+    async def reserve(
+        self, reservation: Reservation, budget: int, timeout_s: float
+    ) -> Result[bool, Failure]:
+        """Reserves tokens of a program's budget; the value tells whether they fit.
+
+        The reservation counts in any case once this returns without a failure; one that doesn't
+        fit is to be settled with no tokens.
+        """
+        stored = await self._store([reservation], reservation.program, timeout_s)
+        if not isinstance(stored, Success):
+            return Err(stored.failure())
+        ledger = stored.unwrap()
+        self._remember(reservation.program, ledger)
+        return Success(fits(ledger, reservation.turn, reservation.tokens, budget))
+
+    async def commit(
+        self, turn: Turn, settlement: Settlement | None, timeout_s: float
+    ) -> Result[None, Failure]:
+        """Makes a turn and what it spent durable; only then may its answer end."""
+        records: list[Record] = [turn] if settlement is None else [turn, settlement]
+        stored = await self._store(records, "", timeout_s)
+        if not isinstance(stored, Success):
+            return Err(stored.failure())
+        if settlement is not None:
+            self._note(settlement)
+        self._cache(turn)
+        return Success(None)
+
+    def settle(self, settlement: Settlement) -> None:
+        """Replaces a reservation by what was generated, in the background."""
+        self._note(settlement)
+        task = asyncio.create_task(self._settle(settlement))
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
+    async def settled(self) -> None:
+        """Waits until all settlements are written."""
+        while self._background:
+            await asyncio.wait(set(self._background))
+
+    async def chain(self, turn: str, timeout_s: float) -> Result[tuple[Turn, ...] | None, Failure]:
+        """Returns a turn and all before it, oldest first; None when no such turn exists."""
+        chain: list[Turn] = []
+        at = turn
+        while at:
+            found = self._turns.get(at)
+            if found is None:
+                fetched = await self._fetch(at, timeout_s)
+                if not isinstance(fetched, Success):
+                    return Err(fetched.failure())
+                found = fetched.unwrap()
+                if found is None and not chain:
+                    return Success(None)
+                if found is None:
+                    detail = f"the turn before {chain[-1].turn} is missing"
+                    return Err(Failure(Code.CORRUPT, "turns.chain", "", detail, not_run=True))
+            else:
+                self._turns.move_to_end(at)
+            chain.append(found)
+            at = found.parent
+        return Success(tuple(reversed(chain)))
+
+    async def _settle(self, settlement: Settlement) -> None:
+        for _ in range(SETTLE_TRIES):
+            stored = await self._store([settlement], "", RPC_TIMEOUT_S)
+            if isinstance(stored, Success):
+                return
+            await asyncio.sleep(SETTLE_PAUSE_S)
+        # The reservation stays, so that the budget can't be exceeded; it ends with the ledger.
+        logs.logger("turns").warning(
+            "settlement_lost",
+            program=settlement.program,
+            request=settlement.turn,
+            tokens=settlement.tokens,
+            detail=str(stored.failure()),
+        )
+
+    def _note(self, settlement: Settlement) -> None:
+        known = self._ledgers.get(settlement.program)
+        if known is not None:
+            known[settlement.turn] = Spending(settlement.turn, settlement.tokens, True)
+
+    def _remember(self, program: str, ledger: Ledger) -> None:
+        self._ledgers[program] = ledger
+        self._ledgers.move_to_end(program)
+        if len(self._ledgers) > CACHED_LEDGERS:
+            self._ledgers.popitem(last=False)
+
+    def _cache(self, turn: Turn) -> None:
+        if turn.turn in self._turns:
+            return
+        self._turns[turn.turn] = turn
+        self._turn_bytes += len(turn.prompt) + len(turn.output)
+        while self._turn_bytes > CACHE_BYTES:
+            _, old = self._turns.popitem(last=False)
+            self._turn_bytes -= len(old.prompt) + len(old.output)
+
+    async def _store(
+        self, records: Sequence[Record], program: str, timeout_s: float
+    ) -> Result[Ledger, Failure]:
+        encoded = [encode(record) for record in records]
+
+        def message(view: View) -> messages.Store:
+            return messages.Store(view.epoch, encoded, program)
+
+        def enough(view: View, folders: Collection[str]) -> bool:
+            return is_written(view, folders) and (not program or is_read(view, folders))
+
+        question = Question(messages.STORE, messages.Stored, message, enough)
+        replies = await self._quorum.ask(question, timeout_s)
+        return replies.map(lambda found: merge(reply.spending for reply in found))
+
+    async def _fetch(self, turn: str, timeout_s: float) -> Result[Turn | None, Failure]:
+        known = list(self._turns)[-KNOWN_TURNS:]
+
+        def message(view: View) -> messages.Fetch:
+            return messages.Fetch(view.epoch, turn, known)
+
+        def suffices(reply: messages.Fetched) -> bool:
+            return bool(reply.chain)
+
+        question = Question(messages.FETCH, messages.Fetched, message, is_read, suffices)
+        replies = await self._quorum.ask(question, timeout_s)
+        if not isinstance(replies, Success):
+            return Err(replies.failure())
+        for reply in replies.unwrap():
+            for kept in reply.chain:
+                self._cache(kept)
+        return Success(self._turns.get(turn))
--- /dev/null
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/site.py
@@ -0,0 +1,58 @@
+"""What a process is told by the platform that it runs on."""
+
+from collections.abc import Callable
+from pathlib import Path
+from typing import NamedTuple
+
+from endiveworks.gateway.messages import Dialect
+from endiveworks.kvservice.kv import Kv
+
+from .feed import ReadPicture
+
+
+class SiteSettings(NamedTuple):
+    """Settings of one process.
+
+    Attributes:
+        host: Name of this host.
+        region: Region of its failure domain.
+        failure_domain: Its failure domain.
+        callers_address: Where callers connect, as "ip:port"; empty when it serves none.
+        readiness_address: Where the platform asks for readiness; empty when it doesn't.
+        peer_address: Where other hosts of the deployment connect.
+        metrics_address: Where operators read metrics.
+        data_dir: Folder on the host's disk; None without one.
+        tolerance: Disks that may be lost at once.
+        stop_s: Time that a process has to end after it was asked to.
+    """
+
+    host: str
+    region: str
+    failure_domain: str
+    callers_address: str
+    readiness_address: str
+    peer_address: str
+    metrics_address: str
+    data_dir: Path | None
+    tolerance: int
+    stop_s: float
+
+
+class Site(NamedTuple):
+    """The platform as the processes see it.
+
+    Attributes:
+        read_settings: Reads the settings as they are now; raises ValueError when they can't be
+            used.
+        dialect: Wire of callers and replicas.
+        connect_kv: Returns the client of the key-value service.
+        read_picture: Makes a picture of what the key-value service holds.
+        report_emptied: Tells the operator that a host's disk is no longer needed; returns whether
+            that was written.
+    """
+
+    read_settings: Callable[[], SiteSettings]
+    dialect: Dialect
+    connect_kv: Callable[[], Kv]
+    read_picture: ReadPicture
+    report_emptied: Callable[[Kv, str], bool]
--- a/packages/endiveworks/src/endiveworks/kvservice/following.py
+++ b/packages/endiveworks/src/endiveworks/kvservice/following.py
@@ -30,6 +30,7 @@
     sleep: Callable[[float], None],
     rng: random.Random,
     goes_on: Callable[[], bool] = lambda: True,
+    max_backoff_s: float = _MAX_BACKOFF_S,
 ) -> None:
     """Follows a source for as long as the process runs.
 
@@ -38,6 +39,7 @@
         sleep: Pauses for some seconds.
         rng: Spreads the pauses of the processes of a deployment.
         goes_on: Returns whether to go on; for tests.
+        max_backoff_s: Upper bound of the pauses, in seconds.
     """
     failures = 0
     loaded = False
@@ -50,7 +52,7 @@
             loaded = not _is_gap(ended)
             failures = failures + 1 if _is_lost(ended) else 0
         if failures:
-            sleep(backoff_s(failures, _BASE_BACKOFF_S, _MAX_BACKOFF_S, rng.random()))
+            sleep(backoff_s(failures, _BASE_BACKOFF_S, max_backoff_s, rng.random()))
 
 
 def _is_gap(ended: Result[None, Failure]) -> bool:
--- a/packages/endiveworks/src/endiveworks/telemetry/fields.py
+++ b/packages/endiveworks/src/endiveworks/telemetry/fields.py
@@ -11,6 +11,7 @@
     "code": "Stable error code.",
     "config_version": "Version of the configuration bundle.",
     "copies": "Hosts that keep a journal copy.",
+    "cost_ms": "Cost of the chosen replica, in milliseconds.",
     "detail": "Sentence on an error, written by this project.",
     "epoch": "Epoch of a partition's owner.",
     "error_at": "Source file, line and function that raised an exception, innermost last.",
@@ -37,6 +38,7 @@
     "port": "Port number.",
     "program": "Program id.",
     "queued": "Calls that wait.",
+    "queued_ms": "Time spent waiting for a replica, in milliseconds.",
     "reason": "Why something happened; a fixed word or sentence.",
     "refused_fields": "Names of fields that were left out because they are not in this table.",
     "region": "Region of the process or peer.",
@@ -53,6 +55,7 @@
     "thrift": "IP number and port of the Thrift server.",
     "time": "UTC time in ISO 8601.",
     "tokens": "Number of tokens.",
+    "took_ms": "Time from the arrival of a request to its end, in milliseconds.",
     "version": "Version of the project or of a bundle.",
     "wait_ms": "Time waited, in milliseconds.",
 }
--- /dev/null
+++ b/packages/endiveworks/src/endiveworks/turns/change.py
@@ -0,0 +1,118 @@
+"""The next change of the view: disks that are lost, leave or come; a pure function."""
+
+from collections.abc import Collection, Mapping, Sequence
+from typing import NamedTuple
+
+from .view import Disk, View, full_size, must_sync
+
+# A process restarts within this time; its disk then still holds everything.
+EVICT_AFTER_S = 4.0
+
+
+class Sighting(NamedTuple):
+    """What the platform's list of disks says of one host.
+
+    Attributes:
+        disk: The disk as last registered.
+        absent_s: Seconds for which its registration has been missing; 0 while it is there.
+    """
+
+    disk: Disk
+    absent_s: float = 0.0
+
+
+def first_view(tolerance: int, sightings: Mapping[str, Sighting], complete: bool) -> View | None:
+    """Returns the view of a new deployment, or None while too few disks are known.
+
+    Args:
+        tolerance: Disks that may be lost at once.
+        sightings: Hosts with disks by name.
+        complete: Whether no further disks are expected.
+    """
+    present = _spread([s.disk for s in sightings.values() if not s.absent_s])
+    size = full_size(tolerance)
+    if len(present) < size and not (complete and len(present) > tolerance):
+        return None
+    return View(1, tolerance, tuple(present[:size]))
+
+
+def next_view(
+    view: View, sightings: Mapping[str, Sighting], leaving: Collection[str]
+) -> View | None:
+    """Returns the view that should follow, or None when the view may stay.
+
+    Args:
+        view: The view in force.
+        sightings: Hosts with disks by name; a member that is in none counts as present.
+        leaving: Hosts whose disks are to be emptied.
+    """
+    if view.incoming:
+        return _end_change(view, sightings)
+    lost = next((disk for disk in view.members if _is_lost(disk, sightings)), None)
+    spare = _spare(view, sightings, leaving)
+    if lost is not None:
+        back = sightings[lost.host].disk if lost.host in sightings else None
+        if spare is None and back is not None and back.folder != lost.folder:
+            spare = back
+        return _replace(view, lost, spare) if spare else None
+    emptied = next((disk for disk in view.members if disk.host in leaving), None)
+    if emptied is not None and (spare is not None or len(view.members) > 1):
+        return _replace(view, emptied, spare)
+    if spare is not None and len(view.members) < full_size(view.tolerance):
+        return _begin(view, (*view.members, spare))
+    return None
+
+
+def is_emptied(view: View, host: str) -> bool:
+    """Tells whether nothing depends on the disk of a host any more."""
+    return not view.incoming and all(disk.host != host for disk in view.members)
+
+
+def _end_change(view: View, sightings: Mapping[str, Sighting]) -> View | None:
+    waiting = [disk for disk in must_sync(view) if disk.folder not in view.synced]
+    if not waiting:
+        return View(view.epoch + 1, view.tolerance, view.incoming)
+    if any(_is_lost(disk, sightings) for disk in waiting):
+        # Every write since the change began is on a quorum of the members as well.
+        return View(view.epoch + 1, view.tolerance, view.members)
+    return None
+
+
+def _replace(view: View, old: Disk, new: Disk | None) -> View:
+    kept = tuple(disk for disk in view.members if disk.folder != old.folder)
+    return _begin(view, kept if new is None else (*kept, new))
+
+
+def _begin(view: View, incoming: tuple[Disk, ...]) -> View:
+    return View(view.epoch + 1, view.tolerance, view.members, incoming)
+
+
+def _is_lost(disk: Disk, sightings: Mapping[str, Sighting]) -> bool:
+    seen = sightings.get(disk.host)
+    if seen is None:
+        return False
+    return seen.disk.folder != disk.folder or seen.absent_s > EVICT_AFTER_S
+
+
+def _spare(view: View, sightings: Mapping[str, Sighting], leaving: Collection[str]) -> Disk | None:
+    members = {disk.host for disk in view.members}
+    free = [
+        seen.disk
+        for name, seen in sorted(sightings.items())
+        if name not in members and name not in leaving and not seen.absent_s
+    ]
+    domains = [disk.failure_domain for disk in view.members]
+    return min(free, key=lambda disk: domains.count(disk.failure_domain), default=None)
+
+
+def _spread(found: Sequence[Disk]) -> list[Disk]:
+    """Orders disks so that each run of them spans as many failure domains as possible."""
+    by_domain: dict[str, list[Disk]] = {}
+    for disk in sorted(found):
+        by_domain.setdefault(disk.failure_domain, []).append(disk)
+    ranked = [
+        (place, domain, disk)
+        for domain, group in by_domain.items()
+        for place, disk in enumerate(group)
+    ]
+    return [disk for _, _, disk in sorted(ranked)]
--- /dev/null
+++ b/packages/endiveworks/src/endiveworks/turns/view.py
@@ -0,0 +1,101 @@
+"""Which disks hold turns and ledgers, and how many of them make a quorum.
+
+A record counts once `tolerance + 1` disks have synced it, and a read counts once so many disks
+have answered that one of them must hold every record that counts. While a disk is replaced, a
+write has to meet both sets.
+"""
+
+from collections.abc import Collection
+from typing import NamedTuple
+
+import msgspec
+
+
+class Disk(NamedTuple):
+    """A disk that can hold turns.
+
+    Attributes:
+        host: Host that the disk belongs to.
+        folder: Random id of its data folder; a disk that was lost comes back with another.
+        address: Address of the host's process for messages between hosts, as "ip:port".
+        failure_domain: Failure domain of the host.
+        region: Region of the failure domain.
+    """
+
+    host: str
+    folder: str
+    address: str
+    failure_domain: str
+    region: str
+
+
+class View(NamedTuple):
+    """The disks in use.
+
+    Attributes:
+        epoch: Number of changes to the view so far.
+        tolerance: Disks that may be lost at once.
+        members: Disks that answer reads.
+        incoming: Disks that take the members' place once those of them that are new, or all when
+            there are fewer than before, hold everything; empty when no change is under way.
+        synced: Folders of the incoming disks that already hold everything.
+    """
+
+    epoch: int
+    tolerance: int
+    members: tuple[Disk, ...]
+    incoming: tuple[Disk, ...] = ()
+    synced: tuple[str, ...] = ()
+
+
+def encode(view: View) -> bytes:
+    """Returns the bytes of a view."""
+    return msgspec.json.encode(view)
+
+
+def decode(data: bytes) -> View:
+    """Returns the view that bytes hold; raises ValueError when they hold none."""
+    return msgspec.json.decode(data, type=View)
+
+
+def full_size(tolerance: int) -> int:
+    """Returns how many disks keep service going while as many as tolerated are away."""
+    return 2 * tolerance + 1
+
+
+def disks(view: View) -> tuple[Disk, ...]:
+    """Returns every disk that takes writes, members first."""
+    folders = {disk.folder for disk in view.members}
+    return view.members + tuple(disk for disk in view.incoming if disk.folder not in folders)
+
+
+def is_written(view: View, folders: Collection[str]) -> bool:
+    """Tells whether a record that these disks have synced counts."""
+    if not _enough(view.members, folders, _write_quorum(view.members, view.tolerance)):
+        return False
+    return not view.incoming or _enough(
+        view.incoming, folders, _write_quorum(view.incoming, view.tolerance)
+    )
+
+
+def is_read(view: View, folders: Collection[str]) -> bool:
+    """Tells whether the answers of these disks hold every record that counts."""
+    needed = len(view.members) - _write_quorum(view.members, view.tolerance) + 1
+    return _enough(view.members, folders, needed)
+
+
+def must_sync(view: View) -> tuple[Disk, ...]:
+    """Returns the incoming disks that have to read everything before they replace the members."""
+    if len(view.incoming) < len(view.members):
+        # Fewer disks make a smaller read quorum, so each of them has to hold everything.
+        return view.incoming
+    folders = {disk.folder for disk in view.members}
+    return tuple(disk for disk in view.incoming if disk.folder not in folders)
+
+
+def _write_quorum(members: Collection[Disk], tolerance: int) -> int:
+    return min(tolerance + 1, len(members))
+
+
+def _enough(members: Collection[Disk], folders: Collection[str], needed: int) -> bool:
+    return sum(disk.folder in folders for disk in members) >= needed
