Refuse at once while too few disks can be reached; agree on a program's replica by its id; note the pace of replicas

After a restart, and for turns that arrive elsewhere, the prompt was read again at another replica. Change: disks that do not answer are probed in the background; while a quorum is missing, turns are refused at once and readiness fails. Replicas are preferred by a hash of the program's id among those of the region. Slow replicas cost more. Kept answers wait for their disks until the deadline.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/app.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/app.py
@@ -67,9 +67,8 @@
     def is_ready(self) -> bool:
         """Tells whether requests can be served."""
         table = self._picture.table if self._picture else None
-        return (
-            table is not None and bool(self._context.fleet.ids()) and self._context.turns.is_ready()
-        )
+        turns = self._context.turns
+        return table is not None and bool(self._context.fleet.ids()) and turns.is_reachable()
 
     async def handle(self, received: Received, responder: Responder) -> None:
         """Answers a request."""
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/fleet.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/fleet.py
@@ -7,7 +7,8 @@
 from collections.abc import Callable, Collection, Mapping
 
 from endiveworks.gateway.messages import Replica, Request
-from endiveworks.gateway.placement import Candidate, Choice, Place, choose
+from endiveworks.gateway.pace import Pace, note, slowness
+from endiveworks.gateway.placement import Candidate, Choice, Place, choose, home
 from endiveworks.gateway.prefixes import HeldParts
 from endiveworks.gateway.routes import Service
 from endiveworks.gateway.waiting import Waiter, WaitingLine, expected_wait_s, is_hopeless
@@ -32,6 +33,7 @@
         self.faults = 0.0
         self.faulted_s = 0.0
         self.left_s: float | None = None
+        self.pace = Pace()
 
 
 class RefusedError(Exception):
@@ -144,6 +146,12 @@
 
         return end
 
+    def note_pace(self, replica: str, took_s: float) -> None:
+        """Notes how long a replica took for a unit of work: an event, or a whole plain answer."""
+        known = self._known.get(replica)
+        if known:
+            known.pace = note(known.pace, took_s, time.monotonic())
+
     def blame(self, replica: str) -> None:
         """Notes a fault of a replica, so that others go first for some time."""
         known = self._known.get(replica)
@@ -201,21 +209,41 @@
         return self._mean_s.get(service, FIRST_MEAN_S)
 
     def _choose(self, service: str, request: Request, excluded: Collection[str]) -> Choice:
-        prompt = sum(part.tokens for part in request.parts)
+        known = {k.listed.id: k for k in self._of(service)}
+        paces = [k.pace for k in known.values()]
+        now_s = time.monotonic()
         candidates = [
             Candidate(
-                known.listed.id,
-                known.listed.failure_domain,
-                known.listed.region,
-                known.listed.slots,
-                known.sent,
-                prompt - known.held.held_tokens(request.parts),
-                self._faults(known),
+                name,
+                k.listed.failure_domain,
+                k.listed.region,
+                k.listed.slots,
+                k.sent,
+                faults=self._faults(k),
+                slowness=slowness(k.pace, paces, now_s),
+                usual_ms=self._mean(service) * 1000,
             )
-            for known in self._of(service)
+            for name, k in known.items()
+        ]
+        preferred = home(request.program.program, self._here, candidates) if request.program else ""
+        candidates = [
+            c._replace(missing_tokens=_missing(known[c.replica], request, c.replica == preferred))
+            for c in candidates
         ]
         return choose(self._here, candidates, excluded, PLACES_X)
 
     def _faults(self, known: _Known) -> float:
         age_s = time.monotonic() - known.faulted_s
         return known.faults * math.pow(0.5, age_s / FAULT_HALF_LIFE_S)
+
+
+def _missing(known: _Known, request: Request, is_home: bool) -> int:
+    """Returns the prompt tokens that a replica would have to compute.
+
+    The replica that other processes prefer for the program as well is taken to hold all but the
+    newest part of its prompt.
+    """
+    held = known.held.held_tokens(request.parts)
+    if is_home:
+        held = max(held, sum(part.tokens for part in request.parts[:-1]))
+    return sum(part.tokens for part in request.parts) - held
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/obtain.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/obtain.py
@@ -30,14 +30,20 @@
         replica: str,
         conn: UpstreamConnection,
         head: AnswerHead,
+        sent_s: float,
         end: Callable[[], None],
     ) -> None:
         self.replica = replica
         self.conn = conn
         self.head = head
         self._pool = context.pool
+        self._sent_s = sent_s
         self._end: Callable[[], None] | None = end
 
+    def age_s(self) -> float:
+        """Returns the time since the request was sent."""
+        return time.monotonic() - self._sent_s
+
     def close(self, whole: bool) -> None:
         """Ends the exchange; one that is not whole ends the replica's work as well."""
         if self._end is None:
@@ -144,6 +150,7 @@
         ex.sends += 1
         is_first = replica not in ex.ran_on
         ex.ran_on.add(replica)
+        sent_s = time.monotonic()
         conn.send(ex.request.method, ex.request.target, headers, body)
         head = await conn.head(context.dialect.read_answer, ex.request.id)
         if head.encoded:
@@ -158,7 +165,7 @@
             taken = True
             return None
         taken = True
-        return Answer(context, replica, conn, head, end)
+        return Answer(context, replica, conn, head, sent_s, end)
     except (OSError, AnswerError) as exc:
         if conn is None:
             context.fleet.blame(replica)
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/plain.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/plain.py
@@ -43,6 +43,7 @@
             raise AnswerError("a success without the replica's signature")
         body = await answer.conn.body()
         whole = True
+        context.fleet.note_pace(answer.replica, answer.age_s())
         return body
     except (OSError, AnswerError) as exc:
         failed(context, ex, answer.replica, exc)
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/quorum.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/quorum.py
@@ -8,13 +8,15 @@
 from endiveworks.errors import Code, Failure
 from endiveworks.gateway.placement import Place
 from endiveworks.telemetry import logs
-from endiveworks.turns.view import Disk, View, disks
+from endiveworks.turns import messages
+from endiveworks.turns.view import Disk, View, disks, is_read, is_written
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
 from ..rpc import RpcClient
 
-RPC_TIMEOUT_S = 1.0
+RPC_TIMEOUT_S = 0.7  # Several times the way between regions and a sync.
+PROBE_PERIOD_S = 0.25
 # A further disk is asked when those asked have not answered within the usual time of a sync and
 # of the way, which is longer where one of them is in another region.
 HEDGE_NEAR_S = 0.06
@@ -63,6 +65,7 @@
         self.view: View | None = None
         self._clients: dict[str, RpcClient] = {}
         self._suspects: dict[str, float] = {}
+        self._unreachable: set[str] = set()
         self._late: set[asyncio.Task[Any]] = set()
 
     def adopt(self, view: View | None) -> None:
@@ -77,6 +80,33 @@
         addresses = {disk.address for disk in in_use}
         for address in [known for known in self._clients if known not in addresses]:
             self._clients.pop(address).close()
+            self._unreachable.discard(address)
+
+    def is_reachable(self) -> bool:
+        """Tells whether enough disks to write and read have answered when last asked."""
+        view = self.view
+        if view is None:
+            return False
+        folders = [d.folder for d in disks(view) if d.address not in self._unreachable]
+        return is_written(view, folders) and is_read(view, folders)
+
+    async def probe_forever(self) -> None:
+        """Asks disks that did not answer again and again, so that no request has to find out."""
+        while True:
+            await asyncio.sleep(PROBE_PERIOD_S)
+            view = self.view
+            lost = [d for d in disks(view) if d.address in self._unreachable] if view else []
+            if view is not None and lost:
+                await asyncio.gather(*(self._probe(view, disk) for disk in lost))
+
+    async def _probe(self, view: View, disk: Disk) -> None:
+        client = self._clients.setdefault(disk.address, RpcClient(disk.address))
+        message = messages.Fetch(view.epoch, "", [])
+        found = await client.call(messages.FETCH, message, messages.Fetched, RPC_TIMEOUT_S)
+        if isinstance(found, Success):
+            self.adopt(found.unwrap().newer)
+            if found.unwrap().folder == disk.folder:
+                self._regain(disk)
 
     async def ask(self, question: Question[_R], timeout_s: float) -> Result[list[_R], Failure]:
         """Returns the answers of enough disks."""
@@ -149,14 +179,20 @@
     def _take(self, disk: Disk, result: Result[_R, Failure]) -> _R | None:
         if not isinstance(result, Success):
             self._suspect([disk], str(result.failure()))
+            self._unreachable.add(disk.address)
             return None
         reply = result.unwrap()
         if reply.newer is None and reply.folder != disk.folder:
             self._suspect([disk], "it has come back without its data")
+            self._unreachable.add(disk.address)
             return None
+        self._regain(disk)
+        return reply
+
+    def _regain(self, disk: Disk) -> None:
+        self._unreachable.discard(disk.address)
         if self._suspects.pop(disk.address, None) is not None:
             logs.logger("turns").info("disk_regained", peer=disk.host)
-        return reply
 
     def _ranked(self, view: View) -> list[Disk]:
         now_s = time.monotonic()
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/run.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/run.py
@@ -58,8 +58,10 @@
     await listen(settings.readiness_address, readiness, gateway.limits, probes)
     await serve_metrics(settings.metrics_address, metrics)
     sweeping = asyncio.create_task(_sweep(gateway, fleet, pool, pictures))
+    probing = asyncio.create_task(turns.probe_forever())
     await stop.wait()
     sweeping.cancel()
+    probing.cancel()
     await _leave(settings, gateway, callers, front)
     try:
         async with asyncio.timeout(SETTLE_S):
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/stream.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/stream.py
@@ -1,6 +1,7 @@
 """Requests that are answered by events: histories, budgets, and streams that go on elsewhere."""
 
 import asyncio
+import time
 from collections.abc import Awaitable
 
 from endiveworks.errors import Failure
@@ -34,14 +35,22 @@
         self.last_id = ex.request.resume_after
         self.output = bytearray()
         self.resumes = 0
+        self._first_s = 0.0
+        self._last_s = 0.0
 
     def note(self, event: Event) -> None:
         """Notes that an event goes to the caller."""
         self.handed += 1
+        self._last_s = time.monotonic()
+        self._first_s = self._first_s or self._last_s
         self.output += event.data + b"\n"
         if event.id is not None:
             self.last_id = event.id
 
+    def event_s(self) -> float:
+        """Returns the mean time between events; there must have been two."""
+        return (self._last_s - self._first_s) / (self.handed - 1)
+
     def tokens(self) -> int:
         """Returns the tokens handed to the caller."""
         return self.handed * self.tokens_per_event
@@ -54,8 +63,10 @@
         UnservedError: No event has been sent, and there will be none.
         AnswerError: The stream was broken off midway.
     """
-    body = await _prompt(context, ex)
     reservation = _reservation(ex)
+    if (reservation or ex.route.keeps_turns) and not context.turns.is_reachable():
+        raise UnservedError(STATUS_UNAVAILABLE, "too few disks can be reached", DISKS_AWAY_S)
+    body = await _prompt(context, ex)
     if reservation is None:
         stream = _Stream(ex)
         return await _run(context, ex, responder, body, stream, None)
@@ -117,6 +128,8 @@
     A turn that was sent can't be refused for its budget any more, so this is only for programs
     whose last ledger leaves ample room; no event leaves before the reservation is on disk.
     """
+    if not context.turns.is_reachable():
+        return False
     return context.turns.has_room(reservation.program, reservation.tokens, _budget(ex))
 
 
@@ -151,6 +164,8 @@
         try:
             await _pass_events(ex, responder, answer, stream, reserving)
             answer.close(whole=True)
+            if not stream.resumes and stream.handed > 1:
+                context.fleet.note_pace(answer.replica, stream.event_s())
         except (OSError, AnswerError) as exc:
             answer.close(whole=False)
             prefer = _resume(context, ex, answer, stream, exc)
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/turn_store.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/turn_store.py
@@ -1,6 +1,7 @@
 """Turns and ledgers on a quorum of disks, as a process without a disk reads and writes them."""
 
 import asyncio
+import time
 from collections import OrderedDict
 from collections.abc import Collection, Sequence
 
@@ -20,6 +21,7 @@
 CACHED_LEDGERS = 20_000
 SETTLE_TRIES = 5
 SETTLE_PAUSE_S = 0.5
+COMMIT_PAUSE_S = 0.1
 KNOWN_TURNS = 64  # Ids sent with a question for a chain, so that the answer leaves them out.
 
 
@@ -41,9 +43,13 @@
         """Takes a view unless a newer one is known."""
         self._quorum.adopt(view)
 
-    def is_ready(self) -> bool:
-        """Tells whether the disks in use are known."""
-        return self._quorum.view is not None
+    def is_reachable(self) -> bool:
+        """Tells whether enough disks have answered when last asked."""
+        return self._quorum.is_reachable()
+
+    async def probe_forever(self) -> None:
+        """Looks for disks that did not answer, again and again."""
+        await self._quorum.probe_forever()
 
     def has_room(self, program: str, tokens: int, budget: int) -> bool:
         """Tells whether the last ledger seen leaves room for two turns of a size."""
@@ -57,11 +63,14 @@
         The reservation counts in any case once this returns without a failure; one that doesn't
         fit is to be settled with no tokens.
         """
-        stored = await self._store([reservation], reservation.program, timeout_s)
+        program, turn = reservation.program, reservation.turn
+        # Counts at once for other turns of the program here, before any disk has answered.
+        self._remember(program, {turn: Spending(turn, reservation.tokens, False)})
+        stored = await self._store([reservation], program, timeout_s)
         if not isinstance(stored, Success):
             return Err(stored.failure())
         ledger = stored.unwrap()
-        self._remember(reservation.program, ledger)
+        self._remember(program, ledger)
         return Success(fits(ledger, reservation.turn, reservation.tokens, budget))
 
     async def commit(
@@ -69,9 +78,14 @@
     ) -> Result[None, Failure]:
         """Makes a turn and what it spent durable; only then may its answer end."""
         records: list[Record] = [turn] if settlement is None else [turn, settlement]
+        deadline_s = time.monotonic() + timeout_s
         stored = await self._store(records, "", timeout_s)
-        if not isinstance(stored, Success):
-            return Err(stored.failure())
+        while not isinstance(stored, Success):
+            # The answer is generated, so it is worth waiting until the disks are back.
+            if time.monotonic() + COMMIT_PAUSE_S >= deadline_s:
+                return Err(stored.failure())
+            await asyncio.sleep(COMMIT_PAUSE_S)
+            stored = await self._store(records, "", deadline_s - time.monotonic())
         if settlement is not None:
             self._note(settlement)
         self._cache(turn)
@@ -132,7 +146,8 @@
             known[settlement.turn] = Spending(settlement.turn, settlement.tokens, True)
 
     def _remember(self, program: str, ledger: Ledger) -> None:
-        self._ledgers[program] = ledger
+        known = self._ledgers.get(program, {})
+        self._ledgers[program] = merge([known.values(), ledger.values()])
         self._ledgers.move_to_end(program)
         if len(self._ledgers) > CACHED_LEDGERS:
             self._ledgers.popitem(last=False)
--- a/packages/endiveworks/src/endiveworks/gateway/placement.py
+++ b/packages/endiveworks/src/endiveworks/gateway/placement.py
@@ -1,12 +1,16 @@
 """Choice of the replica for a request: computing, waiting, distance and recent faults.
 
 Answers the load of many programs whose prompts share long parts and grow from turn to turn: a
-replica that holds the prompt saves its computation, unless others wait there.
+replica that holds the prompt saves its computation, unless others wait there. Turns of a program
+arrive at several processes of a region, which agree on the replica that probably holds its prompt
+by a hash of its id.
 """
 
 from collections.abc import Collection, Sequence
 from typing import NamedTuple
 
+import xxhash
+
 PREFILL_TOKENS_PER_MS = 200.0  # Engines read somewhat more; a low figure favours held prefixes.
 REGION_HOP_MS = 45.0  # Two ways between regions, and the transfer of a prompt.
 DOMAIN_HOP_MS = 4.0  # Two ways between failure domains, and the price of the bytes.
@@ -27,6 +31,7 @@
         missing_tokens: Prompt tokens that it would have to compute.
         faults: Recent failures there, decayed over time.
         slowness: How much longer than usual its answers take; 1 is usual.
+        usual_ms: Usual time of an answer of the service.
     """
 
     replica: str
@@ -37,6 +42,7 @@
     missing_tokens: int = 0
     faults: float = 0.0
     slowness: float = 1.0
+    usual_ms: float = 0.0
 
 
 class Place(NamedTuple):
@@ -86,4 +92,20 @@
     used = candidate.sent / max(1, candidate.slots)
     wait = BUSY_COST_MS * used + FULL_COST_MS * max(0.0, used - 1.0)
     work = (candidate.missing_tokens / PREFILL_TOKENS_PER_MS + wait) * candidate.slowness
-    return hop + work + FAULT_COST_MS * candidate.faults
+    slow = candidate.usual_ms * (candidate.slowness - 1.0)
+    return hop + work + slow + FAULT_COST_MS * candidate.faults
+
+
+def home(program: str, here: Place, candidates: Sequence[Candidate]) -> str:
+    """Returns the replica that all processes of a region prefer for a program.
+
+    Args:
+        program: Id of the program.
+        here: Place of this process.
+        candidates: Replicas of the service; those of the own region are chosen from if it has any.
+    """
+    near = [c.replica for c in candidates if c.region == here.region]
+    names = near or [c.replica for c in candidates]
+    return max(
+        names, key=lambda name: xxhash.xxh64_intdigest(f"{program}/{name}".encode()), default=""
+    )
