Prefer replicas of the own failure domain for a program; read changes of the store in batches

A session's prompt part grows under one key and was taken to be held whole. Change: a pause of 0.2 s after changes; homes in the own failure domain; parts held up to the length sent before.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/feed.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/feed.py
@@ -15,6 +15,7 @@
 
 # A store that is back is found again within about this time; each try costs a call.
 MAX_BACKOFF_S = 1.0
+GATHER_S = 0.2  # Changes that come within this time are read by one call; a tenth of the bounds.
 
 ReadPicture = Callable[[Mapping[str, Entry], int], Picture]
 
@@ -80,6 +81,8 @@
                 self._entries[change.key] = entry
         if changes:
             self._show()
+            # Each watch costs a call, and changes often come in quick succession.
+            time.sleep(GATHER_S)
         return True
 
     def _show(self) -> None:
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/fleet.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/fleet.py
@@ -240,10 +240,8 @@
 def _missing(known: _Known, request: Request, is_home: bool) -> int:
     """Returns the prompt tokens that a replica would have to compute.
 
-    The replica that other processes prefer for the program as well is taken to hold all but the
-    newest part of its prompt.
+    The replica that other processes prefer for the program as well is taken to hold its prompt.
     """
-    held = known.held.held_tokens(request.parts)
     if is_home:
-        held = max(held, sum(part.tokens for part in request.parts[:-1]))
-    return sum(part.tokens for part in request.parts) - held
+        return 0
+    return sum(part.tokens for part in request.parts) - known.held.held_tokens(request.parts)
--- a/packages/endiveworks/src/endiveworks/gateway/placement.py
+++ b/packages/endiveworks/src/endiveworks/gateway/placement.py
@@ -2,8 +2,8 @@
 
 Answers the load of many programs whose prompts share long parts and grow from turn to turn: a
 replica that holds the prompt saves its computation, unless others wait there. Turns of a program
-arrive at several processes of a region, which agree on the replica that probably holds its prompt
-by a hash of its id.
+arrive at several processes of a failure domain, which agree on the replica that probably holds its
+prompt by a hash of its id.
 """
 
 from collections.abc import Collection, Sequence
@@ -97,14 +97,17 @@
 
 
 def home(program: str, here: Place, candidates: Sequence[Candidate]) -> str:
-    """Returns the replica that all processes of a region prefer for a program.
+    """Returns the replica that all processes of a failure domain prefer for a program.
+
+    Programs seldom move between failure domains, and bytes between these are paid for.
 
     Args:
         program: Id of the program.
         here: Place of this process.
-        candidates: Replicas of the service; those of the own region are chosen from if it has any.
+        candidates: Replicas of the service; the nearest ones are chosen from.
     """
-    near = [c.replica for c in candidates if c.region == here.region]
+    near = [c.replica for c in candidates if c.failure_domain == here.failure_domain]
+    near = near or [c.replica for c in candidates if c.region == here.region]
     names = near or [c.replica for c in candidates]
     return max(
         names, key=lambda name: xxhash.xxh64_intdigest(f"{program}/{name}".encode()), default=""
--- a/packages/endiveworks/src/endiveworks/gateway/prefixes.py
+++ b/packages/endiveworks/src/endiveworks/gateway/prefixes.py
@@ -21,12 +21,16 @@
         self._tokens = 0
 
     def held_tokens(self, parts: Sequence[Part]) -> int:
-        """Sums the leading parts that need not be computed again."""
+        """Sums the leading tokens that need not be computed again.
+
+        A session's part keeps its key and grows from turn to turn, so it may be held in part.
+        """
         held = 0
         for part in parts:
-            if part.key not in self._parts:
+            known = self._parts.get(part.key, 0)
+            held += min(known, part.tokens)
+            if known < part.tokens:
                 break
-            held += part.tokens
         return held
 
     def add(self, parts: Sequence[Part]) -> None:
--- a/packages/endiveworks/src/endiveworks/gateway/tests/test_decisions.py
+++ b/packages/endiveworks/src/endiveworks/gateway/tests/test_decisions.py
@@ -2,7 +2,8 @@
 
 import pytest
 from endiveworks.gateway.events import EventSplitter
-from endiveworks.gateway.placement import Candidate, Place, choose
+from endiveworks.gateway.pace import FORGET_HALF_LIFE_S, Pace, note, slowness
+from endiveworks.gateway.placement import Candidate, Place, choose, home
 from endiveworks.gateway.prefixes import HeldParts, Part
 from endiveworks.gateway.routes import Repeat, Route, Share, pick_service
 from endiveworks.gateway.waiting import (
@@ -44,6 +45,73 @@
         assert self.chosen(candidate("a", sent=16), candidate("b"), excluded=("b",)) == ""
 
 
+class TestHome:
+    def replicas(self, here: Place) -> list[Candidate]:
+        near = [candidate(f"n{n}", failure_domain=here.failure_domain) for n in range(3)]
+        far = candidate("far", failure_domain="y", region="west")
+        return [*near, candidate("other", failure_domain="x"), far]
+
+    def test_processes_of_a_failure_domain_agree(self) -> None:
+        found = self.replicas(HERE)
+        assert home("p", HERE, found) == home("p", HERE, found[::-1])
+
+    def test_programs_are_spread_over_the_nearest_replicas(self) -> None:
+        homes = {home(f"p{n}", HERE, self.replicas(HERE)) for n in range(50)}
+        assert homes == {"n0", "n1", "n2"}
+
+    def test_one_that_leaves_moves_only_its_own_programs(self) -> None:
+        found = self.replicas(HERE)
+        left = [c for c in found if c.replica != "n1"]
+        for name in (f"p{n}" for n in range(50)):
+            before = home(name, HERE, found)
+            assert before == "n1" or home(name, HERE, left) == before
+
+    def test_without_replicas(self) -> None:
+        assert home("p", HERE, []) == ""
+
+
+class TestPace:
+    USUAL = Pace(0.03, 0.0)
+
+    def test_a_replica_at_the_usual_pace(self) -> None:
+        assert slowness(Pace(0.04, 0.0), [self.USUAL, self.USUAL, Pace(0.04, 0.0)], 0.0) == 1.0
+
+    def test_a_slow_one_stands_out(self) -> None:
+        slow = Pace(0.15, 0.0)
+        assert slowness(slow, [self.USUAL, slow, self.USUAL], 0.0) == pytest.approx(5.0)
+        assert slowness(slow, [self.USUAL, slow], 0.0) == pytest.approx(5.0)
+
+    def test_it_is_tried_again_after_some_time(self) -> None:
+        slow = Pace(0.15, 0.0)
+        later = slowness(slow, [self.USUAL, slow, self.USUAL], FORGET_HALF_LIFE_S)
+        assert later == pytest.approx(3.0)
+
+    def test_it_recovers_with_its_answers(self) -> None:
+        pace = Pace(0.15, 0.0)
+        for _ in range(20):
+            pace = note(pace, 0.03, 1.0)
+        assert slowness(pace, [self.USUAL, pace, self.USUAL], 1.0) == 1.0
+
+    def test_a_burst_goes_around_a_slow_replica(self) -> None:
+        """Plays 60 requests: a replica five times slower gets fewer than an even share."""
+        paces = dict.fromkeys("ab", self.USUAL)
+        paces["slow"] = Pace(0.15, 0.0)
+        sent = dict.fromkeys(paces, 0)
+        for _ in range(60):
+            found = [
+                candidate(
+                    name,
+                    slots=32,
+                    sent=sent[name],
+                    slowness=slowness(pace, list(paces.values()), 0.0),
+                    usual_ms=300.0,
+                )
+                for name, pace in paces.items()
+            ]
+            sent[choose(HERE, found, (), 1.0).replica] += 1
+        assert sent["slow"] < 5
+
+
 class TestWaiting:
     def waiter(self, key: str, priority: int, due_s: float, arrived_s: float = 0.0) -> Waiter:
         return Waiter(key, priority, due_s, arrived_s, due_s)
@@ -92,6 +160,11 @@
         assert held.held_tokens((*self.PARTS, Part("new", 500))) == 13_600
         assert held.held_tokens((Part("other", 100), *self.PARTS)) == 0
 
+    def test_a_part_that_has_grown_is_held_up_to_its_old_length(self) -> None:
+        held = HeldParts(100_000)
+        held.add(self.PARTS)
+        assert held.held_tokens((Part("shared", 12_600), Part("own", 2_500))) == 13_600
+
     def test_the_least_recently_used_part_yields(self) -> None:
         held = HeldParts(14_000)
         held.add(self.PARTS)
