Go on with one disk where two are left and one does not answer

Change: hosts with disks ping each other; one that can't be written with otherwise is left out within about 1.5 s and taken back when it answers. A read needs as many answers as a write, so that a disk that was left out without knowing can't answer alone; the model now holds readers with any earlier view to that. A host waits for its own proposal to come back before it proposes again.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/disks/agreement.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/disks/agreement.py
@@ -7,7 +7,7 @@
 
 from endiveworks.errors import Failure
 from endiveworks.gateway.picture import Picture
-from endiveworks.kvservice.kv import Kv, Swap
+from endiveworks.kvservice.kv import Kv, Swap, Swapped
 from endiveworks.members.member import Member
 from endiveworks.telemetry import logs
 from endiveworks.turns.change import Sighting, first_view, is_emptied, next_view
@@ -16,14 +16,20 @@
 
 from .catch_up import catch_up
 from .host import DiskHost
+from .pings import Pings
 
 VIEW_KEY = "/endiveworks/turns/view"
 DISK_ROLE = "disk"
-PERIOD_S = 0.25
+PERIOD_S = 0.1
 # Time in which all hosts of a new deployment have registered.
 FIRST_VIEW_AFTER_S = 4.0
 # Spreads proposals of several hosts, of which one is enough.
-PROPOSAL_SPREAD_S = 0.4
+PROPOSAL_SPREAD_S = 0.3
+# Time after which a proposal has come back by the watch, or was lost.
+PROPOSAL_SHOWN_S = 1.0
+# A host that no writer has asked for so long may be cut off itself, so it lets others go first.
+UNASKED_S = 0.5
+UNASKED_DELAY_S = 1.0
 
 
 class Agreement:
@@ -59,7 +65,10 @@
         self._seen: dict[str, Disk] = {}
         self._synced_epoch = 0
         self._reported: set[str] = set()
+        self._proposed_at = -1
+        self._proposed_s = 0.0
         self._rng = random.Random()
+        self._pings = Pings(name)
 
     def take(self, picture: Picture) -> None:
         """Takes what the key-value service says."""
@@ -68,11 +77,15 @@
 
     async def run(self) -> None:
         """Looks for changes to make, again and again."""
-        while True:
-            await asyncio.sleep(PERIOD_S)
-            picture = self._picture
-            if picture is not None:
-                await self._step(picture)
+        pinging = asyncio.create_task(self._pings.run())
+        try:
+            while True:
+                await asyncio.sleep(PERIOD_S)
+                picture = self._picture
+                if picture is not None:
+                    await self._step(picture)
+        finally:
+            pinging.cancel()
 
     async def _step(self, picture: Picture) -> None:
         sightings = self._sightings(picture.members, picture.view)
@@ -85,7 +98,8 @@
                 picture.view, sightings, picture.leaving
             )
         if proposed is not None:
-            await self._propose(picture, proposed)
+            if not self._waits_for_own(picture):
+                await self._propose(picture, proposed)
         elif picture.view is not None:
             await self._report(picture.view, picture.leaving)
 
@@ -99,15 +113,16 @@
                 self._absent_since.pop(name, None)
             else:
                 self._absent_since.setdefault(name, now_s)
+        self._pings.follow(self._seen.values())
         return {
-            name: (
-                Sighting(disk, max(0.001, now_s - self._absent_since[name]))
-                if name in self._absent_since
-                else Sighting(disk)
-            )
+            name: Sighting(disk, self._absent_s(name, now_s), self._pings.is_silent(disk))
             for name, disk in self._seen.items()
         }
 
+    def _absent_s(self, name: str, now_s: float) -> float:
+        since_s = self._absent_since.get(name)
+        return max(0.001, now_s - since_s) if since_s is not None else 0.0
+
     def _with_own_sync(self, view: View) -> View | None:
         folder = self._host.folder
         needed = any(disk.folder == folder for disk in must_sync(view))
@@ -118,9 +133,13 @@
     async def _propose(self, picture: Picture, proposed: View) -> None:
         own = self._host.folder in proposed.synced
         if not own:
-            await asyncio.sleep(self._rng.random() * PROPOSAL_SPREAD_S)
+            delay_s = self._rng.random() * PROPOSAL_SPREAD_S
+            if len(proposed.incoming) < len(proposed.members) and self._is_unasked():
+                delay_s += UNASKED_DELAY_S
+            await asyncio.sleep(delay_s)
             if self._picture is None or self._picture.view_revision != picture.view_revision:
                 return
+        self._proposed_at, self._proposed_s = picture.view_revision, time.monotonic()
         swap = Swap(VIEW_KEY, encode(proposed), picture.view_revision)
         done = await asyncio.to_thread(self._kv.swap, swap)
         logs.logger("turns").info(
@@ -128,10 +147,18 @@
             epoch=proposed.epoch,
             copies=[disk.host for disk in proposed.members],
             owner=self._name,
-            state=_outcome(done),
+            state=_swap_outcome(done),
             detail=", ".join(disk.host for disk in proposed.incoming),
         )
 
+    def _waits_for_own(self, picture: Picture) -> bool:
+        """Tells whether this host's last proposal may not have come back to it yet."""
+        same = picture.view_revision == self._proposed_at
+        return same and time.monotonic() - self._proposed_s < PROPOSAL_SHOWN_S
+
+    def _is_unasked(self) -> bool:
+        return time.monotonic() - self._host.asked_s > UNASKED_S
+
     async def _sync_if_due(self, view: View) -> None:
         folder = self._host.folder
         if self._synced_epoch == view.epoch or all(d.folder != folder for d in must_sync(view)):
@@ -151,5 +178,7 @@
     return Disk(member.host, member.folder, member.address, member.failure_domain, member.region)
 
 
-def _outcome(result: "Result[object, Failure]") -> str:
-    return "done" if isinstance(result, Success) else str(result.failure())
+def _swap_outcome(result: Result[Swapped, Failure]) -> str:
+    if not isinstance(result, Success):
+        return str(result.failure())
+    return "done" if result.unwrap().done else "another host was first"
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/disks/catch_up.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/disks/catch_up.py
@@ -5,7 +5,7 @@
 from endiveworks.errors import Failure
 from endiveworks.telemetry import logs
 from endiveworks.turns import messages
-from endiveworks.turns.view import Disk, View, is_read
+from endiveworks.turns.view import Disk, View, is_cover
 from returns.result import Result, Success
 
 from ..rpc import RpcClient
@@ -32,7 +32,7 @@
     clients = {disk.folder: RpcClient(disk.address) for disk in others}
     try:
         answered = await _list_enough(clients, others, view, {disk.folder for disk in own})
-        if not is_read(view, {*answered, *(disk.folder for disk in own)}):
+        if not is_cover(view, {*answered, *(disk.folder for disk in own)}):
             missing = [disk.host for disk in others if disk.folder not in answered]
             logs.logger("turns").warning("catch_up_waits", epoch=view.epoch, copies=missing)
             return False
@@ -54,7 +54,7 @@
     """Returns what members hold by folder, as soon as enough have answered."""
     answered: dict[str, messages.Held] = {}
     asked = {asyncio.create_task(_list(clients[disk.folder], disk, view)): disk for disk in others}
-    while asked and not is_read(view, {*answered, *own}):
+    while asked and not is_cover(view, {*answered, *own}):
         done, _ = await asyncio.wait(asked, return_when=asyncio.FIRST_COMPLETED)
         for task in done:
             disk = asked.pop(task)
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/disks/host.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/disks/host.py
@@ -41,6 +41,7 @@
         self.state = state
         self.view: View | None = None
         self.failed = asyncio.Event()
+        self.asked_s = 0.0
         self._journal = journal
         self._log = log
 
@@ -51,6 +52,7 @@
 
     async def store(self, message: bytes) -> bytes:
         """Answers Store once the records are synced."""
+        self.asked_s = time.monotonic()
         req = msgspec.msgpack.decode(message, type=messages.Store)
         if self._is_stale(req.epoch):
             return msgspec.msgpack.encode(messages.Stored(self.folder, self.view, []))
@@ -88,6 +90,11 @@
                 break
         return msgspec.msgpack.encode(messages.TurnsRead(self.folder, found))
 
+    async def ping(self, message: bytes) -> bytes:
+        """Answers Ping."""
+        msgspec.msgpack.decode(message, type=messages.Ping)
+        return msgspec.msgpack.encode(messages.Pong(self.folder))
+
     async def keep(self, encoded: list[bytes]) -> None:
         """Applies records and waits until they are synced.
 
@@ -158,4 +165,5 @@
         messages.FETCH: host.fetch,
         messages.LIST_HELD: host.list_held,
         messages.READ_TURNS: host.read_turns,
+        messages.PING: host.ping,
     }
--- a/packages/endiveworks/src/endiveworks/turns/change.py
+++ b/packages/endiveworks/src/endiveworks/turns/change.py
@@ -3,7 +3,7 @@
 from collections.abc import Collection, Mapping, Sequence
 from typing import NamedTuple
 
-from .view import Disk, View, full_size, must_sync
+from .view import Disk, View, full_size, is_cover, is_written, must_sync
 
 # A host that lives registers again within about a second after its registration was lost.
 EVICT_AFTER_S = 1.2
@@ -15,10 +15,16 @@
     Attributes:
         disk: The disk as last registered.
         absent_s: Seconds for which its registration has been missing; 0 while it is there.
+        silent: Whether the host has not answered this one several times in a row.
     """
 
     disk: Disk
     absent_s: float = 0.0
+    silent: bool = False
+
+    def is_usable(self) -> bool:
+        """Tells whether the disk may take a place."""
+        return not self.absent_s and not self.silent
 
 
 def first_view(tolerance: int, sightings: Mapping[str, Sighting], complete: bool) -> View | None:
@@ -29,7 +35,7 @@
         sightings: Hosts with disks by name.
         complete: Whether no further disks are expected.
     """
-    present = _spread([s.disk for s in sightings.values() if not s.absent_s])
+    present = _spread([s.disk for s in sightings.values() if s.is_usable()])
     size = full_size(tolerance)
     if len(present) < size and not (complete and len(present) > tolerance):
         return None
@@ -54,7 +60,11 @@
         back = sightings[lost.host].disk if lost.host in sightings else None
         if spare is None and back is not None and back.folder != lost.folder:
             spare = back
-        return _replace(view, lost, spare) if spare else None
+        if spare is not None:
+            return _replace(view, lost, spare)
+    shrunk = _shrunk(view, sightings)
+    if shrunk is not None:
+        return shrunk
     emptied = next((disk for disk in view.members if disk.host in leaving), None)
     if emptied is not None and (spare is not None or len(view.members) > 1):
         return _replace(view, emptied, spare)
@@ -68,11 +78,24 @@
     return not view.incoming and all(disk.host != host for disk in view.members)
 
 
+def _shrunk(view: View, sightings: Mapping[str, Sighting]) -> View | None:
+    """Returns a view without the disks that are away if the others can't be written to otherwise.
+
+    With as many disks as planned, the others are a quorum, and a host that is back soon needs to
+    read little.
+    """
+    kept = tuple(disk for disk in view.members if not _is_away(disk, sightings))
+    folders = [disk.folder for disk in kept]
+    if is_written(view, folders) or not is_cover(view, folders):
+        return None
+    return _begin(view, kept)
+
+
 def _end_change(view: View, sightings: Mapping[str, Sighting]) -> View | None:
     waiting = [disk for disk in must_sync(view) if disk.folder not in view.synced]
     if not waiting:
         return View(view.epoch + 1, view.tolerance, view.incoming)
-    if any(_is_lost(disk, sightings) for disk in waiting):
+    if any(_is_away(disk, sightings) for disk in waiting):
         # Every write since the change began is on a quorum of the members as well.
         return View(view.epoch + 1, view.tolerance, view.members)
     return None
@@ -94,12 +117,18 @@
     return seen.disk.folder != disk.folder or seen.absent_s > EVICT_AFTER_S
 
 
+def _is_away(disk: Disk, sightings: Mapping[str, Sighting]) -> bool:
+    """Tells whether a disk does not answer, though its host may be back in a moment."""
+    seen = sightings.get(disk.host)
+    return _is_lost(disk, sightings) or (seen is not None and seen.silent)
+
+
 def _spare(view: View, sightings: Mapping[str, Sighting], leaving: Collection[str]) -> Disk | None:
     members = {disk.host for disk in view.members}
     free = [
         seen.disk
         for name, seen in sorted(sightings.items())
-        if name not in members and name not in leaving and not seen.absent_s
+        if name not in members and name not in leaving and seen.is_usable()
     ]
     domains = [disk.failure_domain for disk in view.members]
     return min(free, key=lambda disk: domains.count(disk.failure_domain), default=None)
--- a/packages/endiveworks/src/endiveworks/turns/messages.py
+++ b/packages/endiveworks/src/endiveworks/turns/messages.py
@@ -10,6 +10,7 @@
 FETCH = "turns.fetch"
 LIST_HELD = "turns.list_held"
 READ_TURNS = "turns.read_turns"
+PING = "turns.ping"
 
 
 class Store(NamedTuple):
@@ -92,3 +93,15 @@
 
     folder: str
     records: list[bytes]
+
+
+class Ping(NamedTuple):
+    """Asks whether a host answers."""
+
+    host: str
+
+
+class Pong(NamedTuple):
+    """Answers Ping."""
+
+    folder: str
--- a/packages/endiveworks/src/endiveworks/turns/tests/test_change.py
+++ b/packages/endiveworks/src/endiveworks/turns/tests/test_change.py
@@ -14,6 +14,7 @@
     decode,
     disks,
     encode,
+    is_cover,
     is_read,
     is_written,
     must_sync,
@@ -61,7 +62,23 @@
     def test_two_disks_hold_everything_both(self) -> None:
         view = View(1, 1, (A, B))
         assert not is_written(view, {"a"})
-        assert is_read(view, {"b"})
+        assert is_cover(view, {"b"})
+
+    def test_one_of_two_disks_may_not_know_that_it_was_left_out(self) -> None:
+        assert not is_read(View(1, 1, (A, B)), {"a"})
+
+    def test_a_single_disk(self) -> None:
+        assert is_written(View(1, 1, (A,)), {"a"})
+        assert is_read(View(1, 1, (A,)), {"a"})
+
+    @pytest.mark.parametrize("tolerance", [1, 2])
+    @pytest.mark.parametrize("size", [1, 2, 3, 4, 5])
+    def test_every_read_meets_every_cover(self, tolerance: int, size: int) -> None:
+        members = tuple(disk(f"d{n}") for n in range(size))
+        view = View(1, tolerance, members)
+        names = [d.folder for d in members]
+        smallest = next(n for n in range(1, size + 1) if is_cover(view, names[:n]))
+        assert not is_read(view, names[smallest:])
 
     def test_a_view_is_read_back(self) -> None:
         view = View(2, 1, (A, B, C), (B, C, D), ("d",))
@@ -127,6 +144,38 @@
         assert next_view(VIEW, seen(B, C, D), ()) is None
 
 
+class TestFewDisks:
+    """Two disks were left after a retirement, and each pause of one stopped all turns.
+
+    Seen on etbta-trace, mix --seed 813212544359.
+    """
+
+    def silent(self, *hosts: Disk) -> dict[str, Sighting]:
+        return {d.host: Sighting(d, silent=True) for d in hosts}
+
+    def test_one_of_two_goes_on_alone(self) -> None:
+        found = next_view(View(5, 1, (B, C)), seen(C) | self.silent(B), ())
+        assert found.incoming == (C,)
+        assert must_sync(found) == (C,)
+
+    def test_it_is_taken_back_when_it_answers(self) -> None:
+        found = next_view(View(7, 1, (C,)), seen(B, C), ())
+        assert found.incoming == (C, B)
+        assert must_sync(found) == (B,)
+
+    def test_a_silent_host_is_no_spare(self) -> None:
+        assert next_view(View(7, 1, (C,)), seen(C) | self.silent(B), ()) is None
+
+    def test_a_pause_of_one_of_three_copies_nothing_to_a_spare(self) -> None:
+        assert next_view(VIEW, seen(B, C, D) | self.silent(A), ()) is None
+
+    def test_two_of_three_are_enough(self) -> None:
+        assert next_view(VIEW, seen(A, B) | self.silent(C), ()) is None
+
+    def test_one_of_three_may_lack_something(self) -> None:
+        assert next_view(VIEW, seen(A) | self.silent(B, C), ()) is None
+
+
 class TestEmptying:
     def test_a_spare_takes_the_place_of_a_leaving_disk(self) -> None:
         found = next_view(VIEW, seen(A, B, C, D), {"a"})
--- a/packages/endiveworks/src/endiveworks/turns/tests/test_quorum_model.py
+++ b/packages/endiveworks/src/endiveworks/turns/tests/test_quorum_model.py
@@ -1,7 +1,7 @@
 """Every order of writes, losses and changes: what counts once is read for ever."""
 
 from endiveworks.turns.change import Sighting, next_view
-from endiveworks.turns.view import Disk, View, disks, is_read, is_written, must_sync
+from endiveworks.turns.view import Disk, View, disks, is_cover, is_read, is_written, must_sync
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
@@ -59,9 +59,15 @@
         self.held[new.folder], self.epochs[new.folder] = set(), 0
         self.disks[name] = new
 
-    @rule(leaving=st.sets(st.sampled_from(HOSTS), max_size=1))
-    def change_view(self, leaving: set[str]) -> None:
-        sightings = {name: Sighting(disk) for name, disk in self.disks.items()}
+    @rule(
+        leaving=st.sets(st.sampled_from(HOSTS), max_size=1),
+        silent=st.sets(st.sampled_from(HOSTS), max_size=2),
+    )
+    def change_view(self, leaving: set[str], silent: set[str]) -> None:
+        """Lets a host propose, to which some others are silent though they may serve writers."""
+        sightings = {
+            name: Sighting(disk, silent=name in silent) for name, disk in self.disks.items()
+        }
         found = next_view(self.view, sightings, leaving)
         if found is not None:
             self._adopt(found)
@@ -77,29 +83,27 @@
         for name in sources:
             if name not in members or members[name].folder not in self.held:
                 continue
-            if is_read(self.view, answered):
+            if is_cover(self.view, answered):
                 break
             folder = members[name].folder
             self.epochs[folder] = max(self.epochs[folder], self.view.epoch)
             self.held[reader.folder] |= self.held[folder]
             answered.add(folder)
-        if is_read(self.view, answered) and reader.folder not in self.view.synced:
+        if is_cover(self.view, answered) and reader.folder not in self.view.synced:
             self._adopt(self.view._replace(synced=(*self.view.synced, reader.folder)))
 
     @invariant()
     def what_counts_is_read(self) -> None:
-        if not hasattr(self, "view"):
-            return
-        members = [d.folder for d in self.view.members if d.folder in self.held]
-        lacking = [
-            (record, folder)
-            for record in self.counted
-            for folder in members
-            if record not in self.held[folder]
-        ]
-        for record in {record for record, _ in lacking}:
-            without = {folder for at, folder in lacking if at == record}
-            assert not is_read(self.view, without), f"a read can miss record {record}"
+        """Holds for readers with any earlier view, as far as the disks don't refuse them."""
+        for view in getattr(self, "views", ()):
+            answering = [
+                disk.folder
+                for disk in view.members
+                if disk.folder in self.held and self.epochs[disk.folder] <= view.epoch
+            ]
+            for record in self.counted:
+                without = {name for name in answering if record not in self.held[name]}
+                assert not is_read(view, without), f"a read can miss record {record}"
 
     def _needed(self) -> tuple[Disk, ...]:
         """Disks of which none may be missing when another one is lost."""
--- a/packages/endiveworks/src/endiveworks/turns/view.py
+++ b/packages/endiveworks/src/endiveworks/turns/view.py
@@ -1,8 +1,9 @@
 """Which disks hold turns and ledgers, and how many of them make a quorum.
 
-A record counts once `tolerance + 1` disks have synced it, and a read counts once so many disks
-have answered that one of them must hold every record that counts. While a disk is replaced, a
-write has to meet both sets.
+A record counts once `tolerance + 1` disks have synced it. Enough disks to hold everything between
+them are a cover; each disk that takes a place reads from a cover, whose disks refuse older views
+from then on. A read counts once so many disks have answered that one of them is in any cover. While
+the disks change, a write has to meet both sets.
 """
 
 from collections.abc import Collection
@@ -79,15 +80,24 @@
 
 
 def is_read(view: View, folders: Collection[str]) -> bool:
-    """Tells whether the answers of these disks hold every record that counts."""
-    needed = len(view.members) - _write_quorum(view.members, view.tolerance) + 1
-    return _enough(view.members, folders, needed)
+    """Tells whether the answers of these disks hold every record that counts.
+
+    One of them would have refused if the disks in use had changed without the reader's knowledge.
+    """
+    quorum = _write_quorum(view.members, view.tolerance)
+    return _enough(view.members, folders, max(quorum, len(view.members) - quorum + 1))
+
+
+def is_cover(view: View, folders: Collection[str]) -> bool:
+    """Tells whether these disks hold every record that counts between them."""
+    quorum = _write_quorum(view.members, view.tolerance)
+    return _enough(view.members, folders, len(view.members) - quorum + 1)
 
 
 def must_sync(view: View) -> tuple[Disk, ...]:
-    """Returns the incoming disks that have to read everything before they replace the members."""
+    """Returns the incoming disks that have to read a cover before they replace the members."""
     if len(view.incoming) < len(view.members):
-        # Fewer disks make a smaller read quorum, so each of them has to hold everything.
+        # Fewer disks make a smaller cover, so each of them has to hold everything.
         return view.incoming
     folders = {disk.folder for disk in view.members}
     return tuple(disk for disk in view.incoming if disk.folder not in folders)
