--- a/packages/endiveworks-daemon/src/endiveworks_daemon/disks/agreement.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/disks/agreement.py
@@ -11,7 +11,7 @@
 from endiveworks.members.member import Member
 from endiveworks.telemetry import logs
 from endiveworks.turns.change import Sighting, first_view, is_emptied, next_view
-from endiveworks.turns.view import Disk, View, encode, must_sync
+from endiveworks.turns.view import Disk, View, disks, encode, full_size, must_sync
 from returns.result import Result, Success
 
 from .catch_up import catch_up
@@ -27,6 +27,8 @@
 PROPOSAL_SPREAD_S = 0.3
 # Time after which a proposal has come back by the watch, or was lost.
 PROPOSAL_SHOWN_S = 1.0
+# Hosts that have been away for so long are not looked for any more.
+FORGET_AFTER_S = 60.0
 # A host that no writer has asked for so long may be cut off itself, so it lets others go first.
 UNASKED_S = 0.5
 UNASKED_DELAY_S = 1.0
@@ -113,12 +115,30 @@
                 self._absent_since.pop(name, None)
             else:
                 self._absent_since.setdefault(name, now_s)
-        self._pings.follow(self._seen.values())
+        self._forget_gone(view, now_s)
+        self._pings.follow(self._to_ping(view))
         return {
             name: Sighting(disk, self._absent_s(name, now_s), self._pings.is_silent(disk))
             for name, disk in self._seen.items()
         }
 
+    def _forget_gone(self, view: View | None, now_s: float) -> None:
+        used = {disk.host for disk in disks(view)} if view else set()
+        for name, since_s in list(self._absent_since.items()):
+            if now_s - since_s > FORGET_AFTER_S and name not in used:
+                del self._seen[name], self._absent_since[name]
+
+    def _to_ping(self, view: View | None) -> tuple[Disk, ...]:
+        """Returns the hosts whose silence could change the view, if this one is in use."""
+        if view is None:
+            return ()
+        used = disks(view)
+        if all(disk.folder != self._host.folder for disk in used):
+            return ()
+        if len(view.members) < full_size(view.tolerance):
+            return tuple({disk.host: disk for disk in (*used, *self._seen.values())}.values())
+        return used
+
     def _absent_s(self, name: str, now_s: float) -> float:
         since_s = self._absent_since.get(name)
         return max(0.001, now_s - since_s) if since_s is not None else 0.0
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/stream.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/stream.py
@@ -18,8 +18,8 @@
 STATUS_BUDGET_SPENT = 402
 STATUS_NO_TURN = 404
 STATUS_OK = 200
-# When disks don't answer, another one has taken over within this time.
-DISKS_AWAY_S = 0.4
+# Time after which disks that don't answer have been replaced, or the balancer leads elsewhere.
+DISKS_AWAY_S = 1.0
 MAX_RESUMES = 3
 
 Reserving = Awaitable[Result[bool, Failure]]
--- /dev/null
+++ b/tests/deployed/test_deploy.py
@@ -0,0 +1,70 @@
+"""The deploy file and the programs that it starts."""
+
+import subprocess
+import sys
+import tomllib
+from pathlib import Path
+
+import pytest
+from endiveworks_site import settings
+from endiveworks_site.__main__ import ROLES
+
+ROOT = Path(__file__).parents[2]
+DEPLOY = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
+SETTINGS = """
+node_name = "edge-a-1"
+ip = "127.0.0.1"
+zone = "a"
+region = "east"
+internal_ports = [7380, 7395]
+[listen]
+[fault_tolerance]
+machines = 1
+[bounds]
+grace_s = 8
+[provider]
+address = "127.0.0.1:9"
+"""
+
+
+class TestDeployFile:
+    @pytest.mark.parametrize("role", DEPLOY["roles"].values(), ids=list(DEPLOY["roles"]))
+    def test_a_role_starts_a_program_of_this_repository(self, role: dict[str, str]) -> None:
+        assert role["run"].split()[:3] == ["python3", "-m", "endiveworks_site"]
+        assert role["run"].split()[3] in ROLES
+
+    @pytest.mark.parametrize("role", DEPLOY["roles"].values(), ids=list(DEPLOY["roles"]))
+    def test_metrics_are_where_the_file_says(self, role: dict[str, str]) -> None:
+        assert role["metrics"] == f"{settings.METRICS_PORT}/metrics"
+
+    def test_requirements_are_pinned_as_in_the_lock(self) -> None:
+        lock = (ROOT / "requirements.lock").read_text().splitlines()
+        pinned = (ROOT / "deploy" / "requirements.txt").read_text().splitlines()
+        assert [line for line in pinned if line not in lock] == []
+
+
+class TestCommandLine:
+    def start(self, tmp_path: Path, *args: str, text: str = SETTINGS) -> tuple[int, str]:
+        path = tmp_path / "boot.toml"
+        path.write_text(text)
+        done = subprocess.run(
+            [sys.executable, "-m", "endiveworks_site", *args],
+            env={settings.PATH_VARIABLE: str(path)},
+            capture_output=True,
+            text=True,
+            timeout=60,
+            check=False,
+        )
+        return done.returncode, done.stderr
+
+    def test_an_unknown_role(self, tmp_path: Path) -> None:
+        code, said = self.start(tmp_path, "cook")
+        assert (code, "usage" in said) == (64, True)
+
+    def test_settings_that_cannot_be_used_are_all_named(self, tmp_path: Path) -> None:
+        text = SETTINGS.replace('zone = "a"', "zone = 4").replace("machines = 1", "")
+        code, said = self.start(tmp_path, "entry", text=text)
+        assert (code, "zone" in said, "machines" in said) == (64, True, True)
+
+    def test_a_file_that_is_no_settings(self, tmp_path: Path) -> None:
+        assert self.start(tmp_path, "entry", text="=")[0] == 64
