--- a/tests/deployed/test_plain.py
+++ b/tests/deployed/test_plain.py
@@ -4,6 +4,7 @@
 from pathlib import Path
 
 import pytest
+from endiveworks_daemon.gateway.obtain import MAX_SENDS
 from endiveworks_standins.site_replica import SIGNATURE, Arrival, Script, plain_answer
 from endiveworks_standins.site_replica import reset as reset_connection
 
@@ -126,14 +127,14 @@
 
 
 class TestRepeats:
-    def both(self, tmp_path: Path, target: str, script: Script) -> tuple[Reply, int]:
-        """Returns what a caller got from two replicas with a script, and how many were asked."""
-        found: list[tuple[Reply, int]] = []
+    def both(self, tmp_path: Path, target: str, script: Script) -> tuple[Reply, list[int]]:
+        """Returns what a caller got from two replicas with a script, and how often each ran it."""
+        found: list[tuple[Reply, list[int]]] = []
 
         async def scenario() -> None:
             async with Deployment(tmp_path, {"shop/a": script, "shop/b": script}) as deployed:
                 reply = await deployed.send(target, b"order")
-                asked = sum(bool(replica.arrivals) for replica in deployed.replicas.values())
+                asked = sorted(len(replica.arrivals) for replica in deployed.replicas.values())
                 found.append((reply, asked))
 
         run(scenario)
@@ -141,25 +142,27 @@
 
     def test_a_lookup_is_asked_at_another_replica(self, tmp_path: Path) -> None:
         reply, asked = self.both(tmp_path, LOOKUP, sends(SHORT))
-        assert (reply.status, asked) == (502, 2)
+        assert reply.status == 502
+        assert asked[0] > 0
+        assert sum(asked) <= MAX_SENDS
 
     def test_an_order_is_not(self, tmp_path: Path) -> None:
-        assert self.both(tmp_path, ORDER, sends(SHORT))[1] == 1
+        assert self.both(tmp_path, ORDER, sends(SHORT))[1] == [0, 1]
 
     def test_a_replica_that_did_not_run_it_leaves_it_to_the_next(self, tmp_path: Path) -> None:
         script = answers(b"", "503 Service Unavailable", "Not-Executed: 1")
         reply, asked = self.both(tmp_path, ORDER, script)
-        assert (reply.status, asked) == (503, 2)
+        assert (reply.status, asked) == (503, [1, 1])
         assert float(reply.headers["retry-after"]) > 0
         assert "server-signature" not in reply.headers
 
     def test_a_replica_of_another_service_at_the_address(self, tmp_path: Path) -> None:
         reply, asked = self.both(tmp_path, ORDER, answers(b"", "421 Misdirected Request"))
-        assert (reply.status, asked) == (503, 2)
+        assert (reply.status, asked) == (503, [1, 1])
 
     def test_a_refusal_that_does_not_say_so_may_have_run(self, tmp_path: Path) -> None:
         reply, asked = self.both(tmp_path, ORDER, answers(b"own", "503 Service Unavailable"))
-        assert (reply.status, reply.body, asked) == (503, b"own", 1)
+        assert (reply.status, reply.body, asked) == (503, b"own", [0, 1])
         assert reply.headers["server-signature"] == SIGNATURE
 
     def test_a_replica_that_cannot_be_reached(self, tmp_path: Path) -> None:
