Ask a lookup elsewhere when its answer is probably lost

Change: where another replica may be asked, an answer that takes five times the usual one is taken to be lost.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/fleet.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/fleet.py
@@ -3,7 +3,6 @@
 import asyncio
 import math
 import time
-from collections import Counter
 from collections.abc import Callable, Collection, Mapping
 
 from endiveworks.gateway.messages import Replica, Request
@@ -89,14 +88,6 @@
         known = self._known.get(replica)
         return known.listed.address if known else ""
 
-    def has_service(self, service: str) -> bool:
-        """Tells whether a replica of a service is listed."""
-        return any(k.listed.service == service for k in self._known.values())
-
-    def loads(self) -> Counter[str]:
-        """Counts the requests under way by replica."""
-        return Counter({name: known.sent for name, known in self._known.items()})
-
     async def acquire(
         self, service: str, request: Request, waiter: Waiter, excluded: Collection[str]
     ) -> Choice:
@@ -159,11 +150,13 @@
             known.faults = self._faults(known) + 1.0
             known.faulted_s = time.monotonic()
 
-    def expected_wait_s(self, service: str, priority: int) -> float:
-        """Returns how long a new request of a class would wait."""
-        line = self._lines.get(service)
-        ahead = line.ahead(priority) if line else 0
-        return expected_wait_s(ahead, self._places(service), self._mean(service))
+    def has_other(self, service: str, but: Collection[str]) -> bool:
+        """Tells whether a service has a replica that is not among some."""
+        return any(known.listed.id not in but for known in self._of(service))
+
+    def usual_s(self, service: str) -> float:
+        """Returns the mean time of a service's answers."""
+        return self._mean(service)
 
     def _check(
         self, service: str, waiter: Waiter, excluded: Collection[str], line: WaitingLine
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/obtain.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/obtain.py
@@ -1,10 +1,12 @@
 """Gets a replica to take a request: choice, sending, and what may be tried again."""
 
+import asyncio
 import random
 import time
 from collections.abc import Callable
 
 from endiveworks.gateway.messages import AnswerHead, Dispatch
+from endiveworks.gateway.routes import Repeat
 from endiveworks.gateway.waiting import retry_after_s
 from endiveworks.telemetry import logs
 
@@ -17,6 +19,9 @@
 STATUS_TIMEOUT = 504
 # Requests that nobody ran come back after this time where no wait can be predicted.
 UNKNOWN_WAIT_S = 0.2
+# An answer that takes so many times the usual one is taken to be lost, where another replica may
+# be asked.
+LOST_AFTER_X = 5.0
 # Times that one request is sent to replicas that may run it.
 MAX_SENDS = 4
 
@@ -130,6 +135,16 @@
     return choice.replica
 
 
+def _patience_s(context: Context, ex: Exchange) -> float | None:
+    """Returns how long to wait for the head of an answer; None for as long as there is time."""
+    if ex.route.repeat is not Repeat.ANY or len(ex.ran_on) >= ex.route.max_attempts:
+        return None
+    if not context.fleet.has_other(ex.service, ex.ran_on | ex.excluded):
+        return None
+    usual_s = max(ex.route.aim_s, LOST_AFTER_X * context.fleet.usual_s(ex.service))
+    return min(usual_s, ex.left_s() / 2)
+
+
 async def _try(
     context: Context,
     ex: Exchange,
@@ -152,7 +167,8 @@
         ex.ran_on.add(replica)
         sent_s = time.monotonic()
         conn.send(ex.request.method, ex.request.target, headers, body)
-        head = await conn.head(context.dialect.read_answer, ex.request.id)
+        async with asyncio.timeout(_patience_s(context, ex)):
+            head = await conn.head(context.dialect.read_answer, ex.request.id)
         if head.encoded:
             raise AnswerError("the body has an encoding that was not asked for")
         if head.not_run:
--- a/tests/deployed/test_plain.py
+++ b/tests/deployed/test_plain.py
@@ -177,6 +177,40 @@
         run(scenario)
 
 
+class TestLostAnswers:
+    """Etbta-trace trouble-1: lookups whose answer was lost waited there until their deadline."""
+
+    async def never(self, arrival: Arrival, writer: asyncio.StreamWriter) -> bool:
+        await asyncio.sleep(30)
+        return True
+
+    def timed(self, tmp_path: Path, target: str) -> tuple[Reply, float, int]:
+        """Returns what a caller got, after which time, and how many requests arrived."""
+        found: list[tuple[Reply, float, int]] = []
+
+        async def scenario() -> None:
+            scripts = {"shop/a": self.never, "shop/b": answers(b"found")}
+            async with Deployment(tmp_path, scripts, timeout_ms=1000) as deployed:
+                deployed.fleet.blame("b")  # So that the other one is asked first.
+                began_s = asyncio.get_running_loop().time()
+                reply = await deployed.send(target, Deadline_Ms="1000")
+                took_s = asyncio.get_running_loop().time() - began_s
+                arrived = sum(len(r.arrivals) for r in deployed.replicas.values())
+                found.append((reply, took_s, arrived))
+
+        run(scenario)
+        return found[0]
+
+    def test_a_lookup_is_asked_elsewhere_in_time(self, tmp_path: Path) -> None:
+        reply, took_s, arrived = self.timed(tmp_path, LOOKUP)
+        assert (reply.status, reply.body, arrived) == (200, b"found", 2)
+        assert took_s < 0.8
+
+    def test_an_order_is_not(self, tmp_path: Path) -> None:
+        reply, _, arrived = self.timed(tmp_path, ORDER)
+        assert (reply.status, arrived) == (504, 1)
+
+
 class TestTimes:
     def test_a_route_ends_what_lasts_longer(self, tmp_path: Path) -> None:
         async def script(arrival: Arrival, writer: asyncio.StreamWriter) -> bool:
