--- a/tests/failures/test_takeovers.py
+++ b/tests/failures/test_takeovers.py
@@ -33,6 +33,8 @@
 
 @given("a program at the third entry")
 def _program(deployment: Any, world: Any) -> None:
+    # An entry that owns no partition yet opens its programs at another one.
+    wait_until(lambda: any(r.owner.host == "entry-3" for r in deployment.records()), 30.0)
     world.program = deployment.open("entry-3", "shop")
     world.owner = deployment.owner_of(world.program)
     assert world.owner == "entry-3"
