--- a/packages/endiveworks-daemon/src/endiveworks_daemon/disks/host.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/disks/host.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable
 from pathlib import Path
 
 import msgspec
@@ -26,6 +26,8 @@
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
+from ..rpc import Handler
+
 _DEPLOYMENT = "turns"
 _PARTITION = 0  # The journal keeps many logs; a disk of turns is one.
 # Takes a sixth of a second on the link between regions.
@@ -155,9 +157,6 @@
     return asyncio.wrap_future(fut)
 
 
-Handler = Callable[[bytes], Awaitable[bytes]]
-
-
 def handlers(host: DiskHost) -> dict[str, Handler]:
     """Returns the functions that answer messages, by name."""
     return {
