Send a turn ahead of its reservation only where the program's spending is known and leaves room for sub-agents

Cause: a program that came to another process, or ran three sub-agents at several ones, was sent ahead although its budget was spent; such a turn had run and got 502 instead of 402. Change: no ledger and a previous turn means to wait for the reservation, which is now written while the chain is read; there must be room for four turns instead of two.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/stream.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/stream.py
@@ -66,15 +66,16 @@
     reservation = _reservation(ex)
     if (reservation or ex.route.keeps_turns) and not context.turns.is_reachable():
         raise UnservedError(STATUS_UNAVAILABLE, "too few disks can be reached", DISKS_AWAY_S)
-    body = await _prompt(context, ex)
+    stream = _Stream(ex)
     if reservation is None:
-        stream = _Stream(ex)
+        body = await _prompt(context, ex)
         return await _run(context, ex, responder, body, stream, None)
-    stream = _Stream(ex)
+    ahead = _may_go_ahead(context, ex, reservation)
     reserving = asyncio.ensure_future(_reserve(context, ex, reservation))
     committed = False
     try:
-        if not _may_overlap(context, ex, reservation):
+        body = await _prompt(context, ex)
+        if not ahead:
             await _check(reserving, ex)
         status = await _run(context, ex, responder, body, stream, reserving)
         committed = ex.route.keeps_turns and status == STATUS_OK
@@ -122,15 +123,14 @@
     return await context.turns.reserve(reservation, _budget(ex), ex.left_s())
 
 
-def _may_overlap(context: Context, ex: Exchange, reservation: Reservation) -> bool:
+def _may_go_ahead(context: Context, ex: Exchange, reservation: Reservation) -> bool:
     """Tells whether the turn may be sent before its reservation is on disk.
 
     A turn that was sent can't be refused for its budget any more, so this is only for programs
     whose last ledger leaves ample room; no event leaves before the reservation is on disk.
     """
-    if not context.turns.is_reachable():
-        return False
-    return context.turns.has_room(reservation.program, reservation.tokens, _budget(ex))
+    is_new = not ex.request.previous_turn
+    return context.turns.has_room(reservation.program, reservation.tokens, _budget(ex), is_new)
 
 
 async def _check(reserving: Reserving, ex: Exchange) -> None:
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/turn_store.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/turn_store.py
@@ -22,6 +22,9 @@
 SETTLE_TRIES = 5
 SETTLE_PAUSE_S = 0.5
 COMMIT_PAUSE_S = 0.1
+# Turns for which there must be room before one is sent ahead of its reservation: itself, and
+# sub-agents that other processes may be sending at the same time.
+SPARE_TURNS = 4
 KNOWN_TURNS = 64  # Ids sent with a question for a chain, so that the answer leaves them out.
 
 
@@ -51,9 +54,18 @@
         """Looks for disks that did not answer, again and again."""
         await self._quorum.probe_forever()
 
-    def has_room(self, program: str, tokens: int, budget: int) -> bool:
-        """Tells whether the last ledger seen leaves room for two turns of a size."""
-        return spent(self._ledgers.get(program, {})) + 2 * tokens <= budget
+    def has_room(self, program: str, tokens: int, budget: int, is_new: bool) -> bool:
+        """Tells whether the last ledger seen leaves room for several turns of a size.
+
+        Args:
+            program: The program.
+            tokens: The most that a turn may generate.
+            budget: What all its turns may generate.
+            is_new: Whether the program has probably spent nothing yet, so that it needs no ledger.
+        """
+        if program not in self._ledgers and not is_new:
+            return False
+        return spent(self._ledgers.get(program, {})) + SPARE_TURNS * tokens <= budget
 
     async def reserve(
         self, reservation: Reservation, budget: int, timeout_s: float
