Add a fault soak of real processes, with a proxy and signals from outside

Callers and replicas check what they see. Hosts may advertise another address than they bind, so that a forwarder can stand between them.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/disks/run.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/disks/run.py
@@ -52,7 +52,7 @@
     presence = Presence(kv, LEASE_S, stop.set, random.Random())
     member = Member(
         settings.host,
-        settings.peer_address,
+        settings.advertised_address,
         DISK_ROLE,
         "",
         settings.region,
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/site.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/site.py
@@ -20,6 +20,7 @@
         callers_address: Where callers connect, as "ip:port"; empty when it serves none.
         readiness_address: Where the platform asks for readiness; empty when it doesn't.
         peer_address: Where other hosts of the deployment connect.
+        advertised_address: The address that they are told, where it leads there another way.
         metrics_address: Where operators read metrics.
         data_dir: Folder on the host's disk; None without one.
         tolerance: Disks that may be lost at once.
@@ -32,6 +33,7 @@
     callers_address: str
     readiness_address: str
     peer_address: str
+    advertised_address: str
     metrics_address: str
     data_dir: Path | None
     tolerance: int
--- a/packages/endiveworks-standins/src/endiveworks_standins/site_replica.py
+++ b/packages/endiveworks-standins/src/endiveworks_standins/site_replica.py
@@ -63,8 +63,8 @@
                 self.arrivals.append(arrival)
                 if not await self._play(arrival, reader, writer):
                     break
-        except OSError:
-            pass  # The caller has reset the connection, which tests do on purpose.
+        except (OSError, asyncio.CancelledError):
+            pass  # The caller has reset the connection, or the test has ended.
         finally:
             writer.close()
 
--- /dev/null
+++ b/tests/soak/load.py
@@ -0,0 +1,161 @@
+"""Callers of a soak: programs with turns, orders, lookups and resumable streams."""
+
+import asyncio
+import random
+import secrets
+from collections.abc import Awaitable, Callable
+
+from endiveworks_standins.site_caller import Reply, read_reply, write_request
+
+from .record import TOKENS_PER_EVENT, KeptTurn
+from .replicas import EVENTS, piece
+from .site import Site
+
+CALLERS = 8
+DEADLINE_S = 3.0
+CONNECT_TIMEOUT_S = 1.0
+# A caller hears of its deadline a little after the process that serves it does.
+ANSWER_MARGIN_S = 1.0
+MAX_TURN_TOKENS = EVENTS * TOKENS_PER_EVENT
+BUDGET_TURNS = (3, 8)
+PAUSE_S = 0.05
+KEEP_OPEN_SHARE = 0.5
+LEAVE_SHARE = 0.05
+
+Conn = tuple[asyncio.StreamReader, asyncio.StreamWriter]
+
+
+class Load:
+    """Callers that go on until told to stop."""
+
+    def __init__(self, site: Site, seed: int) -> None:
+        self._site = site
+        self._rng = random.Random(seed)
+        self._open: dict[str, list[Conn]] = {}
+        self._stopping = False
+
+    async def run(self) -> None:
+        """Calls until stop is called."""
+        await asyncio.gather(*(self._call_on() for _ in range(CALLERS)))
+
+    def stop(self) -> None:
+        """Ends the callers once they have their answers."""
+        self._stopping = True
+
+    async def _call_on(self) -> None:
+        kinds: list[Callable[[], Awaitable[None]]] = [
+            self._program,
+            self._program,
+            self._order,
+            self._lookup,
+            self._draft,
+        ]
+        while not self._stopping:
+            await self._rng.choice(kinds)()
+            await asyncio.sleep(self._rng.uniform(0.0, 2 * PAUSE_S))
+
+    async def _program(self) -> None:
+        record = self._site.record
+        program = secrets.token_hex(6)
+        budget = self._rng.randint(*BUDGET_TURNS) * MAX_TURN_TOKENS
+        record.budgets[program] = (budget, MAX_TURN_TOKENS)
+        last: KeptTurn | None = None
+        if record.kept and self._rng.random() < 0.3:
+            last = self._rng.choice(record.kept[-50:])
+        for _ in range(BUDGET_TURNS[1]):
+            if self._stopping:
+                return
+            # Sub-agents continue from the same turn side by side.
+            width = self._rng.choice((1, 1, 3))
+            turns = await asyncio.gather(*(self.turn(program, budget, last) for _ in range(width)))
+            if not any(turns):
+                return
+            last = next(turn for turn in turns if turn is not None)
+
+    async def turn(self, program: str, budget: int, last: KeptTurn | None) -> KeptTurn | None:
+        """Makes a turn and returns it if its answer was whole."""
+        record = self._site.record
+        name, text = secrets.token_hex(8), secrets.token_hex(20).encode()
+        named = {"Request_Id": name, "Program_Id": program, "Session_Id": program}
+        named |= {"Token_Budget": str(budget), "Token_Usage": f"40,{MAX_TURN_TOKENS}"}
+        if last is not None:
+            named["Previous_Turn"] = last.turn
+        record.prompts[name] = (last.history if last else b"") + text
+        reply = await self._send("/turns/x", text, named)
+        output = self._events(name, reply)
+        record.handed[program] += len(output) * TOKENS_PER_EVENT
+        if reply.status in (404, 410):
+            record.problems.append(f"turn {name} was told that its previous turn does not exist")
+        if reply.status != 200 or not reply.whole:
+            return None
+        history = record.prompts[name] + b"".join(data + b"\n" for data in output)
+        kept = KeptTurn(name, history)
+        record.kept.append(kept)
+        return kept
+
+    async def _order(self) -> None:
+        await self._plain("/orders/x")
+
+    async def _lookup(self) -> None:
+        await self._plain("/lookups/x")
+
+    async def _plain(self, target: str) -> None:
+        name, text = secrets.token_hex(8), secrets.token_hex(10).encode()
+        self._site.record.prompts[name] = text
+        reply = await self._send(target, text, {"Request_Id": name})
+        if reply.status == 200 and reply.whole and name.encode() not in reply.body:
+            self._site.record.problems.append(f"request {name} got the answer {reply.body!r}")
+
+    async def _draft(self) -> None:
+        name, text = secrets.token_hex(8), secrets.token_hex(10).encode()
+        self._site.record.prompts[name] = text
+        self._events(name, await self._send("/drafts/x", text, {"Request_Id": name}))
+
+    def _events(self, name: str, reply: Reply) -> list[bytes]:
+        """Returns the data of a reply's events, and checks that none is missing or repeated."""
+        if reply.status != 200:
+            return []
+        *blocks, rest = reply.body.split(b"\n\n")
+        found = [block.partition(b"data: ")[2] for block in blocks]
+        expected = [piece(name, number).encode() for number in range(1, EVENTS + 1)]
+        if found != expected[: len(found)] or (reply.whole and (found != expected or rest)):
+            self._site.record.problems.append(f"stream {name} has the events {found}")
+        return found
+
+    async def _send(self, target: str, body: bytes, named: dict[str, str]) -> Reply:
+        entry = self._rng.choice(self._site.entries)
+        named |= {"Deadline_Ms": str(int(DEADLINE_S * 1000))}
+        patience_s = DEADLINE_S + ANSWER_MARGIN_S
+        if self._rng.random() < LEAVE_SHARE:
+            patience_s = self._rng.uniform(0.0, 0.1)
+        reply, conn = Reply(0, {}, b"", False), None
+        try:
+            conn = await self._connect(entry.front)
+            write_request(conn[1], target, body, named)
+            async with asyncio.timeout(patience_s):
+                reply = await read_reply(conn[0])
+        except (OSError, TimeoutError):
+            pass  # Counted below as a broken connection.
+        if conn is not None:
+            self._put_back(entry.front, conn, reply)
+        self._site.record.answered(named["Request_Id"], reply.status)
+        return reply
+
+    def _put_back(self, address: str, conn: Conn, reply: Reply) -> None:
+        """Keeps a connection for a later request at times, also while its process is leaving."""
+        keep = reply.whole and reply.headers.get("connection", "").lower() != "close"
+        if keep and self._rng.random() < KEEP_OPEN_SHARE:
+            self._open.setdefault(address, []).append(conn)
+        else:
+            conn[1].transport.abort()
+
+    async def _connect(self, address: str) -> Conn:
+        idle = self._open.get(address, [])
+        while idle:
+            conn = idle.pop()
+            if not conn[0].at_eof():
+                return conn
+            conn[1].close()
+        ip, _, port = address.rpartition(":")
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            return await asyncio.open_connection(ip, int(port))
