Reach disks over another entry while the direct way is cut; gather changes for half a second

Entries now register with a lease of 10 s and pass messages to disks on for one another; a disk that is late is asked over another entry after all disks were asked directly.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/disks/run.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/disks/run.py
@@ -4,20 +4,19 @@
 import random
 
 from endiveworks.gateway.picture import Picture
-from endiveworks.members.member import Member
 from endiveworks.telemetry import logs
 from endiveworks.telemetry.metrics import Metrics
 from returns.result import Success
 
 from .. import rpc
 from ..feed import Feed
-from ..identity import new_incarnation
 from ..metrics_page import serve_metrics
 from ..presence import Presence
-from ..site import Site, SiteSettings
+from ..site import Site, SiteSettings, own_member
 from .agreement import DISK_ROLE, Agreement
 from .host import handlers, open_host
 
+GATHER_S = 0.2  # Several changes of the view follow one another when a host is replaced.
 LEASE_S = 2.0  # A replacement of a lost host has to hold everything a few seconds later.
 
 
@@ -50,19 +49,8 @@
     server = await rpc.serve(settings.peer_address, handlers(host))
     await serve_metrics(settings.metrics_address, Metrics("", settings.host))
     presence = Presence(kv, LEASE_S, stop.set, random.Random())
-    member = Member(
-        settings.host,
-        settings.advertised_address,
-        DISK_ROLE,
-        "",
-        settings.region,
-        settings.failure_domain,
-        new_incarnation(),
-        has_disk=True,
-        folder=host.folder,
-    )
-    Feed(kv, "", site.read_picture, take).start()
-    await asyncio.to_thread(presence.announce, member)
+    Feed(kv, "", site.read_picture, take, GATHER_S).start()
+    await asyncio.to_thread(presence.announce, own_member(settings, DISK_ROLE, host.folder))
     tasks = [
         asyncio.create_task(work)
         for work in (agreement.run(), host.expire_forever(), stop.wait(), host.failed.wait())
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/feed.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/feed.py
@@ -15,7 +15,6 @@
 
 # A store that is back is found again within about this time; each try costs a call.
 MAX_BACKOFF_S = 1.0
-GATHER_S = 0.2  # Changes that come within this time are read by one call; a tenth of the bounds.
 
 ReadPicture = Callable[[Mapping[str, Entry], int], Picture]
 
@@ -28,15 +27,22 @@
         prefix: Prefix of all keys that are followed.
         read_picture: Makes a picture of the entries, as of a revision.
         take: Takes each new picture in the event loop.
+        gather_s: Time in which changes are gathered, so that one call reads several.
     """
 
     def __init__(
-        self, kv: Kv, prefix: str, read_picture: ReadPicture, take: Callable[[Picture], None]
+        self,
+        kv: Kv,
+        prefix: str,
+        read_picture: ReadPicture,
+        take: Callable[[Picture], None],
+        gather_s: float,
     ) -> None:
         self._kv = kv
         self._prefix = prefix
         self._read_picture = read_picture
         self._take = take
+        self._gather_s = gather_s
         self._entries: dict[str, Entry] = {}
         self._revision = 0
         self._loop = asyncio.get_running_loop()
@@ -82,7 +88,7 @@
         if changes:
             self._show()
             # Each watch costs a call, and changes often come in quick succession.
-            time.sleep(GATHER_S)
+            time.sleep(self._gather_s)
         return True
 
     def _show(self) -> None:
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/quorum.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/quorum.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Coroutine
 from typing import Any, Generic, NamedTuple, Protocol, TypeVar
 
 from endiveworks.errors import Code, Failure
@@ -13,7 +13,7 @@
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
-from ..rpc import RpcClient
+from .disk_links import DiskLinks
 
 RPC_TIMEOUT_S = 0.7  # Several times the way between regions and a sync.
 PROBE_PERIOD_S = 0.25
@@ -38,6 +38,9 @@
 
 _R = TypeVar("_R", bound=Reply)
 
+# Sends a message to a disk: disk, method, message, type of the answer, timeout in seconds.
+Call = Callable[..., Coroutine[Any, Any, Result[Any, Failure]]]
+
 
 class Question(NamedTuple, Generic[_R]):
     """What is asked of the disks.
@@ -57,13 +60,20 @@
     suffices: Callable[[_R], bool] = lambda _: False
 
 
+class Way(NamedTuple):
+    """A disk and how to send it a message."""
+
+    disk: Disk
+    call: Call
+
+
 class Quorum:
     """The disks in use as one process sees them."""
 
     def __init__(self, here: Place) -> None:
         self._here = here
         self.view: View | None = None
-        self._clients: dict[str, RpcClient] = {}
+        self.links = DiskLinks()
         self._suspects: dict[str, float] = {}
         self._unreachable: set[str] = set()
         self._late: set[asyncio.Task[Any]] = set()
@@ -77,10 +87,8 @@
         logs.logger("turns").info(
             "view_adopted", epoch=view.epoch, copies=[disk.host for disk in in_use]
         )
-        addresses = {disk.address for disk in in_use}
-        for address in [known for known in self._clients if known not in addresses]:
-            self._clients.pop(address).close()
-            self._unreachable.discard(address)
+        self.links.keep(in_use)
+        self._unreachable &= {disk.address for disk in in_use}
 
     def is_reachable(self) -> bool:
         """Tells whether enough disks to write and read have answered when last asked."""
@@ -90,19 +98,27 @@
         folders = [d.folder for d in disks(view) if d.address not in self._unreachable]
         return is_written(view, folders) and is_read(view, folders)
 
+    def is_in_use(self, address: str) -> bool:
+        """Tells whether a disk in use has an address."""
+        return self.view is not None and any(d.address == address for d in disks(self.view))
+
     async def probe_forever(self) -> None:
         """Asks disks that did not answer again and again, so that no request has to find out."""
         while True:
             await asyncio.sleep(PROBE_PERIOD_S)
             view = self.view
-            lost = [d for d in disks(view) if d.address in self._unreachable] if view else []
-            if view is not None and lost:
-                await asyncio.gather(*(self._probe(view, disk) for disk in lost))
+            if view is None:
+                continue
+            lost = [d for d in disks(view) if d.address in self._unreachable]
+            cut = [d for d in disks(view) if self.links.is_relayed(d)]
+            await asyncio.gather(
+                *(self._probe(view, disk, self.links.call_direct) for disk in (*lost, *cut)),
+                *(self._probe(view, disk, self.links.call_over) for disk in lost),
+            )
 
-    async def _probe(self, view: View, disk: Disk) -> None:
-        client = self._clients.setdefault(disk.address, RpcClient(disk.address))
+    async def _probe(self, view: View, disk: Disk, call: Call) -> None:
         message = messages.Fetch(view.epoch, "", [])
-        found = await client.call(messages.FETCH, message, messages.Fetched, RPC_TIMEOUT_S)
+        found = await call(disk, messages.FETCH, message, messages.Fetched, RPC_TIMEOUT_S)
         if isinstance(found, Success):
             self.adopt(found.unwrap().newer)
             if found.unwrap().folder == disk.folder:
@@ -123,13 +139,13 @@
         self, view: View, question: Question[_R], deadline_s: float
     ) -> Result[list[_R], Failure] | View:
         answers: dict[str, _R] = {}
-        waiting = self._ranked(view)
+        ways = self._ways(view)
         asked: dict[asyncio.Task[Result[_R, Failure]], Disk] = {}
         while not question.enough(view, answers):
             hoped = {*answers, *(disk.folder for disk in asked.values())}
-            while waiting and not question.enough(view, hoped):
-                hoped.add(waiting[0].folder)
-                self._send(asked, waiting.pop(0), view, question, deadline_s)
+            while ways and not question.enough(view, hoped):
+                hoped.add(ways[0].disk.folder)
+                self._send(asked, ways.pop(0), view, question, deadline_s)
             left_s = deadline_s - time.monotonic()
             if not asked or left_s <= 0:
                 break
@@ -140,8 +156,8 @@
             )
             if not done:
                 self._suspect(asked.values(), "no answer in the usual time")
-                if waiting:
-                    self._send(asked, waiting.pop(0), view, question, deadline_s)
+                if ways:
+                    self._send(asked, ways.pop(0), view, question, deadline_s)
             for task in done:
                 disk = asked.pop(task)
                 reply = self._take(disk, task.result())
@@ -152,6 +168,7 @@
                 if question.suffices(reply):
                     return Success([reply])
                 answers[disk.folder] = reply
+                ways = [way for way in ways if way.disk.folder not in answers]
         else:
             return Success(list(answers.values()))
         hosts = [disk.host for disk in disks(view) if disk.folder not in answers]
@@ -161,25 +178,26 @@
     def _send(
         self,
         asked: dict[asyncio.Task[Result[_R, Failure]], Disk],
-        disk: Disk,
+        way: Way,
         view: View,
         question: Question[_R],
         deadline_s: float,
     ) -> None:
-        client = self._clients.setdefault(disk.address, RpcClient(disk.address))
         timeout_s = min(RPC_TIMEOUT_S, max(0.0, deadline_s - time.monotonic()))
-        task = asyncio.create_task(
-            client.call(question.method, question.message(view), question.answer, timeout_s)
+        message = question.message(view)
+        task: asyncio.Task[Result[_R, Failure]] = asyncio.create_task(
+            way.call(way.disk, question.method, message, question.answer, timeout_s)
         )
         # An answer that is no longer needed still has to arrive, so the task is kept.
         self._late.add(task)
         task.add_done_callback(self._late.discard)
-        asked[task] = disk
+        asked[task] = way.disk
 
     def _take(self, disk: Disk, result: Result[_R, Failure]) -> _R | None:
         if not isinstance(result, Success):
             self._suspect([disk], str(result.failure()))
-            self._unreachable.add(disk.address)
+            if not self.links.is_relayed(disk):
+                self._unreachable.add(disk.address)
             return None
         reply = result.unwrap()
         if reply.newer is None and reply.folder != disk.folder:
@@ -194,6 +212,14 @@
         if self._suspects.pop(disk.address, None) is not None:
             logs.logger("turns").info("disk_regained", peer=disk.host)
 
+    def _ways(self, view: View) -> list[Way]:
+        """Returns each disk in the order to ask, and then again by way of another process."""
+        ranked = self._ranked(view)
+        ways = [Way(disk, self.links.call) for disk in ranked]
+        if self.links.has_relays():
+            ways += [Way(disk, self.links.call_over) for disk in ranked]
+        return ways
+
     def _ranked(self, view: View) -> list[Disk]:
         now_s = time.monotonic()
 
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/run.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/run.py
@@ -1,6 +1,7 @@
 """The process that serves callers."""
 
 import asyncio
+import random
 import time
 from collections.abc import Callable
 
@@ -11,15 +12,17 @@
 from endiveworks.telemetry import logs
 from endiveworks.telemetry.metrics import Metrics
 
+from .. import rpc
 from ..feed import Feed
 from ..metrics_page import serve_metrics
-from ..site import Site, SiteSettings
+from ..presence import Presence
+from ..site import Site, SiteSettings, own_member
 from .app import Gateway
 from .callers import CallerConnection, Handle, Received, Responder
 from .exchange import Context
 from .fleet import Fleet
 from .sockets import ACCEPT_QUEUE
-from .turn_store import TurnStore
+from .turn_store import ENTRY_ROLE, TurnStore
 from .upstreams import ConnectionPool
 
 SWEEP_PERIOD_S = 0.5
@@ -28,6 +31,9 @@
 # Part of the time for a stop that is left for the last settlements and logs.
 STOP_MARGIN_S = 1.0
 SETTLE_S = 0.5
+GATHER_S = 0.5  # A fifth of the time in which a configuration has to be in force.
+# Others pass messages to disks on over this process; its renewals cost calls to the store.
+LEASE_S = 10.0
 
 
 class Callers:
@@ -49,25 +55,36 @@
     def take(picture: Picture) -> None:
         pictures[:] = [picture]
         gateway.take(picture)
+        turns.follow(picture.members.values(), settings.host)
 
-    Feed(site.connect_kv(), "", site.read_picture, take).start()
+    kv = site.connect_kv()
+    Feed(kv, "", site.read_picture, take, GATHER_S).start()
     callers = Callers()
     front = await listen(settings.callers_address, gateway.handle, gateway.limits, callers)
     probes = Callers()
     readiness = _readiness(site.dialect, gateway, callers)
     await listen(settings.readiness_address, readiness, gateway.limits, probes)
     await serve_metrics(settings.metrics_address, metrics)
+    peers = await rpc.serve(settings.peer_address, turns.handlers())
+    presence = Presence(kv, LEASE_S, stop.set, random.Random())
+    announcing = asyncio.create_task(
+        asyncio.to_thread(presence.announce, own_member(settings, ENTRY_ROLE))
+    )
     sweeping = asyncio.create_task(_sweep(gateway, fleet, pool, pictures))
     probing = asyncio.create_task(turns.probe_forever())
     await stop.wait()
     sweeping.cancel()
     probing.cancel()
+    announcing.cancel()
+    forgetting = asyncio.create_task(asyncio.to_thread(presence.forget))
     await _leave(settings, gateway, callers, front)
     try:
         async with asyncio.timeout(SETTLE_S):
             await turns.settled()
     except TimeoutError:
         logs.logger("turns").warning("settlements_left")
+    forgetting.cancel()
+    peers.close()
 
 
 async def listen(
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/turn_store.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/turn_store.py
@@ -3,10 +3,12 @@
 import asyncio
 import time
 from collections import OrderedDict
-from collections.abc import Collection, Sequence
+from collections.abc import Collection, Iterable, Sequence
 
+import xxhash
 from endiveworks.errors import Code, Failure
 from endiveworks.gateway.placement import Place
+from endiveworks.members.member import Member
 from endiveworks.telemetry import logs
 from endiveworks.turns import messages
 from endiveworks.turns.ledger import Ledger, Spending, fits, merge, spent
@@ -15,6 +17,8 @@
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
+from ..rpc import Handler
+from .disk_links import RELAY
 from .quorum import RPC_TIMEOUT_S, Question, Quorum
 
 CACHE_BYTES = 24 * 1024 * 1024
@@ -25,6 +29,7 @@
 # Turns for which there must be room before one is sent ahead of its reservation: itself, and
 # sub-agents that other processes may be sending at the same time.
 SPARE_TURNS = 4
+ENTRY_ROLE = "entry"
 KNOWN_TURNS = 64  # Ids sent with a question for a chain, so that the answer leaves them out.
 
 
@@ -36,6 +41,7 @@
     """
 
     def __init__(self, here: Place) -> None:
+        self._here = here
         self._quorum = Quorum(here)
         self._turns: OrderedDict[str, Turn] = OrderedDict()
         self._turn_bytes = 0
@@ -46,6 +52,20 @@
         """Takes a view unless a newer one is known."""
         self._quorum.adopt(view)
 
+    def follow(self, members: Iterable[Member], host: str) -> None:
+        """Takes the processes of the deployment, over which disks can be reached from this host."""
+        others = [m for m in members if m.role == ENTRY_ROLE and m.host != host]
+        others.sort(key=lambda m: (m.region != self._here.region, m.host))
+        # Spreads the load of processes that are cut off at once.
+        near = [m for m in others if m.region == self._here.region]
+        start = xxhash.xxh32_intdigest(host.encode()) % max(1, len(near))
+        ordered = [*near[start:], *near[:start], *others[len(near) :]]
+        self._quorum.links.set_relays([m.address for m in ordered])
+
+    def handlers(self) -> dict[str, Handler]:
+        """Returns the functions that answer messages of other processes."""
+        return {RELAY: self._quorum.links.handler(self._quorum.is_in_use)}
+
     def is_reachable(self) -> bool:
         """Tells whether enough disks have answered when last asked."""
         return self._quorum.is_reachable()
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/rpc.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/rpc.py
@@ -41,16 +41,25 @@
         self, method: str, message: object, answer: type[_T], timeout_s: float
     ) -> Result[_T, Failure]:
         """Sends a message and returns the answer, or why there is none."""
+        sent = await self.forward(method, msgspec.msgpack.encode(message), timeout_s)
+        if not isinstance(sent, Success):
+            return Err(sent.failure())
+        try:
+            return Success(msgspec.msgpack.decode(sent.unwrap(), type=answer))
+        except msgspec.DecodeError as exc:
+            return Err(Failure(Code.CORRUPT, method, self.address, str(exc)))
+
+    async def forward(
+        self, method: str, message: bytes, timeout_s: float
+    ) -> Result[bytes, Failure]:
+        """Sends an encoded message and returns the encoded answer, or why there is none."""
         try:
             async with asyncio.timeout(timeout_s):
-                data = await self._exchange(method, msgspec.msgpack.encode(message))
-            return Success(msgspec.msgpack.decode(data, type=answer))
+                return Success(await self._exchange(method, message))
         except TimeoutError:
             return Err(Failure(Code.TIMEOUT, method, self.address, "no answer in time"))
         except (OSError, EOFError) as exc:
             return Err(Failure(Code.UNREACHABLE, method, self.address, type(exc).__name__))
-        except msgspec.DecodeError as exc:
-            return Err(Failure(Code.CORRUPT, method, self.address, str(exc)))
 
     def close(self) -> None:
         """Ends the connection; calls under way fail."""
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/site.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/site.py
@@ -6,8 +6,10 @@
 
 from endiveworks.gateway.messages import Dialect
 from endiveworks.kvservice.kv import Kv
+from endiveworks.members.member import Member
 
 from .feed import ReadPicture
+from .identity import new_incarnation
 
 
 class SiteSettings(NamedTuple):
@@ -58,3 +60,24 @@
     connect_kv: Callable[[], Kv]
     read_picture: ReadPicture
     report_emptied: Callable[[Kv, str], bool]
+
+
+def own_member(settings: SiteSettings, role: str, folder: str = "") -> Member:
+    """Returns what a process that has just started tells the others of itself.
+
+    Args:
+        settings: Its settings.
+        role: Its role.
+        folder: Id of its data folder; empty without a disk.
+    """
+    return Member(
+        settings.host,
+        settings.advertised_address,
+        role,
+        "",
+        settings.region,
+        settings.failure_domain,
+        new_incarnation(),
+        has_disk=bool(folder),
+        folder=folder,
+    )
--- a/tests/deployed/harness.py
+++ b/tests/deployed/harness.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 from typing import Any
 
+from endiveworks.errors import Code, Failure
 from endiveworks.gateway.messages import Replica
 from endiveworks.gateway.picture import Picture
 from endiveworks.gateway.placement import Place
@@ -33,6 +34,8 @@
     stream_head,
 )
 from endiveworks_standins.site_replica import reset as reset_connection
+from returns.result import Failure as Err
+from returns.result import Result
 
 PLACE = Place("edin", "east")
 TURN = "/turns/x"
@@ -122,6 +125,20 @@
         table = routing_table(version, self.route_changes)
         self.gateway.take(Picture(version, table, listed, {}, view, 1, frozenset()))
 
+    def cut_disks(self) -> None:
+        """Lets the gateway's own messages to disks go unanswered."""
+        links = self.turns._quorum.links
+
+        async def silent(disk: Disk, method: str, *args: Any) -> Result[Any, Failure]:
+            await asyncio.sleep(args[-1])
+            return Err(Failure(Code.TIMEOUT, method, disk.host, "cut off"))
+
+        links.call_direct = silent  # type: ignore[method-assign]
+
+    def heal_disks(self) -> None:
+        """Ends the cut."""
+        del self.turns._quorum.links.call_direct
+
     async def send(self, target: str, body: bytes = b"", **named: str) -> Reply:
         """Sends a request on a connection of its own and returns the answer."""
         reader, writer = await self.open()
--- a/tests/deployed/test_streams.py
+++ b/tests/deployed/test_streams.py
@@ -5,13 +5,18 @@
 from pathlib import Path
 from typing import Any
 
+from endiveworks.members.member import Member
 from endiveworks.turns.records import Reservation
 from endiveworks.turns.view import View
+from endiveworks_daemon import rpc
 from endiveworks_daemon.disks.catch_up import catch_up
+from endiveworks_daemon.gateway.disk_links import RELAY, Relay, Relayed
+from endiveworks_daemon.gateway.turn_store import TurnStore
 from endiveworks_standins.site_replica import Arrival, chunk, event, stream_head
 
 from tests.deployed.harness import (
     DRAFT,
+    PLACE,
     TURN,
     Deployment,
     RunningDisk,
@@ -363,3 +368,59 @@
                 writer.close()
 
         run(scenario)
+
+
+class TestCutOffFromDisks:
+    """A process that reaches no disk, beside one that reaches all."""
+
+    @staticmethod
+    async def relay(deployed: Deployment) -> rpc.RpcServer:
+        """Starts the part of another process that passes messages on, and shows its entry."""
+        other = TurnStore(PLACE)
+        other.adopt(deployed.view)
+        server = await rpc.serve("127.0.0.1:0", other.handlers())
+        member = Member("entry-2", server.address, "entry", "", "east", "edin", 1)
+        deployed.turns.follow([member], "entry-1")
+        return server
+
+    def test_turns_go_over_another_process(self, tmp_path: Path) -> None:
+        async def scenario() -> None:
+            async with Deployment(tmp_path, {"llm/a": streams("x")}) as deployed:
+                server = await self.relay(deployed)
+                deployed.cut_disks()
+                first = await deployed.send(TURN, b"one", **turn("t1", **PROGRAM))
+                assert (first.status, first.whole) == (200, True)
+                again = await deployed.send(TURN, b"two", **turn("t2", "t1", **PROGRAM))
+                assert (again.status, again.whole) == (200, True)
+                assert deployed.turns.is_reachable()
+                server.close()
+
+        run(scenario)
+
+    def test_the_direct_way_is_taken_again(self, tmp_path: Path) -> None:
+        async def scenario() -> None:
+            async with Deployment(tmp_path, {"llm/a": streams("x")}) as deployed:
+                server = await self.relay(deployed)
+                probing = asyncio.create_task(deployed.turns.probe_forever())
+                deployed.cut_disks()
+                await deployed.send(TURN, b"one", **turn("t1"))
+                deployed.heal_disks()
+                await asyncio.sleep(1.0)
+                server.close()
+                reply = await deployed.send(TURN, b"two", **turn("t2", "t1"))
+                assert (reply.status, reply.whole) == (200, True)
+                probing.cancel()
+
+        run(scenario)
+
+    def test_only_disks_in_use_are_called_for_others(self, tmp_path: Path) -> None:
+        async def scenario() -> None:
+            async with Deployment(tmp_path, {"llm/a": streams("x")}) as deployed:
+                server = await self.relay(deployed)
+                client = rpc.RpcClient(server.address)
+                ask = Relay("127.0.0.1:9", "turns.fetch", b"", 1.0)
+                reply = (await client.call(RELAY, ask, Relayed, 1.0)).unwrap()
+                assert (reply.answer, "no disk" in reply.detail) == (None, True)
+                server.close()
+
+        run(scenario)
