Pass over interim answers of a replica

Cause: an answer 1xx before the final one was taken for the end of the connection, so a request that ran got 502 (seen by reading; test_an_interim_answer_is_not_the_answer failed with 502 before).

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/upstreams.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/upstreams.py
@@ -158,9 +158,12 @@
 
     async def _event(self) -> object:
         try:
-            while (event := self._conn.next_event()) is h11.NEED_DATA:
-                self._conn.receive_data(await self._reader.read(READ_BYTES))
-            return None if isinstance(event, h11.InformationalResponse) else event
+            while True:
+                event = self._conn.next_event()
+                if event is h11.NEED_DATA:
+                    self._conn.receive_data(await self._reader.read(READ_BYTES))
+                elif not isinstance(event, h11.InformationalResponse):
+                    return event
         except h11.RemoteProtocolError as exc:
             raise AnswerError(str(exc)) from exc
 
--- a/tests/deployed/test_plain.py
+++ b/tests/deployed/test_plain.py
@@ -88,6 +88,18 @@
 
         run(scenario)
 
+    def test_an_interim_answer_is_not_the_answer(self, tmp_path: Path) -> None:
+        async def script(arrival: Arrival, writer: asyncio.StreamWriter) -> bool:
+            writer.write(b"HTTP/1.1 100 Continue\r\n\r\n" + plain_answer(arrival, b"done"))
+            return True
+
+        async def scenario() -> None:
+            async with Deployment(tmp_path, {"shop/a": script}) as deployed:
+                reply = await deployed.send(ORDER, b"order")
+                assert (reply.status, reply.body) == (200, b"done")
+
+        run(scenario)
+
     def test_a_late_answer_to_another_request_is_dropped(self, tmp_path: Path) -> None:
         async def script(arrival: Arrival, writer: asyncio.StreamWriter) -> bool:
             stray = arrival._replace(headers={"request-id": "another"})
