Spread the first disks in use over regions, and ask over others only when a disk is silent

Each turn of the other region went over the 30 Mbit/s link three times; from 9 s on the link was full, late answers were asked again of further disks, and 989 turns were refused. Change: the first view waits 1.5 s for all disks and takes them evenly from regions and domains, so that one copy crosses the link; spares go by the region of the place. A late disk that was heard from within 0.25 s is not asked over another entry.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/disks/agreement.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/disks/agreement.py
@@ -21,7 +21,9 @@
 VIEW_KEY = "/endiveworks/turns/view"
 DISK_ROLE = "disk"
 PERIOD_S = 0.1
-# Time in which all hosts of a new deployment have registered.
+# Time in which the hosts of a new deployment have registered, those of far regions as well.
+FIRST_VIEW_SETTLE_S = 1.5
+# Time after which no more hosts are waited for.
 FIRST_VIEW_AFTER_S = 4.0
 # Spreads proposals of several hosts, of which one is enough.
 PROPOSAL_SPREAD_S = 0.3
@@ -92,8 +94,11 @@
     async def _step(self, picture: Picture) -> None:
         sightings = self._sightings(picture.members, picture.view)
         if picture.view is None:
-            complete = time.monotonic() - self._started_s > FIRST_VIEW_AFTER_S
-            proposed = first_view(self._tolerance, sightings, complete)
+            waited_s = time.monotonic() - self._started_s
+            proposed = None
+            if waited_s > FIRST_VIEW_SETTLE_S:
+                complete = waited_s > FIRST_VIEW_AFTER_S
+                proposed = first_view(self._tolerance, sightings, complete)
         else:
             await self._sync_if_due(picture.view)
             proposed = self._with_own_sync(picture.view) or next_view(
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/quorum.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/quorum.py
@@ -21,6 +21,7 @@
 # of the way, which is longer where one of them is in another region.
 HEDGE_NEAR_S = 0.06
 HEDGE_FAR_S = 0.12
+CUT_AFTER_S = 0.25  # Silence after which the way to a disk may be cut; twice the longest hedge.
 SUSPECT_S = 1.5  # Time for which a disk that was late or failed is asked last.
 
 
@@ -61,10 +62,11 @@
 
 
 class Way(NamedTuple):
-    """A disk and how to send it a message."""
+    """A disk and how to send it a message; is_over tells whether over another process."""
 
     disk: Disk
     call: Call
+    is_over: bool
 
 
 class Quorum:
@@ -76,6 +78,7 @@
         self.links = DiskLinks()
         self._suspects: dict[str, float] = {}
         self._unreachable: set[str] = set()
+        self._heard_s: dict[str, float] = {}
         self._late: set[asyncio.Task[Any]] = set()
 
     def adopt(self, view: View | None) -> None:
@@ -156,8 +159,10 @@
             )
             if not done:
                 self._suspect(asked.values(), "no answer in the usual time")
-                if ways:
-                    self._send(asked, ways.pop(0), view, question, deadline_s)
+                way = next((way for way in ways if self._is_worth_trying(way)), None)
+                if way is not None:
+                    ways.remove(way)
+                    self._send(asked, way, view, question, deadline_s)
             for task in done:
                 disk = asked.pop(task)
                 reply = self._take(disk, task.result())
@@ -204,6 +209,7 @@
             self._suspect([disk], "it has come back without its data")
             self._unreachable.add(disk.address)
             return None
+        self._heard_s[disk.address] = time.monotonic()
         self._regain(disk)
         return reply
 
@@ -215,11 +221,19 @@
     def _ways(self, view: View) -> list[Way]:
         """Returns each disk in the order to ask, and then again by way of another process."""
         ranked = self._ranked(view)
-        ways = [Way(disk, self.links.call) for disk in ranked]
+        ways = [Way(disk, self.links.call, False) for disk in ranked]
         if self.links.has_relays():
-            ways += [Way(disk, self.links.call_over) for disk in ranked]
+            ways += [Way(disk, self.links.call_over, True) for disk in ranked]
         return ways
 
+    def _is_worth_trying(self, way: Way) -> bool:
+        """Tells whether a question that is late may be repeated on a way.
+
+        A disk that is heard from is slow, or its link is full, and another way would not help.
+        """
+        heard_s = self._heard_s.get(way.disk.address, 0.0)
+        return not way.is_over or time.monotonic() - heard_s > CUT_AFTER_S
+
     def _ranked(self, view: View) -> list[Disk]:
         now_s = time.monotonic()
 
--- a/packages/endiveworks/src/endiveworks/turns/change.py
+++ b/packages/endiveworks/src/endiveworks/turns/change.py
@@ -1,6 +1,7 @@
 """The next change of the view: disks that are lost, leave or come; a pure function."""
 
-from collections.abc import Collection, Mapping, Sequence
+from collections import Counter
+from collections.abc import Callable, Collection, Mapping, Sequence
 from typing import NamedTuple
 
 from .view import Disk, View, full_size, is_cover, is_written, must_sync
@@ -55,7 +56,8 @@
     if view.incoming:
         return _end_change(view, sightings)
     lost = next((disk for disk in view.members if _is_lost(disk, sightings)), None)
-    spare = _spare(view, sightings, leaving)
+    emptied = next((disk for disk in view.members if disk.host in leaving), None)
+    spare = _spare(view, sightings, leaving, lost or emptied)
     if lost is not None:
         back = sightings[lost.host].disk if lost.host in sightings else None
         if spare is None and back is not None and back.folder != lost.folder:
@@ -65,7 +67,6 @@
     shrunk = _shrunk(view, sightings)
     if shrunk is not None:
         return shrunk
-    emptied = next((disk for disk in view.members if disk.host in leaving), None)
     if emptied is not None and (spare is not None or len(view.members) > 1):
         return _replace(view, emptied, spare)
     if spare is not None and len(view.members) < full_size(view.tolerance):
@@ -123,25 +124,46 @@
     return _is_lost(disk, sightings) or (seen is not None and seen.silent)
 
 
-def _spare(view: View, sightings: Mapping[str, Sighting], leaving: Collection[str]) -> Disk | None:
+def _spare(
+    view: View,
+    sightings: Mapping[str, Sighting],
+    leaving: Collection[str],
+    old: Disk | None,
+) -> Disk | None:
+    """Returns the disk that should take a place, where it makes regions and domains most even.
+
+    Args:
+        view: The view in force.
+        sightings: Hosts with disks by name.
+        leaving: Hosts whose disks are to be emptied.
+        old: The member whose place it is; None for a further place.
+    """
     members = {disk.host for disk in view.members}
     free = [
         seen.disk
         for name, seen in sorted(sightings.items())
         if name not in members and name not in leaving and seen.is_usable()
     ]
-    domains = [disk.failure_domain for disk in view.members]
-    return min(free, key=lambda disk: domains.count(disk.failure_domain), default=None)
+    staying = [disk for disk in view.members if disk != old]
+    return min(free, key=_crowding(staying), default=None)
 
 
 def _spread(found: Sequence[Disk]) -> list[Disk]:
-    """Orders disks so that each run of them spans as many failure domains as possible."""
-    by_domain: dict[str, list[Disk]] = {}
-    for disk in sorted(found):
-        by_domain.setdefault(disk.failure_domain, []).append(disk)
-    ranked = [
-        (place, domain, disk)
-        for domain, group in by_domain.items()
-        for place, disk in enumerate(group)
-    ]
-    return [disk for _, _, disk in sorted(ranked)]
+    """Orders disks so that each run of them spans regions evenly, and many failure domains.
+
+    Callers of a region with most of the disks wait for no other region, and those of the other
+    one send a record there once.
+    """
+    left = sorted(found)
+    ordered: list[Disk] = []
+    while left:
+        ordered.append(min(left, key=_crowding(ordered)))
+        left.remove(ordered[-1])
+    return ordered
+
+
+def _crowding(chosen: Sequence[Disk]) -> Callable[[Disk], tuple[int, int]]:
+    """Returns a function that counts the chosen disks in the region and the domain of another."""
+    regions = Counter(disk.region for disk in chosen)
+    domains = Counter(disk.failure_domain for disk in chosen)
+    return lambda disk: (regions[disk.region], domains[disk.failure_domain])
--- a/packages/endiveworks/src/endiveworks/turns/tests/test_change.py
+++ b/packages/endiveworks/src/endiveworks/turns/tests/test_change.py
@@ -21,8 +21,8 @@
 )
 
 
-def disk(host: str, folder: str = "", domain: str = "") -> Disk:
-    return Disk(host, folder or host, f"{host}:1", domain or host, "east")
+def disk(host: str, folder: str = "", domain: str = "", region: str = "east") -> Disk:
+    return Disk(host, folder or host, f"{host}:1", domain or host, region)
 
 
 A, B, C, D = (disk(name) for name in "abcd")
@@ -109,6 +109,15 @@
         found = first_view(1, seen(*near, disk("o", domain="y")), complete=False)
         assert {d.failure_domain for d in found.members} == {"x", "y"}
 
+    def test_it_spans_regions_so_that_each_holds_most_of_what_it_reads(self) -> None:
+        east = [disk(f"a{n}", domain=f"a{n % 3}") for n in range(5)]
+        west = [disk(f"b{n}", domain=f"b{n % 3}", region="west") for n in range(5)]
+        found = first_view(2, seen(*east, *west), complete=False)
+        assert found is not None
+        regions = [member.region for member in found.members]
+        assert sorted((regions.count("east"), regions.count("west"))) == [2, 3]
+        assert len({member.failure_domain for member in found.members}) == 5
+
 
 class TestReplacement:
     def test_a_view_stays_while_its_disks_are_there(self) -> None:
@@ -119,6 +128,12 @@
         assert (found.epoch, found.members, found.incoming) == (2, (A, B, C), (B, C, D))
         assert must_sync(found) == (D,)
 
+    def test_a_spare_of_the_same_region_goes_first(self) -> None:
+        members = (A, B, disk("x", region="west"))
+        spares = (C, disk("y", region="west"))
+        found = next_view(View(1, 1, members), seen(A, B, *spares, absent=(members[2],)), ())
+        assert found is not None and found.incoming == (A, B, spares[1])
+
     def test_a_spare_is_taken_soon_enough_to_catch_up(self) -> None:
         """Tl-signdesk trouble-2: eviction after 4 s left no time before the next disk was lost."""
         absent_s = EVICT_AFTER_S + 0.1
