Compile the packages when they are built, and gather changes at entries for 0.8 s

A process that can't write beside its modules compiled 88 of them at each start: 0.85 s against 0.65 s of processor time to import everything (three runs each, beside load). Configuration is in force within a third of its bound.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -11,4 +11,6 @@
     packages/endiveworks-daemon/src/endiveworks_daemon platform/endiveworks_site; do
     rm -rf "target/deps/$(basename "$package")"
     cp -R "$package" target/deps/
+    # Processes can't write here, and would compile everything again at each start.
+    python3 -m compileall -q "target/deps/$(basename "$package")"
 done
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/run.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/run.py
@@ -31,7 +31,7 @@
 # Part of the time for a stop that is left for the last settlements and logs.
 STOP_MARGIN_S = 1.0
 SETTLE_S = 0.5
-GATHER_S = 0.5  # A fifth of the time in which a configuration has to be in force.
+GATHER_S = 0.8  # A third of the time in which a configuration has to be in force.
 # Others pass messages to disks on over this process; its renewals cost calls to the store.
 LEASE_S = 10.0
 
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -74,6 +74,12 @@
             link.silent = True
 
     async def _accepted(self, reader: asyncio.StreamReader, near: asyncio.StreamWriter) -> None:
+        try:
+            await self._forward(reader, near)
+        except asyncio.CancelledError:
+            pass  # The run has ended.
+
+    async def _forward(self, reader: asyncio.StreamReader, near: asyncio.StreamWriter) -> None:
         while self.cut_out or self.cut_back:
             await asyncio.sleep(POLL_S)
         ip, _, port = self.target.rpartition(":")
@@ -89,8 +95,6 @@
                 self._copy(link, reader, far, outward=True),
                 self._copy(link, back, near, outward=False),
             )
-        except asyncio.CancelledError:
-            pass  # The run has ended.
         finally:
             self._links.discard(link)
 
