--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -1,6 +1,7 @@
 """A loopback proxy that delays, cuts, silences and resets the connections through it."""
 
 import asyncio
+import contextlib
 import socket
 import struct
 
@@ -74,10 +75,9 @@
             link.silent = True
 
     async def _accepted(self, reader: asyncio.StreamReader, near: asyncio.StreamWriter) -> None:
-        try:
+        # Is cancelled when the run ends.
+        with contextlib.suppress(asyncio.CancelledError):
             await self._forward(reader, near)
-        except asyncio.CancelledError:
-            pass  # The run has ended.
 
     async def _forward(self, reader: asyncio.StreamReader, near: asyncio.StreamWriter) -> None:
         while self.cut_out or self.cut_back:
