--- a/packages/endiveworks-daemon/src/endiveworks_daemon/rpc.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/rpc.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import struct
+import time
 from collections.abc import Awaitable, Callable, Mapping
 from typing import Any, NamedTuple, TypeVar
 
@@ -36,6 +37,7 @@
         self._writer: asyncio.StreamWriter | None = None
         self._reading: asyncio.Task[None] | None = None
         self._opening = asyncio.Lock()
+        self._heard_s = 0.0
 
     async def call(
         self, method: str, message: object, answer: type[_T], timeout_s: float
@@ -53,10 +55,14 @@
         self, method: str, message: bytes, timeout_s: float
     ) -> Result[bytes, Failure]:
         """Sends an encoded message and returns the encoded answer, or why there is none."""
+        began_s = time.monotonic()
         try:
             async with asyncio.timeout(timeout_s):
                 return Success(await self._exchange(method, message))
         except TimeoutError:
+            if self._heard_s < began_s:
+                # It may have fallen silent for good, which its end does not show.
+                self._lose(ConnectionResetError("nothing was heard"))
             return Err(Failure(Code.TIMEOUT, method, self.address, "no answer in time"))
         except (OSError, EOFError) as exc:
             return Err(Failure(Code.UNREACHABLE, method, self.address, type(exc).__name__))
@@ -92,6 +98,7 @@
                 number, data = msgspec.msgpack.decode(
                     await _read_frame(reader), type=tuple[int, bytes]
                 )
+                self._heard_s = time.monotonic()
                 fut = self._calls.get(number)
                 if fut is not None and not fut.done():
                     fut.set_result(data)
