--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/run.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/run.py
@@ -66,7 +66,7 @@
     await listen(settings.readiness_address, readiness, gateway.limits, probes)
     await serve_metrics(settings.metrics_address, metrics)
     peers = await rpc.serve(settings.peer_address, turns.handlers())
-    presence = Presence(kv, LEASE_S, stop.set, random.Random())
+    presence = Presence(kv, LEASE_S, _note_superseded, random.Random())
     announcing = asyncio.create_task(
         asyncio.to_thread(presence.announce, own_member(settings, ENTRY_ROLE))
     )
@@ -104,6 +104,11 @@
     return await asyncio.start_server(accepted, ip, int(port), backlog=ACCEPT_QUEUE)
 
 
+def _note_superseded() -> None:
+    """Notes that another process has this one's name; callers that came here are still served."""
+    logs.logger("members").error("superseded")
+
+
 def _readiness(dialect: Dialect, gateway: Gateway, callers: Callers) -> Handle:
     state = {"ready": False}
 
