--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -9,6 +9,7 @@
 import json
 import random
 import shutil
+import signal
 import sys
 import time
 from pathlib import Path
@@ -99,6 +100,8 @@
 
 def main(_: list[str]) -> None:
     """Runs the seeds one after the other and exits with 1 if a promise was broken."""
+    # Ends the processes of a run that is stopped.
+    signal.signal(signal.SIGTERM, lambda number, _: sys.exit(128 + number))
     broken = 0
     for seed in range(_FIRST_SEED.value, _FIRST_SEED.value + _SEEDS.value):
         folder = FOLDER / str(seed)
