--- a/packages/endiveworks-daemon/src/endiveworks_daemon/disks/run.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/disks/run.py
@@ -10,6 +10,7 @@
 
 from .. import rpc
 from ..feed import Feed
+from ..identity import new_incarnation
 from ..metrics_page import serve_metrics
 from ..presence import Presence
 from ..site import Site, SiteSettings, own_member
@@ -50,7 +51,9 @@
     await serve_metrics(settings.metrics_address, Metrics("", settings.host))
     presence = Presence(kv, LEASE_S, stop.set, random.Random())
     Feed(kv, "", site.read_picture, take, GATHER_S).start()
-    await asyncio.to_thread(presence.announce, own_member(settings, DISK_ROLE, host.folder))
+    await asyncio.to_thread(
+        presence.announce, own_member(settings, DISK_ROLE, new_incarnation(), host.folder)
+    )
     tasks = [
         asyncio.create_task(work)
         for work in (agreement.run(), host.expire_forever(), stop.wait(), host.failed.wait())
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/run.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/run.py
@@ -1,7 +1,6 @@
 """The process that serves callers."""
 
 import asyncio
-import random
 import time
 from collections.abc import Callable
 
@@ -15,12 +14,12 @@
 from .. import rpc
 from ..feed import Feed
 from ..metrics_page import serve_metrics
-from ..presence import Presence
 from ..site import Site, SiteSettings, own_member
 from .app import Gateway
 from .callers import CallerConnection, Handle, Received, Responder
 from .exchange import Context
 from .fleet import Fleet
+from .listing import list_in_background
 from .sockets import ACCEPT_QUEUE
 from .turn_store import ENTRY_ROLE, TurnStore
 from .upstreams import ConnectionPool
@@ -32,8 +31,6 @@
 STOP_MARGIN_S = 1.0
 SETTLE_S = 0.5
 GATHER_S = 0.8  # A third of the time in which a configuration has to be in force.
-# Others pass messages to disks on over this process; its renewals cost calls to the store.
-LEASE_S = 10.0
 
 
 class Callers:
@@ -66,24 +63,18 @@
     await listen(settings.readiness_address, readiness, gateway.limits, probes)
     await serve_metrics(settings.metrics_address, metrics)
     peers = await rpc.serve(settings.peer_address, turns.handlers())
-    presence = Presence(kv, LEASE_S, _note_superseded, random.Random())
-    announcing = asyncio.create_task(
-        asyncio.to_thread(presence.announce, own_member(settings, ENTRY_ROLE))
-    )
+    list_in_background(kv, own_member(settings, ENTRY_ROLE, 0))
     sweeping = asyncio.create_task(_sweep(gateway, fleet, pool, pictures))
     probing = asyncio.create_task(turns.probe_forever())
     await stop.wait()
     sweeping.cancel()
     probing.cancel()
-    announcing.cancel()
-    forgetting = asyncio.create_task(asyncio.to_thread(presence.forget))
     await _leave(settings, gateway, callers, front)
     try:
         async with asyncio.timeout(SETTLE_S):
             await turns.settled()
     except TimeoutError:
         logs.logger("turns").warning("settlements_left")
-    forgetting.cancel()
     peers.close()
 
 
@@ -104,11 +95,6 @@
     return await asyncio.start_server(accepted, ip, int(port), backlog=ACCEPT_QUEUE)
 
 
-def _note_superseded() -> None:
-    """Notes that another process has this one's name; callers that came here are still served."""
-    logs.logger("members").error("superseded")
-
-
 def _readiness(dialect: Dialect, gateway: Gateway, callers: Callers) -> Handle:
     state = {"ready": False}
 
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/site.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/site.py
@@ -9,7 +9,6 @@
 from endiveworks.members.member import Member
 
 from .feed import ReadPicture
-from .identity import new_incarnation
 
 
 class SiteSettings(NamedTuple):
@@ -62,12 +61,13 @@
     report_emptied: Callable[[Kv, str], bool]
 
 
-def own_member(settings: SiteSettings, role: str, folder: str = "") -> Member:
-    """Returns what a process that has just started tells the others of itself.
+def own_member(settings: SiteSettings, role: str, incarnation: int, folder: str = "") -> Member:
+    """Returns what a process tells the others of itself.
 
     Args:
         settings: Its settings.
         role: Its role.
+        incarnation: Tells this run of the process from others; 0 where that is of no matter.
         folder: Id of its data folder; empty without a disk.
     """
     return Member(
@@ -77,7 +77,7 @@
         "",
         settings.region,
         settings.failure_domain,
-        new_incarnation(),
+        incarnation,
         has_disk=bool(folder),
         folder=folder,
     )
