Judge a replica's pace by each event, and go around one whose streams stand still

Change: the time waited for each event counts (weight 0.08); a replica where a stream has waited over 0.5 s for an event costs so much more. The test plays 5 streams/s against the decisions: more than 3 go to the slow replica when whole answers count, 3 at most by events.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/fleet.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/fleet.py
@@ -3,15 +3,16 @@
 import asyncio
 import math
 import time
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Collection, Mapping
 
 from endiveworks.gateway.messages import Replica, Request
-from endiveworks.gateway.pace import Pace, note, slowness
+from endiveworks.gateway.pace import slowness
 from endiveworks.gateway.placement import Candidate, Choice, Place, choose, home
-from endiveworks.gateway.prefixes import HeldParts
 from endiveworks.gateway.routes import Service
 from endiveworks.gateway.waiting import Waiter, WaitingLine, expected_wait_s, is_hopeless
 
+from .known import Known, UnderWay
+
 # Requests of this process that a replica takes at once, as a multiple of its slots.
 PLACES_X = 1.0
 # Time in which what is held against a replica for a fault halves.
@@ -22,19 +23,6 @@
 FIRST_MEAN_S = 0.2
 
 
-class _Known:
-    """State of one replica."""
-
-    def __init__(self, listed: Replica, memory_tokens: int) -> None:
-        self.listed = listed
-        self.sent = 0
-        self.held = HeldParts(memory_tokens)
-        self.faults = 0.0
-        self.faulted_s = 0.0
-        self.left_s: float | None = None
-        self.pace = Pace()
-
-
 class RefusedError(Exception):
     """Raised when no replica can take a request in time.
 
@@ -54,7 +42,7 @@
 
     def __init__(self, here: Place) -> None:
         self._here = here
-        self._known: dict[str, _Known] = {}
+        self._known: dict[str, Known] = {}
         self._lines: dict[str, WaitingLine] = {}
         self._wakers: dict[str, asyncio.Future[None]] = {}
         self._mean_s: dict[str, float] = {}
@@ -73,7 +61,7 @@
                 continue
             service = services.get(replica.service)
             engine = service.engine if service else None
-            added = _Known(replica, engine.memory_tokens if engine else 0)
+            added = Known(replica, engine.memory_tokens if engine else 0)
             added.left_s = now_s if replica.draining else None
             self._known[name] = added
         for service_name in list(self._lines):
@@ -119,29 +107,18 @@
             self._wakers.pop(waiter.key, None)
             self._wake(service)
 
-    def begin(self, service: str, replica: str, request: Request) -> Callable[[], None]:
-        """Counts a request as under way at a replica until the returned function is called."""
+    def begin(self, service: str, replica: str, request: Request) -> UnderWay:
+        """Counts a request as under way at a replica until it is ended."""
         known = self._known.get(replica)
-        started_s = time.monotonic()
         if known:
-            known.sent += 1
             known.held.add(request.parts)
 
-        def end() -> None:
-            if known:
-                known.sent -= 1
+        def ended(took_s: float) -> None:
             mean_s = self._mean(service)
-            took_s = time.monotonic() - started_s
             self._mean_s[service] = mean_s + MEAN_WEIGHT * (took_s - mean_s)
             self._wake(service)
 
-        return end
-
-    def note_pace(self, replica: str, took_s: float) -> None:
-        """Notes how long a replica took for a unit of work: an event, or a whole plain answer."""
-        known = self._known.get(replica)
-        if known:
-            known.pace = note(known.pace, took_s, time.monotonic())
+        return UnderWay(known, ended)
 
     def blame(self, replica: str) -> None:
         """Notes a fault of a replica, so that others go first for some time."""
@@ -184,7 +161,7 @@
             if fut is not None and not fut.done():
                 fut.set_result(None)
 
-    def _of(self, service: str) -> list[_Known]:
+    def _of(self, service: str) -> list[Known]:
         """Returns the replicas that may take requests of a service.
 
         Where all have left the list at once, their registrations have probably lapsed; those that
@@ -215,6 +192,7 @@
                 faults=self._faults(k),
                 slowness=slowness(k.pace, paces, now_s),
                 usual_ms=self._mean(service) * 1000,
+                stalled_s=k.stalled_s(now_s),
             )
             for name, k in known.items()
         ]
@@ -225,12 +203,12 @@
         ]
         return choose(self._here, candidates, excluded, PLACES_X)
 
-    def _faults(self, known: _Known) -> float:
+    def _faults(self, known: Known) -> float:
         age_s = time.monotonic() - known.faulted_s
         return known.faults * math.pow(0.5, age_s / FAULT_HALF_LIFE_S)
 
 
-def _missing(known: _Known, request: Request, is_home: bool) -> int:
+def _missing(known: Known, request: Request, is_home: bool) -> int:
     """Returns the prompt tokens that a replica would have to compute.
 
     The replica that other processes prefer for the program as well is taken to hold its prompt.
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/obtain.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/obtain.py
@@ -3,7 +3,6 @@
 import asyncio
 import random
 import time
-from collections.abc import Callable
 
 from endiveworks.gateway.messages import AnswerHead, Dispatch
 from endiveworks.gateway.routes import Repeat
@@ -12,6 +11,7 @@
 
 from .exchange import Context, Exchange, UnservedError
 from .fleet import RefusedError
+from .known import UnderWay
 from .upstreams import AnswerError, UpstreamConnection
 
 STATUS_BAD_GATEWAY = 502
@@ -35,26 +35,21 @@
         replica: str,
         conn: UpstreamConnection,
         head: AnswerHead,
-        sent_s: float,
-        end: Callable[[], None],
+        work: UnderWay,
     ) -> None:
         self.replica = replica
         self.conn = conn
         self.head = head
         self._pool = context.pool
-        self._sent_s = sent_s
-        self._end: Callable[[], None] | None = end
-
-    def age_s(self) -> float:
-        """Returns the time since the request was sent."""
-        return time.monotonic() - self._sent_s
+        self.work = work
+        self._closed = False
 
     def close(self, whole: bool) -> None:
         """Ends the exchange; one that is not whole ends the replica's work as well."""
-        if self._end is None:
+        if self._closed:
             return
-        self._end()
-        self._end = None
+        self._closed = True
+        self.work.end()
         if whole:
             self._pool.give(self.replica, self.conn)
         else:
@@ -154,7 +149,7 @@
     resume_after: int | None,
 ) -> Answer | None:
     """Sends the request to one replica; returns None when another should be tried."""
-    end = context.fleet.begin(ex.service, replica, ex.request)
+    work = context.fleet.begin(ex.service, replica, ex.request)
     conn: UpstreamConnection | None = None
     taken = False
     try:
@@ -165,7 +160,8 @@
         ex.sends += 1
         is_first = replica not in ex.ran_on
         ex.ran_on.add(replica)
-        sent_s = time.monotonic()
+        if ex.route.repeat is Repeat.STREAM:
+            work.wait_for_event()
         conn.send(ex.request.method, ex.request.target, headers, body)
         async with asyncio.timeout(_patience_s(context, ex)):
             head = await conn.head(context.dialect.read_answer, ex.request.id)
@@ -181,7 +177,7 @@
             taken = True
             return None
         taken = True
-        return Answer(context, replica, conn, head, sent_s, end)
+        return Answer(context, replica, conn, head, work)
     except (OSError, AnswerError) as exc:
         if conn is None:
             context.fleet.blame(replica)
@@ -193,4 +189,4 @@
         if not taken and conn is not None:
             conn.close()
         if not taken or replica in ex.excluded:
-            end()
+            work.end()
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/plain.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/plain.py
@@ -1,6 +1,7 @@
 """Requests that are answered as a whole."""
 
 from endiveworks.gateway.messages import Headers
+from endiveworks.gateway.routes import Repeat
 
 from .callers import Responder
 from .exchange import Context, Exchange
@@ -43,7 +44,8 @@
             raise AnswerError("a success without the replica's signature")
         body = await answer.conn.body()
         whole = True
-        context.fleet.note_pace(answer.replica, answer.age_s())
+        if ex.route.repeat is not Repeat.STREAM:
+            answer.work.note_answer()
         return body
     except (OSError, AnswerError) as exc:
         failed(context, ex, answer.replica, exc)
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/stream.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/stream.py
@@ -1,7 +1,6 @@
 """Requests that are answered by events: histories, budgets, and streams that go on elsewhere."""
 
 import asyncio
-import time
 from collections.abc import Awaitable
 
 from endiveworks.errors import Failure
@@ -35,22 +34,14 @@
         self.last_id = ex.request.resume_after
         self.output = bytearray()
         self.resumes = 0
-        self._first_s = 0.0
-        self._last_s = 0.0
 
     def note(self, event: Event) -> None:
         """Notes that an event goes to the caller."""
         self.handed += 1
-        self._last_s = time.monotonic()
-        self._first_s = self._first_s or self._last_s
         self.output += event.data + b"\n"
         if event.id is not None:
             self.last_id = event.id
 
-    def event_s(self) -> float:
-        """Returns the mean time between events; there must have been two."""
-        return (self._last_s - self._first_s) / (self.handed - 1)
-
     def tokens(self) -> int:
         """Returns the tokens handed to the caller."""
         return self.handed * self.tokens_per_event
@@ -164,8 +155,6 @@
         try:
             await _pass_events(ex, responder, answer, stream, reserving)
             answer.close(whole=True)
-            if not stream.resumes and stream.handed > 1:
-                context.fleet.note_pace(answer.replica, stream.event_s())
         except (OSError, AnswerError) as exc:
             answer.close(whole=False)
             prefer = _resume(context, ex, answer, stream, exc)
@@ -197,7 +186,9 @@
         raise AnswerError("a success without the replica's signature")
     splitter = EventSplitter()
     while (data := await answer.conn.data()) is not None:
-        for event in splitter.feed(data):
+        events = splitter.feed(data)
+        answer.work.note_events(len(events))
+        for event in events:
             if stream.last_id is not None and event.id is not None and event.id <= stream.last_id:
                 raise AnswerError(f"event {event.id} came after event {stream.last_id}")
             if not responder.started:
@@ -206,6 +197,7 @@
                 await responder.start(STATUS_OK, without_framing(answer.head.headers))
             stream.note(event)
             await responder.send(event.raw)
+        answer.work.wait_for_event()
     if splitter.rest():
         raise AnswerError("the stream ended within an event")
 
--- a/packages/endiveworks/src/endiveworks/gateway/pace.py
+++ b/packages/endiveworks/src/endiveworks/gateway/pace.py
@@ -4,7 +4,9 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
-WEIGHT = 0.2  # Weight of the newest answer in the mean.
+ANSWER_WEIGHT = 0.2  # Weight of the newest whole answer in the mean.
+# Weight of the newest event of a stream; a dozen of them, as one answer has, weigh a little more.
+EVENT_WEIGHT = 0.08
 # Time in which a replica that gets no requests is taken to be at the usual pace again by half.
 FORGET_HALF_LIFE_S = 3.0
 MIN_SLOWNESS = 1.5  # Smaller differences are due to the requests, not to the replica.
@@ -18,12 +20,18 @@
     noted_s: float = 0.0
 
 
-def note(pace: Pace, took_s: float, now_s: float) -> Pace:
+def note(pace: Pace, took_s: float, now_s: float, weight: float = ANSWER_WEIGHT) -> Pace:
     """Returns the pace after one more unit of work."""
-    mean_s = pace.mean_s + WEIGHT * (took_s - pace.mean_s) if pace.mean_s else took_s
+    mean_s = pace.mean_s + weight * (took_s - pace.mean_s) if pace.mean_s else took_s
     return Pace(mean_s, now_s)
 
 
+def note_events(pace: Pace, took_s: float, count: int, now_s: float) -> Pace:
+    """Returns the pace after events that came together, so long after those before them."""
+    weight = 1.0 - (1.0 - EVENT_WEIGHT) ** count
+    return note(pace, took_s / count, now_s, weight)
+
+
 def slowness(pace: Pace, all_paces: Sequence[Pace], now_s: float) -> float:
     """Returns how much slower than the middle replica one is; 1 for a usual one.
 
--- a/packages/endiveworks/src/endiveworks/gateway/placement.py
+++ b/packages/endiveworks/src/endiveworks/gateway/placement.py
@@ -17,6 +17,8 @@
 FULL_COST_MS = 400.0  # About the length of a turn, which one that waits for a slot waits for.
 BUSY_COST_MS = 60.0  # How much longer a turn takes on a replica whose slots are nearly all used.
 FAULT_COST_MS = 1_000.0  # Makes a replica that failed lately the last choice.
+# Silence on a stream that says something of its replica: longer than a burst delays first events.
+STALL_S = 0.5
 
 
 class Candidate(NamedTuple):
@@ -32,6 +34,7 @@
         faults: Recent failures there, decayed over time.
         slowness: How much longer than usual its answers take; 1 is usual.
         usual_ms: Usual time of an answer of the service.
+        stalled_s: For how long the stream there that has waited longest has brought no event.
     """
 
     replica: str
@@ -43,6 +46,7 @@
     faults: float = 0.0
     slowness: float = 1.0
     usual_ms: float = 0.0
+    stalled_s: float = 0.0
 
 
 class Place(NamedTuple):
@@ -93,7 +97,8 @@
     wait = BUSY_COST_MS * used + FULL_COST_MS * max(0.0, used - 1.0)
     work = (candidate.missing_tokens / PREFILL_TOKENS_PER_MS + wait) * candidate.slowness
     slow = candidate.usual_ms * (candidate.slowness - 1.0)
-    return hop + work + slow + FAULT_COST_MS * candidate.faults
+    stall = candidate.stalled_s * 1000 if candidate.stalled_s > STALL_S else 0.0
+    return hop + work + slow + stall + FAULT_COST_MS * candidate.faults
 
 
 def home(program: str, here: Place, candidates: Sequence[Candidate]) -> str:
--- a/packages/endiveworks/src/endiveworks/gateway/tests/test_decisions.py
+++ b/packages/endiveworks/src/endiveworks/gateway/tests/test_decisions.py
@@ -2,7 +2,7 @@
 
 import pytest
 from endiveworks.gateway.events import EventSplitter
-from endiveworks.gateway.pace import FORGET_HALF_LIFE_S, Pace, note, slowness
+from endiveworks.gateway.pace import FORGET_HALF_LIFE_S, Pace, note, note_events, slowness
 from endiveworks.gateway.placement import Candidate, Place, choose, home
 from endiveworks.gateway.prefixes import HeldParts, Part
 from endiveworks.gateway.routes import Repeat, Route, Share, pick_service
@@ -111,6 +111,51 @@
             sent[choose(HERE, found, (), 1.0).replica] += 1
         assert sent["slow"] < 5
 
+    @pytest.mark.parametrize("each_event", [False, True], ids=["whole answers", "each event"])
+    def test_streams_sent_to_a_replica_that_has_become_slow(self, each_event: bool) -> None:
+        """Plays 5 streams/s of 9 events at one process; one of 4 replicas is eight times slower.
+
+        Callers of that replica wait 3 s for what takes 0.4 s elsewhere. Judged by whole answers,
+        the process sends there until the first one has ended.
+        """
+        usual_s = 0.04
+        paces = dict.fromkeys(("a", "b", "c", "slow"), Pace(usual_s, 0.0))
+        streams: list[tuple[str, float]] = []
+        for step in range(40):
+            now_s = step * 0.2
+            for name, began_s in streams:
+                gap_s = usual_s * (8 if name == "slow" else 1)
+                before, after = (min(9, int((t - began_s) / gap_s)) for t in (now_s - 0.2, now_s))
+                came = max(0, after) - max(0, before)
+                if came and each_event:
+                    paces[name] = note_events(paces[name], gap_s * came, came, now_s)
+                elif came and after == 9:
+                    paces[name] = note(paces[name], gap_s, now_s)
+            found = [
+                candidate(
+                    name,
+                    slots=12,
+                    sent=sum(n == name and now_s - b < 0.4 for n, b in streams),
+                    slowness=slowness(pace, list(paces.values()), now_s),
+                    usual_ms=400.0,
+                )
+                for name, pace in paces.items()
+            ]
+            # The programs of a process prefer their homes in turn.
+            home_name = ("slow", "a", "b", "c")[step % 4]
+            found = [
+                c._replace(missing_tokens=0 if c.replica == home_name else 14_000) for c in found
+            ]
+            streams.append((choose(HERE, found, (), 1.0).replica, now_s))
+        late = [name for name, _ in streams].count("slow")
+        assert late <= 3 if each_event else late > 3
+
+    def test_a_replica_whose_streams_stand_still_goes_last(self) -> None:
+        quiet, stalled = candidate("a"), candidate("b", stalled_s=0.8)
+        assert choose(HERE, [quiet._replace(sent=1), stalled], (), 1.0).replica == "a"
+        soon = candidate("b", stalled_s=0.1)
+        assert choose(HERE, [quiet._replace(sent=1), soon], (), 1.0).replica == "b"
+
 
 class TestWaiting:
     def waiter(self, key: str, priority: int, due_s: float, arrived_s: float = 0.0) -> Waiter:
