--- a/packages/endiveworks-daemon/src/endiveworks_daemon/disks/agreement.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/disks/agreement.py
@@ -20,7 +20,7 @@
 
 VIEW_KEY = "/endiveworks/turns/view"
 DISK_ROLE = "disk"
-PERIOD_S = 0.1
+PERIOD_S = 0.1  # Time between looks at the hosts; a fraction of the time to evict one.
 # Time in which the hosts of a new deployment have registered, those of far regions as well.
 FIRST_VIEW_SETTLE_S = 1.5
 # Time after which no more hosts are waited for.
@@ -33,7 +33,7 @@
 FORGET_AFTER_S = 60.0
 # A host that no writer has asked for so long may be cut off itself, so it lets others go first.
 UNASKED_S = 0.5
-UNASKED_DELAY_S = 1.0
+UNASKED_DELAY_S = 1.0  # Time by which such a host's proposal comes later.
 
 
 class Agreement:
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/disks/catch_up.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/disks/catch_up.py
@@ -11,8 +11,8 @@
 from ..rpc import RpcClient
 from .host import DiskHost
 
-LIST_TIMEOUT_S = 1.5
-READ_TIMEOUT_S = 1.5
+LIST_TIMEOUT_S = 1.5  # Ten times the transfer of a list of turns between regions.
+READ_TIMEOUT_S = 1.5  # Several times the transfer of one page between regions.
 BATCH = 64  # Turns asked for at once; the answer may hold fewer.
 
 
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/disks/host.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/disks/host.py
@@ -32,7 +32,7 @@
 _PARTITION = 0  # The journal keeps many logs; a disk of turns is one.
 # Takes a sixth of a second on the link between regions.
 PAGE_BYTES = 256 * 1024
-EXPIRE_PERIOD_S = 5.0
+EXPIRE_PERIOD_S = 5.0  # Turns are let go of a little later than they may be.
 
 
 class DiskHost:
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/disks/pings.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/disks/pings.py
@@ -9,7 +9,7 @@
 
 from ..rpc import RpcClient
 
-PERIOD_S = 0.15
+PERIOD_S = 0.15  # Time between rounds, of which two without an answer count.
 TIMEOUT_S = 0.3  # Several times the way between regions and back.
 # Rounds in a row without an answer; one may be lost to a pause of this process.
 SILENT_ROUNDS = 2
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/app.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/app.py
@@ -29,7 +29,7 @@
 STATUS_NOT_FOUND = 404
 STATUS_INTERNAL = 500
 NOT_CONFIGURED_S = 0.5  # Time after which a process that has just started knows its configuration.
-TIMED_OUT_RETRY_S = 0.2
+TIMED_OUT_RETRY_S = 0.2  # Nothing is known of a wait, and the caller's time is nearly over.
 
 _DEFAULT_LIMITS = Limits()
 
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/callers.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/callers.py
@@ -12,7 +12,7 @@
 
 from .sockets import probe_silence
 
-READ_BYTES = 64 * 1024
+READ_BYTES = 64 * 1024  # Read from a connection at once.
 # Pipelined requests beyond this wait in the kernel until the one before them is answered.
 MAX_AHEAD_BYTES = 256 * 1024
 _STATUS_TIMEOUT = 408
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/fleet.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/fleet.py
@@ -19,8 +19,8 @@
 FAULT_HALF_LIFE_S = 2.0
 # Replicas go on serving for some seconds after they have left the list.
 LAST_RESORT_S = 2.0
-MEAN_WEIGHT = 0.1
-FIRST_MEAN_S = 0.2
+MEAN_WEIGHT = 0.1  # Weight of the newest answer in a service's mean time.
+FIRST_MEAN_S = 0.2  # Taken as the time of an answer until one has come.
 
 
 class RefusedError(Exception):
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/listing.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/listing.py
@@ -16,7 +16,7 @@
 from returns.result import Success
 
 LEASE_S = 600  # The longest that the key-value service grants.
-RENEW_S = 200.0
+RENEW_S = 200.0  # A third of the lease.
 _BASE_BACKOFF_S = 1.0
 _MAX_BACKOFF_S = 10.0
 
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/quorum.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/quorum.py
@@ -16,11 +16,11 @@
 from .disk_links import DiskLinks
 
 RPC_TIMEOUT_S = 0.7  # Several times the way between regions and a sync.
-PROBE_PERIOD_S = 0.25
+PROBE_PERIOD_S = 0.25  # Disks that are back are found within this time.
 # A further disk is asked when those asked have not answered within the usual time of a sync and
 # of the way, which is longer where one of them is in another region.
 HEDGE_NEAR_S = 0.06
-HEDGE_FAR_S = 0.12
+HEDGE_FAR_S = 0.12  # As HEDGE_NEAR_S, with the way between regions and back.
 CUT_AFTER_S = 0.25  # Silence after which the way to a disk may be cut; twice the longest hedge.
 SUSPECT_S = 1.5  # Time for which a disk that was late or failed is asked last.
 
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/request_log.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/request_log.py
@@ -6,8 +6,9 @@
 
 from .exchange import Exchange
 
+# Lines for served requests; a fraction of a percent of the processor time.
 MAX_SERVED_LINES_PER_S = 40
-MAX_FAILED_LINES_PER_S = 200
+MAX_FAILED_LINES_PER_S = 200  # Lines for requests that were not served; more are counted.
 _FIRST_ERROR = 400
 
 
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/run.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/run.py
@@ -24,12 +24,12 @@
 from .turn_store import ENTRY_ROLE, TurnStore
 from .upstreams import ConnectionPool
 
-SWEEP_PERIOD_S = 0.5
+SWEEP_PERIOD_S = 0.5  # Replicas and connections are let go of so much later at most.
 # The platform sends no new connections once it has asked twice, a second apart.
 LINGER_S = 2.5
 # Part of the time for a stop that is left for the last settlements and logs.
 STOP_MARGIN_S = 1.0
-SETTLE_S = 0.5
+SETTLE_S = 0.5  # Settlements take a few milliseconds unless disks are away.
 GATHER_S = 0.8  # A third of the time in which a configuration has to be in force.
 
 
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/sockets.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/sockets.py
@@ -4,11 +4,11 @@
 import socket
 
 KEEPALIVE_IDLE_S = 1  # Silence after which the peer is probed.
-KEEPALIVE_INTERVAL_S = 1
-KEEPALIVE_PROBES = 2
+KEEPALIVE_INTERVAL_S = 1  # Silence after a probe until the next one.
+KEEPALIVE_PROBES = 2  # Probes without an answer that end the connection.
 USER_TIMEOUT_MS = 3_000  # Sent bytes that stay unacknowledged for so long end the connection.
 CONNECT_TIMEOUT_S = 0.5  # Ten times the longest way to a peer and back.
-ACCEPT_QUEUE = 1_024
+ACCEPT_QUEUE = 1_024  # Connections that wait to be accepted; a burst of callers fits.
 
 
 def probe_silence(writer: asyncio.StreamWriter) -> None:
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/stream.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/stream.py
@@ -19,7 +19,7 @@
 STATUS_OK = 200
 # Time after which disks that don't answer have been replaced, or the balancer leads elsewhere.
 DISKS_AWAY_S = 1.0
-MAX_RESUMES = 3
+MAX_RESUMES = 3  # A stream that breaks more often has a cause that goes with it.
 
 Reserving = Awaitable[Result[bool, Failure]]
 
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/turn_store.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/turn_store.py
@@ -21,11 +21,11 @@
 from .disk_links import RELAY
 from .quorum import RPC_TIMEOUT_S, Question, Quorum
 
-CACHE_BYTES = 24 * 1024 * 1024
-CACHED_LEDGERS = 20_000
-SETTLE_TRIES = 5
-SETTLE_PAUSE_S = 0.5
-COMMIT_PAUSE_S = 0.1
+CACHE_BYTES = 24 * 1024 * 1024  # Turns kept in memory, a sixth of the smallest machine's.
+CACHED_LEDGERS = 20_000  # Programs whose spending is remembered, several times those of a busy day.
+SETTLE_TRIES = 5  # Tries after which a program's reservation stays in place of what it spent.
+SETTLE_PAUSE_S = 0.5  # Pause between tries to write a settlement in the background.
+COMMIT_PAUSE_S = 0.1  # Pause between tries to store a turn whose answer is ready.
 # Turns for which there must be room before one is sent ahead of its reservation: itself, and
 # sub-agents that other processes may be sending at the same time.
 SPARE_TURNS = 4
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/upstreams.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/upstreams.py
@@ -16,8 +16,9 @@
 IDLE_MARGIN_S = 0.5
 # A request that may not be repeated only goes on a connection that was in use so lately.
 FRESH_IDLE_S = 0.3
+# Answers to earlier requests that are dropped before the connection is given up.
 MAX_LATE_ANSWERS = 4
-MAX_ANSWER_BYTES = 64 * 1024 * 1024
+MAX_ANSWER_BYTES = 64 * 1024 * 1024  # Longer answers would not fit into the memory of a machine.
 
 ReadHead = Callable[[int, Sequence[tuple[bytes, bytes]]], AnswerHead]
 
--- a/packages/endiveworks/src/endiveworks/gateway/pace.py
+++ b/packages/endiveworks/src/endiveworks/gateway/pace.py
@@ -10,7 +10,7 @@
 # Time in which a replica that gets no requests is taken to be at the usual pace again by half.
 FORGET_HALF_LIFE_S = 3.0
 MIN_SLOWNESS = 1.5  # Smaller differences are due to the requests, not to the replica.
-MAX_SLOWNESS = 10.0
+MAX_SLOWNESS = 10.0  # A replica that is slower still is avoided as much.
 
 
 class Pace(NamedTuple):
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -14,6 +14,8 @@
 from endiveworks_ctl.main import COMMANDS
 from endiveworks_daemon.options import daemon_flags
 
+from tests.constants_page import PAGE, page
+
 _ROOT = Path(__file__).parents[1]
 _DOCS = (_ROOT / "docs" / "OPERATIONS.md").read_text()
 _LOG_CALL = re.compile(r"\.(?:debug|info|warning|error|exception)\(\s*\"([a-z0-9_]+)\"")
@@ -77,3 +79,11 @@
         found = {name for text in _sources() for name in _METRIC_CALL.findall(text)}
         assert "program_ms" in found
         assert not [name for name in found if not re.search(rf"\| `{name}[a-z0-9]*` \|", _DOCS)]
+
+
+class TestConstants:
+    def test_the_page_is_as_the_sources(self) -> None:
+        assert PAGE.read_text() == page(), "run: python tests/constants_page.py"
+
+    def test_each_says_where_it_comes_from(self) -> None:
+        assert [row for row in page().splitlines() if row.endswith("|  |")] == []
