--- a/tests/deployed/test_streams.py
+++ b/tests/deployed/test_streams.py
@@ -167,8 +167,9 @@
                 await deployed.send(TURN, b"one", **turn("t1"))
                 elsewhere = type(deployed.turns)(deployed.fleet._here)
                 elsewhere.adopt(deployed.view)
-                await elsewhere.reserve(Reservation("p", "t2", 90, 60.0), 100, 1.0)
-                reply = await deployed.send(TURN, b"two", **turn("t3", "t1", **PROGRAM))
+                await elsewhere.reserve(Reservation("p", "t2", 190, 60.0), 200, 1.0)
+                ample = PROGRAM | {"Token_Budget": "200"}
+                reply = await deployed.send(TURN, b"two", **turn("t3", "t1", **ample))
                 assert reply.status == 402
                 assert len(deployed.replicas["llm/a"].arrivals) == 1
 
