Read everything again after a cut watch, and answer 503 for an unknown route while the store is out of reach

Cause: a watch that begins while the store's history is being dropped may hear nothing until its time is over. One entry of four had the old configuration for 5 s and answered 404 for a new route.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/feed.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/feed.py
@@ -6,15 +6,17 @@
 import time
 from collections.abc import Callable, Mapping
 
-from endiveworks.errors import Failure
+from endiveworks.errors import Code, Failure
 from endiveworks.gateway.picture import Picture
 from endiveworks.kvservice.following import Source, follow
 from endiveworks.kvservice.kv import Change, Entry, Kv
 from endiveworks.telemetry import logs
+from returns.result import Failure as Err
 from returns.result import Result, Success
 
 # A store that is back is found again within about this time; each try costs a call.
 MAX_BACKOFF_S = 1.0
+RELOAD_SPREAD_S = 0.2  # Spreads the reads of processes whose watches were cut at the same moment.
 
 ReadPicture = Callable[[Mapping[str, Entry], int], Picture]
 
@@ -59,6 +61,10 @@
             daemon=True,
         ).start()
 
+    def is_in_touch(self) -> bool:
+        """Tells whether the key-value service answered when last asked."""
+        return bool(self._in_touch)
+
     def _load(self) -> bool:
         found = self._kv.read_prefix(self._prefix)
         if not isinstance(found, Success):
@@ -74,7 +80,12 @@
     def _watch(self) -> Result[None, Failure]:
         ended = self._kv.watch(self._prefix, self._revision, self._on_changes)
         self._note_touch(None if isinstance(ended, Success) else ended.failure())
-        return ended
+        if isinstance(ended, Success) or ended.failure().code is Code.TIMEOUT:
+            return ended
+        # A watch that begins while the service is in trouble may hear nothing of what has changed,
+        # so everything is read again. Many processes lose their watches at the same moment.
+        time.sleep(random.random() * RELOAD_SPREAD_S)
+        return Err(ended.failure()._replace(code=Code.CONFLICT))
 
     def _on_changes(self, changes: tuple[Change, ...]) -> bool:
         self._note_touch(None)
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/app.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/app.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import time
+from collections.abc import Callable
 
 from endiveworks.gateway.messages import Request
 from endiveworks.gateway.picture import Picture
@@ -35,10 +36,18 @@
 
 
 class Gateway:
-    """Requests of callers, under the configuration in force."""
+    """Requests of callers, under the configuration in force.
 
-    def __init__(self, context: Context, metrics: Metrics) -> None:
+    Args:
+        context: The parts of the process.
+        metrics: Where requests are counted.
+        is_in_touch: Tells whether the key-value service answers, so that the configuration known
+            here is the one in force.
+    """
+
+    def __init__(self, context: Context, metrics: Metrics, is_in_touch: Callable[[], bool]) -> None:
         self._context = context
+        self._is_in_touch = is_in_touch
         self._metrics = metrics
         self._picture: Picture | None = None
         self._log = RequestLog()
@@ -98,6 +107,9 @@
         if table is None:
             return UnservedError(STATUS_UNAVAILABLE, "not configured yet", NOT_CONFIGURED_S)
         route = match(table, request.hostname, request.target.partition("?")[0])
+        if route is None and not self._is_in_touch():
+            reason = "no route in a configuration that may be old"
+            return UnservedError(STATUS_UNAVAILABLE, reason, NOT_CONFIGURED_S)
         if route is None:
             return UnservedError(STATUS_NOT_FOUND, "no route")
         return table, route
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/run.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/run.py
@@ -46,7 +46,6 @@
     place = Place(settings.failure_domain, settings.region)
     fleet, pool, turns = Fleet(place), ConnectionPool(), TurnStore(place)
     metrics = Metrics("", settings.host)
-    gateway = Gateway(Context(site.dialect, fleet, pool, turns), metrics)
     pictures: list[Picture] = []
 
     def take(picture: Picture) -> None:
@@ -55,7 +54,10 @@
         turns.follow(picture.members.values(), settings.host)
 
     kv = site.connect_kv()
-    Feed(kv, "", site.read_picture, take, GATHER_S).start()
+    feed = Feed(kv, "", site.read_picture, take, GATHER_S)
+    context = Context(site.dialect, fleet, pool, turns)
+    gateway = Gateway(context, metrics, feed.is_in_touch)
+    feed.start()
     callers = Callers()
     front = await listen(settings.callers_address, gateway.handle, gateway.limits, callers)
     probes = Callers()
--- a/tests/deployed/test_plain.py
+++ b/tests/deployed/test_plain.py
@@ -273,6 +273,16 @@
 
         run(scenario)
 
+    def test_no_route_in_a_configuration_that_may_be_old(self, tmp_path: Path) -> None:
+        async def scenario() -> None:
+            async with Deployment(tmp_path, {"shop/a": answers(b"x")}) as deployed:
+                deployed.in_touch = False
+                reply = await deployed.send("/added-since/x")
+                assert (reply.status, float(reply.headers["retry-after"]) > 0) == (503, True)
+                assert (await deployed.send(LOOKUP)).status == 200
+
+        run(scenario)
+
     def test_a_version_never_falls(self, tmp_path: Path) -> None:
         async def scenario() -> None:
             async with Deployment(tmp_path, {"shop/a": answers(b"x")}) as deployed:
