Give the soak and the tests of the gateway one operator's configuration, and the soak one way to take a host down

The soak wrote the routes and services of tests/deployed/harness.py once more, and the kill before a wipe and before a torn write twice. Both use endiveworks_standins.site_config now. Plain routes of the soak have no priority field any more, as in the harness: one value for both of them decided nothing.

--- a/tests/deployed/harness.py
+++ b/tests/deployed/harness.py
@@ -24,7 +24,8 @@
 from endiveworks_daemon.gateway.turn_store import TurnStore
 from endiveworks_daemon.gateway.upstreams import ConnectionPool
 from endiveworks_site import config, headers
-from endiveworks_standins.site_caller import HOSTNAME, Reply, read_reply, write_request
+from endiveworks_standins.site_caller import Reply, read_reply, write_request
+from endiveworks_standins.site_config import operator_config
 from endiveworks_standins.site_replica import (
     Arrival,
     Script,
@@ -171,24 +172,7 @@
 
 def routing_table(version: int, changes: dict[str, Any]) -> RoutingTable:
     """Returns a configuration with one route of each kind."""
-    common = {"hostname": HOSTNAME, "timeout_ms": 3000, "target_latency_ms": 300}
-    stream = common | {"type": "streaming", "backend": "llm", "max_attempts": 1}
-    stream |= {"priority": 0, "sticky": True, "retention_s": 60.0}
-    routes = [
-        stream | {"name": "turns", "path_prefix": "/turns/", "retain": True},
-        stream | {"name": "drafts", "path_prefix": "/drafts/", "resumable": True},
-        common
-        | {"name": "orders", "path_prefix": "/orders/", "type": "non_idempotent"}
-        | {"backend": "shop", "max_attempts": 1},
-        common
-        | {"name": "lookups", "path_prefix": "/lookups/", "type": "idempotent"}
-        | {"backend": "shop", "max_attempts": 2},
-    ]
-    engine = {"slots": 4, "kv_capacity": 100_000, "chunk_tokens": 10}
-    services = [{"name": "llm", "engine": engine}, {"name": "shop"}]
-    routes = [route | changes for route in routes]
-    fields = {"version": version, "routes": routes, "services": services}
-    return config.decode(json.dumps(fields).encode())
+    return config.decode(json.dumps(operator_config(version, 4, changes)).encode())
 
 
 def answers(body: bytes, status: str = "200 OK", *more: str) -> Script:
--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -76,26 +76,27 @@
 
     async def wipe(self) -> None:
         """Kills the process and removes its disk before the next start."""
-        self.down = True
-        self.send(signal.SIGKILL)
-        while self._popen is not None and self._popen.poll() is None:
-            await asyncio.sleep(POLL_S)
-        assert self.data is not None
-        shutil.rmtree(self.data, ignore_errors=True)
+        data = await self._take_down()
+        shutil.rmtree(data, ignore_errors=True)
         self.down = False
 
-    async def tear(self, data: bytes) -> None:
+    async def tear(self, torn: bytes) -> None:
         """Kills the process and leaves a torn write at the end of its newest journal file."""
+        data = await self._take_down()
+        files = sorted(data.glob("*.wal"), key=lambda path: path.stat().st_mtime)
+        if files:
+            with files[-1].open("ab") as file:
+                file.write(torn)
+        self.down = False
+
+    async def _take_down(self) -> Path:
+        """Kills the process, which then stays down, and returns the folder of its disk."""
         self.down = True
         self.send(signal.SIGKILL)
         while self._popen is not None and self._popen.poll() is None:
             await asyncio.sleep(POLL_S)
         assert self.data is not None
-        files = sorted(self.data.glob("*.wal"), key=lambda path: path.stat().st_mtime)
-        if files:
-            with files[-1].open("ab") as file:
-                file.write(data)
-        self.down = False
+        return self.data
 
     async def _watch(self) -> None:
         while True:
--- a/tests/soak/load.py
+++ b/tests/soak/load.py
@@ -6,8 +6,9 @@
 from collections.abc import Awaitable, Callable
 
 from endiveworks_standins.site_caller import Reply, read_reply, write_request
+from endiveworks_standins.site_config import TOKENS_PER_EVENT
 
-from .record import TOKENS_PER_EVENT, KeptTurn
+from .record import KeptTurn
 from .replicas import EVENTS, piece
 from .site import Site
 
--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -3,7 +3,6 @@
 from collections import Counter
 from typing import NamedTuple
 
-TOKENS_PER_EVENT = 10
 PROMISES = (402, 429, 503)  # These say that the request has not run and never will.
 
 
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -5,13 +5,13 @@
 import os
 import random
 from pathlib import Path
-from typing import Any
 
-from endiveworks_standins.site_caller import HOSTNAME, read_reply, write_request
+from endiveworks_standins.site_caller import read_reply, write_request
+from endiveworks_standins.site_config import operator_config
 from endiveworks_standins.site_store import SiteStore
 
 from .hosts import ZONES, Host
-from .record import TOKENS_PER_EVENT, Record
+from .record import Record
 from .replicas import Replicas
 
 ENTRIES = ("entry-0", "entry-1", "entry-2")
@@ -19,8 +19,7 @@
 START_S = 60.0
 BEAT_S = 0.5
 READY_TIMEOUT_S = 1.0
-ROUTE_TIMEOUT_MS = 3000
-KEEP_S = 60.0
+SLOTS = 8
 # Loopback networks of runs beside one another; each run takes that of its process id.
 _NETWORKS = 250
 
@@ -77,7 +76,7 @@
     def configure(self) -> None:
         """Writes the next version of the configuration."""
         self._version += 1
-        self.store.put("op/config", json.dumps(_config(self._version)).encode())
+        self.store.put("op/config", json.dumps(operator_config(self._version, SLOTS)).encode())
 
     async def wait_ready(self, timeout_s: float) -> None:
         """Waits until all entries are ready; raises TimeoutError."""
@@ -108,30 +107,10 @@
                     "address": address,
                     "zone": ZONES[number % 2],
                     "version": "1",
-                    "slots": 8,
+                    "slots": SLOTS,
                     "state": "ready",
                     "cold_remaining_ms": 0,
                     "sequence": sequence,
                 }
                 self.store.put(f"servers/{name}", json.dumps(entry).encode())
             await asyncio.sleep(BEAT_S)
-
-
-def _config(version: int) -> dict[str, Any]:
-    common = {"hostname": HOSTNAME, "timeout_ms": ROUTE_TIMEOUT_MS, "target_latency_ms": 300}
-    stream = common | {"type": "streaming", "backend": "llm", "max_attempts": 1, "priority": 0}
-    stream |= {"sticky": True, "retention_s": KEEP_S}
-    plain = common | {"backend": "shop", "priority": 1}
-    routes = [
-        stream | {"name": "turns", "path_prefix": "/turns/", "retain": True},
-        stream | {"name": "drafts", "path_prefix": "/drafts/", "resumable": True},
-        plain
-        | {"name": "orders", "path_prefix": "/orders/"}
-        | {"type": "non_idempotent", "max_attempts": 1},
-        plain
-        | {"name": "lookups", "path_prefix": "/lookups/"}
-        | {"type": "idempotent", "max_attempts": 2},
-    ]
-    engine = {"slots": 8, "kv_capacity": 100_000, "chunk_tokens": TOKENS_PER_EVENT}
-    services = [{"name": "llm", "engine": engine}, {"name": "shop"}]
-    return {"version": version, "routes": routes, "services": services}
