Log the limit that a replica names and how many requests an entry sent under it

Server-Limit is decoded, and replica_limit_changed names the limit, the replica and the requests sent under the limit before. Nothing acts on it yet.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/fleet.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/fleet.py
@@ -187,6 +187,27 @@
             )
             self.record_failure(replica)
 
+    def record_sent(self, replica: str) -> None:
+        """Counts a request that is sent to a replica."""
+        state = self._states.get(replica)
+        if state:
+            state.sent_since_limit += 1
+
+    def record_limit(self, replica: str, limit_per_s: float | None) -> None:
+        """Records the limit on requests that a replica names in a response; None for none."""
+        state = self._states.get(replica)
+        if state is None or state.limit_per_s == limit_per_s:
+            return
+        logs.logger("gateway").info(
+            "replica_limit_changed",
+            service=state.replica.service,
+            peer=replica,
+            limit_per_s=limit_per_s or 0,
+            amount=state.sent_since_limit,
+        )
+        state.limit_per_s = limit_per_s
+        state.sent_since_limit = 0
+
     def has_other(self, service: str, excluded: Collection[str]) -> bool:
         """Tells whether a service has a replica besides the excluded ones."""
         return any(state.replica.id not in excluded for state in self._eligible(service))
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/retries.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/retries.py
@@ -148,6 +148,23 @@
     return min(timeout_s, ex.remaining_s() / 2)
 
 
+def _send(
+    context: Context,
+    ex: Exchange,
+    replica: str,
+    conn: UpstreamConnection,
+    body: bytes,
+    resume_after: int | None,
+) -> None:
+    headers = context.dialect.write_request(
+        ex.request, Dispatch(replica, ex.remaining_s(), resume_after)
+    )
+    ex.send_count += 1
+    context.fleet.record_sent(replica)
+    ex.sent_to.add(replica)
+    conn.send(ex.request.method, ex.request.target, headers, body)
+
+
 async def _attempt(
     context: Context,
     ex: Exchange,
@@ -164,16 +181,12 @@
     handed_over = False
     try:
         conn = await context.pool.acquire(replica, address, not ex.route.may_retry())
-        headers = context.dialect.write_request(
-            ex.request, Dispatch(replica, ex.remaining_s(), resume_after)
-        )
-        ex.send_count += 1
         is_first = replica not in ex.sent_to
-        ex.sent_to.add(replica)
+        _send(context, ex, replica, conn, body, resume_after)
         in_flight_request.start_wait(ex.route.type is RouteType.STREAMING)
-        conn.send(ex.request.method, ex.request.target, headers, body)
         async with asyncio.timeout(_response_timeout_s(context, ex)):
             head = await conn.read_head(context.dialect.read_response, ex.request.id)
+        context.fleet.record_limit(replica, head.limit_per_s)
         if head.encoded:
             raise ResponseError("the body has an encoding that was not requested")
         if head.not_run:
--- a/packages/endiveworks/src/endiveworks/gateway/messages.py
+++ b/packages/endiveworks/src/endiveworks/gateway/messages.py
@@ -83,6 +83,8 @@
         encoded: Whether the body has a content encoding, though none was requested.
         idle_timeout_s: Keep-alive timeout of the connection; None when the replica states none.
         length: Value of Content-Length in bytes; None when the header is missing.
+        limit_per_s: Requests per second that the replica accepts from all processes together; None
+            when it names no limit.
     """
 
     status: int
@@ -93,6 +95,7 @@
     encoded: bool
     idle_timeout_s: float | None
     length: int | None
+    limit_per_s: float | None = None
 
 
 class Replica(NamedTuple):
--- a/packages/endiveworks/src/endiveworks/telemetry/fields.py
+++ b/packages/endiveworks/src/endiveworks/telemetry/fields.py
@@ -25,6 +25,7 @@
     "index": "Index of a journal record.",
     "key": "Key in the key-value service; never a caller's key.",
     "lease": "Lease id in the key-value service.",
+    "limit_per_s": "Requests a second that a replica takes from all entries; 0 for no limit.",
     "level": "debug, info, warning, error or critical.",
     "model": "Model name.",
     "not_run": "Whether a refused call is known not to have run.",
--- a/tests/deployed/test_decoding.py
+++ b/tests/deployed/test_decoding.py
@@ -257,6 +257,14 @@
     def test_an_encoded_body(self) -> None:
         assert headers.read_response(200, [(b"Content-Encoding", b"gzip")]).encoded
 
+    @pytest.mark.parametrize(
+        ("value", "limit_per_s"),
+        [(b"6.1", 6.1), (b"12", 12.0), (b"0", None), (b"-1", None), (b"nan", None), (b"x", None)],
+    )
+    def test_a_limit_on_requests(self, value: bytes, limit_per_s: float | None) -> None:
+        assert headers.read_response(200, [(b"Server-Limit", value)]).limit_per_s == limit_per_s
+        assert headers.read_response(200, []).limit_per_s is None
+
     def test_an_error_response_carries_retry_after(self) -> None:
         assert headers.write_error("9c41", 0.25) == [
             (b"Request-Id", b"9c41"),
