Keep the limit on requests that a replica names for all entries together

Callers saw nothing; replicas that name a limit (Server-Limit) got up to three times as many requests as allowed. Cause: no process read the limit, and replica_limit_changed showed that one entry alone exceeds it; two that each kept it would send twice as much.

Each entry now measures the requests for which a limited replica is its first choice and those that it sends, and learns the sums of the others with the load reports that entries exchange already. All let the same share through, less where more was sent than allowed. An entry counts on the part of a limit that belongs to the entries whose numbers it has, so that those cut off keep to theirs. Limits travel with the reports, so an entry knows one before its first request. Programs that prefer a limited replica move like those of a full one; requests beyond all limits wait or are refused at once with a time.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/fleet.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/fleet.py
@@ -19,6 +19,7 @@
     preferred_replica,
     silence_limit_s,
 )
+from endiveworks.gateway.rate_limit import LimitSighting
 from endiveworks.gateway.request_queue import (
     QueuedRequest,
     RequestQueue,
@@ -28,6 +29,7 @@
 from endiveworks.gateway.routes import Service
 from endiveworks.telemetry import logs
 
+from .rate_limits import RateLimits
 from .replica_state import InFlightRequest, ReplicaState
 
 # Requests that this process may have in flight at a replica, as a multiple of the replica's slots.
@@ -36,6 +38,10 @@
 FAILURE_HALF_LIFE_S = 2.0
 # Replicas keep serving for some seconds after they have left service discovery.
 DELISTED_GRACE_S = 2.0
+# Period of the tries of requests that wait until the limits of replicas let them through.
+LIMIT_RETRY_S = 0.05
+# Limited replicas that one try of a request asks for, so that its cost doesn't grow with the fleet.
+MAX_LIMITED_TRIES = 8
 # Weight of the newest sample in a service's mean response time.
 RESPONSE_TIME_WEIGHT = 0.1
 # Mean response time that is assumed until the first response of a service.
@@ -57,7 +63,11 @@
 
 
 class Fleet:
-    """The replicas of all services, and the queues of requests that wait for one."""
+    """The replicas of all services, and the queues of requests that wait for one.
+
+    Attributes:
+        limits: Limits on requests that replicas have named.
+    """
 
     def __init__(self, here: Location) -> None:
         self._here = here
@@ -67,6 +77,8 @@
         self._queues: dict[str, RequestQueue] = {}
         self._notifications: dict[str, asyncio.Future[None]] = {}
         self._mean_responses_s: dict[str, float] = {}
+        self._limit_retries: set[str] = set()
+        self.limits = RateLimits()
 
     def update(self, listed: Mapping[str, Replica], services: Mapping[str, Service]) -> None:
         """Applies a new list of replicas from service discovery."""
@@ -76,6 +88,7 @@
             state.delisted_s = (state.delisted_s or now_s) if is_leaving else None
             if name not in listed and now_s - (state.delisted_s or now_s) > DELISTED_GRACE_S:
                 del self._states[name]
+        self.limits.retain(self._states)
         for name, replica in listed.items():
             if name in self._states:
                 self._states[name].replica = replica
@@ -88,6 +101,10 @@
         for service_name in list(self._queues):
             self._notify(service_name)
 
+    def adopt_limits(self, sightings: Mapping[str, LimitSighting]) -> None:
+        """Takes over limits of replicas that other entries have seen."""
+        self.limits.adopt(sightings, self._states)
+
     def set_other_demand(self, other_demand: Callable[[str], int]) -> None:
         """Sets the function that returns the turns of other entries that prefer a replica."""
         self._other_demand = other_demand
@@ -124,6 +141,7 @@
         self._notifications[queued.key] = fut
         queue.add(queued)
         self._notify(service)
+        self._schedule_limit_retry(service)
         try:
             while True:
                 await fut
@@ -187,27 +205,6 @@
             )
             self.record_failure(replica)
 
-    def record_sent(self, replica: str) -> None:
-        """Counts a request that is sent to a replica."""
-        state = self._states.get(replica)
-        if state:
-            state.sent_since_limit += 1
-
-    def record_limit(self, replica: str, limit_per_s: float | None) -> None:
-        """Records the limit on requests that a replica names in a response; None for none."""
-        state = self._states.get(replica)
-        if state is None or state.limit_per_s == limit_per_s:
-            return
-        logs.logger("gateway").info(
-            "replica_limit_changed",
-            service=state.replica.service,
-            peer=replica,
-            limit_per_s=limit_per_s or 0,
-            amount=state.sent_since_limit,
-        )
-        state.limit_per_s = limit_per_s
-        state.sent_since_limit = 0
-
     def has_other(self, service: str, excluded: Collection[str]) -> bool:
         """Tells whether a service has a replica besides the excluded ones."""
         return any(state.replica.id not in excluded for state in self._eligible(service))
@@ -228,18 +225,26 @@
             self._mean_response(service),
         )
         if cannot_meet_deadline(wait_s, queued.deadline_s - time.monotonic()):
-            raise RefusedError(wait_s, "the expected wait leaves too little time to respond")
+            limited = self.limits.limited()
+            is_limited = any(s.replica.id in limited for s in usable)
+            cause = "the limits of the replicas leave" if is_limited else "the expected wait leaves"
+            raise RefusedError(wait_s, f"{cause} too little time to respond")
 
     def _notify(self, service: str) -> None:
         """Lets as many of the first queued requests retry as there are free slots."""
         queue = self._queues.get(service)
         if queue is None or not len(queue):
             return
+        limited = self.limits.limited()
         free = sum(
             max(0, math.ceil(s.replica.slots * MAX_IN_FLIGHT_FACTOR) - s.in_flight)
             for s in self._eligible(service)
+            if s.replica.id not in limited
         )
-        for _ in range(free):
+        self._wake(queue, free)
+
+    def _wake(self, queue: RequestQueue, count: int) -> None:
+        for _ in range(count):
             queued = queue.pop(time.monotonic())
             if queued is None:
                 return
@@ -247,6 +252,31 @@
             if fut is not None and not fut.done():
                 fut.set_result(None)
 
+    def _schedule_limit_retry(self, service: str) -> None:
+        """Retries queued requests after a while, if replicas of their service have limits."""
+        limited = self.limits.limited()
+        if service in self._limit_retries or not any(
+            s.replica.id in limited for s in self._eligible(service)
+        ):
+            return
+        self._limit_retries.add(service)
+        asyncio.get_running_loop().call_later(LIMIT_RETRY_S, self._retry_limited, service)
+
+    def _retry_limited(self, service: str) -> None:
+        """Lets as many of the first queued requests retry as the limits may let through."""
+        self._limit_retries.discard(service)
+        queue = self._queues.get(service)
+        if queue is None or not len(queue):
+            return
+        limited = self.limits.limited()
+        available_per_s = sum(
+            self.limits.available_per_s(s.replica.id)
+            for s in self._eligible(service)
+            if s.replica.id in limited
+        )
+        self._wake(queue, max(1, math.ceil(available_per_s * LIMIT_RETRY_S)))
+        self._schedule_limit_retry(service)
+
     def _eligible(self, service: str) -> list[ReplicaState]:
         """Returns the replicas that may take requests of a service.
 
@@ -258,9 +288,15 @@
         now_s = time.monotonic()
         return listed or [s for s in states if now_s - (s.delisted_s or 0.0) < DELISTED_GRACE_S]
 
-    def _capacity(self, service: str) -> int:
+    def _capacity(self, service: str) -> float:
+        """Returns the slots that this entry can use, as far as limits on requests allow."""
+        mean_s = self._mean_response(service)
         return sum(
-            math.ceil(s.replica.slots * MAX_IN_FLIGHT_FACTOR) for s in self._eligible(service)
+            min(
+                math.ceil(s.replica.slots * MAX_IN_FLIGHT_FACTOR),
+                self.limits.available_per_s(s.replica.id) * mean_s,
+            )
+            for s in self._eligible(service)
         )
 
     def _mean_response(self, service: str) -> float:
@@ -283,6 +319,7 @@
                 slowdown=slowdown(s.mean_latency, typical_s, now_s),
                 mean_response_ms=mean_response_ms,
                 stalled_s=max(s.stalled_s(now_s), _stall_of_silence_s(s, now_s, limit_s)),
+                limited_slots=self.limits.slots(name, mean_response_ms / 1000),
             )
             for name, s in states.items()
         ]
@@ -301,8 +338,20 @@
             ]
         if request.affinity_key:
             candidates = prefer_for_object(request.affinity_key, self._here, candidates)
-        choice = choose_replica(self._here, candidates, excluded, MAX_IN_FLIGHT_FACTOR)
-        return choice._replace(preferred=preferred)
+        return self._choose_within_limits(candidates, excluded)._replace(preferred=preferred)
+
+    def _choose_within_limits(
+        self, candidates: Sequence[Candidate], excluded: Collection[str]
+    ) -> ReplicaChoice:
+        """Returns the best replica whose limit lets the request through."""
+        refused = set(excluded)
+        for _ in range(MAX_LIMITED_TRIES):
+            choice = choose_replica(self._here, candidates, refused, MAX_IN_FLIGHT_FACTOR)
+            if not choice.replica or self.limits.admit(choice.replica):
+                return choice
+            refused.add(choice.replica)
+        refused |= self.limits.limited()
+        return choose_replica(self._here, candidates, refused, MAX_IN_FLIGHT_FACTOR)
 
     def _assigned(self, program: str, preferred: str, candidates: Sequence[Candidate]) -> str:
         demands = {
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/load_exchange.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/load_exchange.py
@@ -1,9 +1,9 @@
-"""Tells the entries of a region how many turns of all of them prefer each replica.
+"""Tells entries the load of all of them: turns in flight, and requests for limited replicas.
 
 An entry that knows only its own turns can't tell an overloaded replica from an idle one; see
-load_balance for what is decided from the numbers. Each entry reports the sum of its part of the
-tree to its parent and learns the total in the reply, and the roots of the regions report to each
-other. So the messages grow with the entries; see distribution_tree.
+load_balance and rate_limit for what is decided from the numbers. Each entry reports the sum of its
+part of the tree to its parent and learns the total in the reply, and the roots of the regions
+report to each other. So the messages grow with the entries; see distribution_tree.
 """
 
 import asyncio
@@ -14,6 +14,7 @@
 
 import msgspec
 from endiveworks.errors import Failure
+from endiveworks.gateway.rate_limit import NO_RATES, LimitedLoad, LimitSighting, Rates
 from endiveworks.telemetry import logs
 from returns.result import Result, Success
 
@@ -26,71 +27,124 @@
 EXPIRY_S = 1.0
 
 
+class SharedLoad(NamedTuple):
+    """Load of one entry, or of several together.
+
+    Attributes:
+        turns: Turns in flight by preferred replica.
+        rates: Requests for replicas that limit them, by replica.
+        entries: Number of entries.
+    """
+
+    turns: dict[str, int]
+    rates: dict[str, Rates]
+    entries: int
+
+
 class LoadReport(NamedTuple):
-    """Turns in flight by preferred replica, of the sender and those that report to it.
+    """Load of the sender and those that report to it.
 
     Attributes:
         host: Name of the sender.
-        counts: The turns.
+        load: The load.
+        limits: Limits of replicas that the sender knows.
         is_region: Whether the sender is the root of another region.
     """
 
     host: str
-    counts: dict[str, int]
+    load: SharedLoad
+    limits: dict[str, LimitSighting]
     is_region: bool = False
 
 
 class LoadTotals(NamedTuple):
-    """Turns in flight by preferred replica, of all entries."""
+    """Load of all entries, and the limits of replicas that the receiver of a report knows."""
+
+    load: SharedLoad
+    limits: dict[str, LimitSighting]
+
 
-    counts: dict[str, int]
+class LimitBook(NamedTuple):
+    """Access to what this process knows of the limits of replicas.
 
+    Attributes:
+        sightings: Returns what it knows.
+        adopt: Takes over what other processes have seen.
+    """
 
-class _Counts(NamedTuple):
-    counts: Mapping[str, int]
+    sightings: Callable[[], dict[str, LimitSighting]]
+    adopt: Callable[[Mapping[str, LimitSighting]], None]
+
+
+class _Known(NamedTuple):
+    load: SharedLoad
     at_s: float
 
     def is_fresh(self) -> bool:
         return time.monotonic() - self.at_s < EXPIRY_S
 
 
-_NONE = _Counts({}, float("-inf"))
+_NO_LOAD = SharedLoad({}, {}, 0)
+_NONE = _Known(_NO_LOAD, float("-inf"))
+_NO_LIMITS = LimitBook(dict, lambda _: None)
 
 
 class LoadExchange:
-    """Exchanges the numbers of turns in flight with the other entries of a region.
+    """Exchanges loads and limits of replicas with the other entries.
 
     Args:
         host: Name of this process.
-        own_counts: Returns this process's turns in flight by preferred replica.
+        own_load: Returns the load of this process.
         find_sources: Returns the addresses of the parent and the root; empty if this is the root.
         find_roots: Returns the addresses of the roots of the other regions.
+        limits: What this process knows of the limits of replicas.
     """
 
     def __init__(
         self,
         host: str,
-        own_counts: Callable[[], Mapping[str, int]],
+        own_load: Callable[[], SharedLoad],
         find_sources: Callable[[], Sequence[str]],
         find_roots: Callable[[], Sequence[str]] = lambda: (),
+        limits: LimitBook = _NO_LIMITS,
     ) -> None:
         self._host = host
-        self._own_counts = own_counts
+        self._own_load = own_load
         self._find_sources = find_sources
         self._find_roots = find_roots
-        self._children: dict[str, _Counts] = {}
-        self._regions: dict[str, _Counts] = {}
+        self._limits = limits
+        self._children: dict[str, _Known] = {}
+        self._regions: dict[str, _Known] = {}
         self._totals = _NONE
-        self._reported: Mapping[str, int] = {}
+        self._reported = _NO_LOAD
         self._clients: dict[str, RpcClient] = {}
         self._reaches_source: bool | None = None
+        self._expected_entries = 1
+
+    def expect_entries(self, count: int) -> None:
+        """Sets the number of entries of the deployment, whether they report or not."""
+        self._expected_entries = max(1, count)
 
     def others(self, replica: str) -> int:
         """Returns the turns of other entries that prefer a replica, as far as known."""
         if self._totals.is_fresh():
-            return max(0, self._totals.counts.get(replica, 0) - self._reported.get(replica, 0))
-        reports = (*self._children.values(), *self._regions.values())
-        return sum(c.counts.get(replica, 0) for c in reports if c.is_fresh())
+            total = self._totals.load.turns.get(replica, 0)
+            return max(0, total - self._reported.turns.get(replica, 0))
+        return sum(load.turns.get(replica, 0) for load in self._reports())
+
+    def limited_load(self, replica: str) -> LimitedLoad:
+        """Returns what is known of the requests of all entries for a limited replica."""
+        if self._totals.is_fresh():
+            load = self._totals.load
+            total = load.rates.get(replica, NO_RATES)
+            reported = self._reported.rates.get(replica, NO_RATES)
+            others = Rates(*(max(0.0, a - b) for a, b in zip(total, reported, strict=True)))
+            entries = load.entries
+        else:
+            reports = self._reports()
+            others = sum((load.rates.get(replica, NO_RATES) for load in reports), NO_RATES)
+            entries = 1 + sum(load.entries for load in reports)
+        return LimitedLoad(others, min(1.0, entries / self._expected_entries))
 
     def handlers(self) -> dict[str, Handler]:
         """Returns the RPC handlers by method name."""
@@ -98,8 +152,9 @@
         async def share(message: bytes) -> bytes:
             report = msgspec.msgpack.decode(message, type=LoadReport)
             reports = self._regions if report.is_region else self._children
-            reports[report.host] = _Counts(report.counts, time.monotonic())
-            return msgspec.msgpack.encode(LoadTotals(self._total()))
+            reports[report.host] = _Known(report.load, time.monotonic())
+            self._limits.adopt(report.limits)
+            return msgspec.msgpack.encode(LoadTotals(self._total(), self._limits.sightings()))
 
         return {SHARE_LOADS: share}
 
@@ -119,39 +174,43 @@
     async def _report_to_first(self, sources: Sequence[str]) -> str:
         """Reports to the first source that replies, and returns its address; empty for none."""
         for address in sources:
-            own = dict(self._own_counts())
-            reply = await self._send(address, LoadReport(self._host, self._subtree()))
+            own = self._own_load()
+            reply = await self._send(address, is_region=False)
             if isinstance(reply, Success):
                 self._reported = own
-                self._totals = _Counts(reply.unwrap().counts, time.monotonic())
+                self._totals = _Known(reply.unwrap().load, time.monotonic())
                 return address
         return ""
 
     async def _report_region(self, address: str) -> None:
-        """Tells the root of another region the turns of this one; its reply isn't needed."""
-        await self._send(address, LoadReport(self._host, self._subtree(), is_region=True))
+        """Tells the root of another region the load of this one; of its reply only limits count."""
+        await self._send(address, is_region=True)
 
-    async def _send(self, address: str, report: LoadReport) -> Result[LoadTotals, Failure]:
+    async def _send(self, address: str, is_region: bool) -> Result[LoadTotals, Failure]:
         client = self._clients.setdefault(address, RpcClient(address))
-        return await client.call(SHARE_LOADS, report, LoadTotals, TIMEOUT_S)
+        report = LoadReport(self._host, self._subtree(), self._limits.sightings(), is_region)
+        reply = await client.call(SHARE_LOADS, report, LoadTotals, TIMEOUT_S)
+        if isinstance(reply, Success):
+            self._limits.adopt(reply.unwrap().limits)
+        return reply
 
     def _close_other_clients(self, addresses: Sequence[str]) -> None:
         for address in [known for known in self._clients if known not in addresses]:
             self._clients.pop(address).close()
 
-    def _total(self) -> dict[str, int]:
+    def _total(self) -> SharedLoad:
         if self._totals.is_fresh():
-            return dict(self._totals.counts)
-        totals = Counter(self._subtree())
-        for region in _fresh(self._regions).values():
-            totals.update(region.counts)
-        return dict(totals)
-
-    def _subtree(self) -> dict[str, int]:
-        totals = Counter(self._own_counts())
-        for child in _fresh(self._children).values():
-            totals.update(child.counts)
-        return dict(totals)
+            return self._totals.load
+        regions = (known.load for known in _fresh(self._regions).values())
+        return _sum(self._subtree(), *regions)
+
+    def _subtree(self) -> SharedLoad:
+        children = (known.load for known in _fresh(self._children).values())
+        return _sum(self._own_load(), *children)
+
+    def _reports(self) -> list[SharedLoad]:
+        known = (*self._children.values(), *self._regions.values())
+        return [report.load for report in known if report.is_fresh()]
 
     def _record_source(self, address: str) -> None:
         if bool(address) is not self._reaches_source:
@@ -160,5 +219,15 @@
             logs.logger("gateway").info(event, address=address)
 
 
-def _fresh(reports: Mapping[str, _Counts]) -> dict[str, _Counts]:
-    return {host: counts for host, counts in reports.items() if counts.is_fresh()}
+def _sum(*loads: SharedLoad) -> SharedLoad:
+    turns: Counter[str] = Counter()
+    rates: dict[str, Rates] = {}
+    for load in loads:
+        turns.update(load.turns)
+        for replica, found in load.rates.items():
+            rates[replica] = rates.get(replica, NO_RATES) + found
+    return SharedLoad(dict(turns), rates, sum(load.entries for load in loads))
+
+
+def _fresh(reports: Mapping[str, _Known]) -> dict[str, _Known]:
+    return {host: known for host, known in reports.items() if known.is_fresh()}
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/replica_state.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/replica_state.py
@@ -26,9 +26,6 @@
         response_waits_s: Monotonic time at which each request in flight of a service that doesn't
             stream was sent, oldest first.
         last_response_s: Monotonic time of the latest response of a service that doesn't stream.
-        limit_per_s: Requests per second that the replica accepts from all entries together, as it
-            named them last; None for any number.
-        sent_since_limit: Requests sent since limit_per_s was last set or changed.
     """
 
     def __init__(self, replica: Replica, memory_tokens: int) -> None:
@@ -42,8 +39,6 @@
         self.stream_waits_s: OrderedDict[int, float] = OrderedDict()
         self.response_waits_s: OrderedDict[int, float] = OrderedDict()
         self.last_response_s = 0.0
-        self.limit_per_s: float | None = None
-        self.sent_since_limit = 0
 
     def stalled_s(self, now_s: float) -> float:
         """Returns the longest time that a stream has waited for its next event, in seconds."""
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/retries.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/retries.py
@@ -79,9 +79,11 @@
     while True:
         if not preferred and len(ex.sent_to) >= ex.route.max_attempts:
             preferred = next(iter(ex.sent_to))
-        replica = (
-            preferred if preferred and preferred not in ex.excluded else await _choose(context, ex)
-        )
+        if preferred and preferred not in ex.excluded:
+            replica = preferred
+            context.fleet.limits.charge(replica)
+        else:
+            replica = await _choose(context, ex)
         preferred = ""
         address = context.fleet.address(replica)
         if not address:
@@ -160,7 +162,6 @@
         ex.request, Dispatch(replica, ex.remaining_s(), resume_after)
     )
     ex.send_count += 1
-    context.fleet.record_sent(replica)
     ex.sent_to.add(replica)
     conn.send(ex.request.method, ex.request.target, headers, body)
 
@@ -186,7 +187,7 @@
         in_flight_request.start_wait(ex.route.type is RouteType.STREAMING)
         async with asyncio.timeout(_response_timeout_s(context, ex)):
             head = await conn.read_head(context.dialect.read_response, ex.request.id)
-        context.fleet.record_limit(replica, head.limit_per_s)
+        context.fleet.limits.observe(replica, head.limit_per_s)
         if head.encoded:
             raise ResponseError("the body has an encoding that was not requested")
         if head.not_run:
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/run.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/run.py
@@ -21,7 +21,7 @@
 from .callers import CallerConnection, RawRequest, RequestHandler, Responder
 from .exchange import Context
 from .fleet import Fleet
-from .load_exchange import LoadExchange
+from .load_exchange import LimitBook, LoadExchange, SharedLoad
 from .registration import register_in_background
 from .sockets import LISTEN_BACKLOG
 from .turn_store import TurnStore
@@ -63,6 +63,7 @@
         latest[:] = [state]
         gateway.apply_state(state)
         turns.update_relays(state.members.values(), settings.host)
+        loads.expect_entries(sum(m.role == ENTRY_ROLE for m in state.members.values()))
 
     kv = platform.connect_kv()
 
@@ -80,12 +81,7 @@
     await listen(settings.readiness_address, readiness, gateway.limits, checks)
     await serve_metrics(settings.metrics_address, metrics)
 
-    def find_roots() -> Sequence[str]:
-        members = latest[0].members.values() if latest else ()
-        return roots_of_other_regions(settings.region, members)
-
-    loads = LoadExchange(settings.host, fleet.demands, watcher.sources, find_roots)
-    fleet.set_other_demand(loads.others)
+    loads = _exchange_loads(settings, fleet, watcher.sources, latest)
     handlers = turns.handlers() | watcher.change_log.handlers() | loads.handlers()
     rpc_server = await rpc.serve(settings.peer_address, handlers)
     register_in_background(kv, own_member(settings, ENTRY_ROLE, 0))
@@ -104,6 +100,28 @@
     rpc_server.close()
 
 
+def _exchange_loads(
+    settings: ProcessSettings,
+    fleet: Fleet,
+    find_sources: Callable[[], Sequence[str]],
+    latest: Sequence[ClusterState],
+) -> LoadExchange:
+    """Connects the fleet to the load of other entries; latest holds the newest state."""
+
+    def find_roots() -> Sequence[str]:
+        members = latest[0].members.values() if latest else ()
+        return roots_of_other_regions(settings.region, members)
+
+    def own_load() -> SharedLoad:
+        return SharedLoad(fleet.demands(), fleet.limits.rates(), 1)
+
+    limits = LimitBook(fleet.limits.sightings, fleet.adopt_limits)
+    loads = LoadExchange(settings.host, own_load, find_sources, find_roots, limits)
+    fleet.set_other_demand(loads.others)
+    fleet.limits.set_load(loads.limited_load)
+    return loads
+
+
 async def listen(
     address: str, handle: RequestHandler, limits: Callable[[], Limits], callers: CallerConnections
 ) -> asyncio.Server:
--- a/packages/endiveworks/src/endiveworks/gateway/load_balance.py
+++ b/packages/endiveworks/src/endiveworks/gateway/load_balance.py
@@ -2,7 +2,8 @@
 
 Rendezvous hashing spreads programs at random, so that at the peak of a day some replicas queue
 turns while others have free slots. Entries of a region know how many turns in flight prefer each
-replica, and compute the same moves from these numbers. The numbers count where turns would run
+replica, and compute the same moves from these numbers. A replica that limits its requests counts
+with the slots that the limit lets them use. The numbers count where turns would run
 without any move. So moves don't change them, and late reports cause no oscillation.
 """
 
@@ -50,7 +51,7 @@
     surplus = 1.0 - mean / max(mean, _turns_per_slot(region, demands))
     if surplus and _uniform(f"{program}/leaves") < surplus:
         weights = {
-            c.replica: mean * c.slots - demands.get(c.replica, 0)
+            c.replica: mean * c.usable_slots - demands.get(c.replica, 0)
             for c in candidates
             if c.region != here.region
         }
@@ -68,7 +69,7 @@
     demands: Mapping[str, int],
 ) -> str:
     mean = max(_turns_per_slot(region, demands), FULL_SHARE)
-    room = {c: mean * c.slots - demands.get(c.replica, 0) for c in region}
+    room = {c: mean * c.usable_slots - demands.get(c.replica, 0) for c in region}
     surplus = -next(room[c] for c in region if c.replica == preferred)
     if surplus <= 0 or _uniform(f"{program}/moves") >= surplus / demands[preferred]:
         return preferred
@@ -81,7 +82,7 @@
 
 def _turns_per_slot(candidates: Sequence[Candidate], demands: Mapping[str, int]) -> float:
     turns = sum(demands.get(c.replica, 0) for c in candidates)
-    return turns / max(1, sum(c.slots for c in candidates))
+    return turns / max(1.0, sum(c.usable_slots for c in candidates))
 
 
 def _weighted_choice(key: str, weights: Mapping[str, float]) -> str:
--- a/packages/endiveworks/src/endiveworks/gateway/placement.py
+++ b/packages/endiveworks/src/endiveworks/gateway/placement.py
@@ -6,6 +6,7 @@
 rendezvous hashing of the program's id.
 """
 
+import math
 from collections.abc import Collection, Sequence
 from typing import NamedTuple
 
@@ -42,6 +43,8 @@
         mean_response_ms: Mean time of a response of the service.
         stalled_s: Longest time that a stream in flight there has waited for its next event.
         saved_ms: Expected time saved because it has handled the request's object recently.
+        limited_slots: Slots that a limit on its requests lets all entries together use; infinite
+            without a limit.
     """
 
     replica: str
@@ -55,6 +58,12 @@
     mean_response_ms: float = 0.0
     stalled_s: float = 0.0
     saved_ms: float = 0.0
+    limited_slots: float = math.inf
+
+    @property
+    def usable_slots(self) -> float:
+        """Returns the slots that all entries together may use."""
+        return min(self.slots, self.limited_slots)
 
 
 class Location(NamedTuple):
--- a/packages/endiveworks/src/endiveworks/gateway/request_queue.py
+++ b/packages/endiveworks/src/endiveworks/gateway/request_queue.py
@@ -73,7 +73,7 @@
         return sum(request.priority <= priority for request in self._queued.values())
 
 
-def expected_wait_s(ahead: int, slots: int, service_time_s: float) -> float:
+def expected_wait_s(ahead: int, slots: float, service_time_s: float) -> float:
     """Returns the expected wait of a new request.
 
     Args:
--- a/tests/deployed/test_load_exchange.py
+++ b/tests/deployed/test_load_exchange.py
@@ -3,8 +3,15 @@
 import asyncio
 from collections.abc import Callable, Mapping, Sequence
 
+from endiveworks.gateway.rate_limit import NO_RATES, LimitSighting, Rates
 from endiveworks_daemon import rpc
-from endiveworks_daemon.gateway.load_exchange import EXPIRY_S, PERIOD_S, LoadExchange
+from endiveworks_daemon.gateway.load_exchange import (
+    EXPIRY_S,
+    PERIOD_S,
+    LimitBook,
+    LoadExchange,
+    SharedLoad,
+)
 
 from tests.deployed.harness import run
 
@@ -18,8 +25,14 @@
         self.turns = dict(turns)
         self.sources = sources
         self.roots: Sequence[str] = ()
+        self.limits: dict[str, LimitSighting] = {}
+        self.rates: dict[str, Rates] = {}
         self.exchange = LoadExchange(
-            host, lambda: self.turns, lambda: self.sources, lambda: self.roots
+            host,
+            lambda: SharedLoad(self.turns, self.rates, 1),
+            lambda: self.sources,
+            lambda: self.roots,
+            LimitBook(lambda: self.limits, lambda found: self.limits.update(found)),
         )
         self.address = ""
 
@@ -112,3 +125,40 @@
             leaf.stop()
 
         run(scenario)
+
+
+class TestLimitedReplicas:
+    def test_entries_learn_limits_and_the_requests_of_all_others(self) -> None:
+        async def scenario() -> None:
+            root = await Entry("e1", {}, ()).start()
+            leaf = await Entry("e2", {}, (root.address,)).start()
+            west = await Entry("w1", {}, ()).start()
+            root.roots, west.roots = (west.address,), (root.address,)
+            entries = (root, leaf, west)
+            for number, entry in enumerate(entries, 1):
+                entry.exchange.expect_entries(4)
+                entry.rates = {"a": Rates(10.0 * number, 1.0 * number)}
+            leaf.limits = {"a": LimitSighting(6.0, 0.5)}
+            await wait_until(lambda: all(entry.limits for entry in entries))
+            await wait_until(lambda: leaf.exchange.limited_load("a").others == Rates(40.0, 4.0))
+            await wait_until(lambda: root.exchange.limited_load("a").others == Rates(50.0, 5.0))
+            await wait_until(lambda: west.exchange.limited_load("a").others == Rates(30.0, 3.0))
+            assert [entry.exchange.limited_load("a").coverage for entry in entries] == [0.75] * 3
+            assert root.exchange.limited_load("unknown").others == NO_RATES
+            for entry in entries:
+                entry.stop()
+
+        run(scenario)
+
+    def test_an_entry_that_hears_of_no_other_counts_on_its_own_part(self) -> None:
+        async def scenario() -> None:
+            root = await Entry("e1", {}, ()).start()
+            leaf = await Entry("e2", {}, (root.address,)).start()
+            for entry in (root, leaf):
+                entry.exchange.expect_entries(2)
+            await wait_until(lambda: leaf.exchange.limited_load("a").coverage == 1.0)
+            leaf.stop()
+            await wait_until(lambda: root.exchange.limited_load("a").coverage == 0.5)
+            root.stop()
+
+        run(scenario)
