Log a digest of requests whose answer was lost, also of streams that broke midway

The lines of the incident could not show that requests of several programs are the same: the digest of path and body tells. Streams that were broken off midway had no answer_lost line at all. No decision changes.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/exchange.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/exchange.py
@@ -1,8 +1,10 @@
 """State of one request: which replicas were tried, its deadline, and whether it may have run."""
 
+import functools
 import time
 from typing import NamedTuple
 
+import xxhash
 from endiveworks.gateway.messages import Dialect, Request
 from endiveworks.gateway.request_queue import QueuedRequest
 from endiveworks.gateway.routes import Route, RoutingTable
@@ -79,6 +81,14 @@
         self.preferred_replica = ""
         self.queued_s = 0.0
 
+    @functools.cached_property
+    def digest(self) -> str:
+        """Hash of what a repetition has in common with this request, in hexadecimal."""
+        request = self.request
+        digest = xxhash.xxh3_64(f"{request.method} {request.hostname} {request.target}\n".encode())
+        digest.update(self.body)
+        return digest.hexdigest()
+
     @property
     def may_have_run(self) -> bool:
         """Returns whether a replica may have started to run the request."""
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/retries.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/retries.py
@@ -94,20 +94,26 @@
             return response
 
 
-def handle_lost_response(context: Context, ex: Exchange, replica: str, cause: Exception) -> None:
-    """Records that the response to a request that the replica may have run was lost.
-
-    Raises:
-        HttpError: The request may not be sent again.
-    """
-    context.fleet.record_failure(replica)
+def log_loss(ex: Exchange, replica: str, cause: Exception) -> None:
+    """Logs that a replica that may have run a request gave no complete response."""
     logs.logger("gateway").info(
         "answer_lost",
         request=ex.request.id,
+        digest=ex.digest,
         service=ex.service,
         peer=replica,
         reason=f"{type(cause).__name__}: {cause}",
     )
+
+
+def handle_lost_response(context: Context, ex: Exchange, replica: str, cause: Exception) -> None:
+    """Records that the response to a request that the replica may have run was lost.
+
+    Raises:
+        HttpError: The request may not be sent again.
+    """
+    context.fleet.record_failure(replica)
+    log_loss(ex, replica, cause)
     if not ex.route.may_retry() or ex.send_count >= MAX_SENDS:
         raise HttpError(STATUS_BAD_GATEWAY, "the replica's response was lost")
     if len(ex.sent_to) < ex.route.max_attempts:
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/stream.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/stream.py
@@ -16,6 +16,7 @@
     STATUS_UNAVAILABLE,
     Response,
     handle_lost_response,
+    log_loss,
     send_with_retries,
 )
 from .upstreams import ResponseError
@@ -236,6 +237,7 @@
     """
     if not ex.route.resumable or stream.resumes >= MAX_RESUMES:
         if stream.events_sent:
+            log_loss(ex, response.replica, cause)
             raise ResponseError(str(cause)) from cause
         handle_lost_response(context, ex, response.replica, cause)
     stream.resumes += 1
--- a/packages/endiveworks/src/endiveworks/telemetry/fields.py
+++ b/packages/endiveworks/src/endiveworks/telemetry/fields.py
@@ -15,6 +15,7 @@
     "cost_ms": "Cost of the chosen replica, in milliseconds.",
     "coverage": "Share of the entries whose load is known.",
     "detail": "Sentence on an error, written by this project.",
+    "digest": "Hash of a request's path and body; repetitions have the same.",
     "epoch": "Epoch of a partition's owner.",
     "error_at": "Source file, line and function that raised an exception, innermost last.",
     "error_type": "Type of an exception; its message is left out.",
