Pass on whatever a process knows from responses with the load reports

The load reports carry the limits of replicas; what entries know of requests is to travel the same way. No decision changes: the tests of the exchange pass as before.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/load_exchange.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/load_exchange.py
@@ -41,39 +41,49 @@
     entries: int
 
 
+class Beliefs(NamedTuple):
+    """What a process knows from responses and passes on.
+
+    Attributes:
+        limits: Limits on requests by replica.
+    """
+
+    limits: dict[str, LimitSighting]
+
+
+class BeliefBook(NamedTuple):
+    """Access to the beliefs of this process.
+
+    Attributes:
+        share: Returns what others should know.
+        adopt: Takes over what others know.
+    """
+
+    share: Callable[[], Beliefs]
+    adopt: Callable[[Beliefs], None]
+
+
 class LoadReport(NamedTuple):
-    """Load of the sender and those that report to it.
+    """Load of the sender and those that report to it, and the sender's beliefs.
 
     Attributes:
         host: Name of the sender.
         load: The load.
-        limits: Limits of replicas that the sender knows.
+        beliefs: The beliefs.
         is_region: Whether the sender is the root of another region.
     """
 
     host: str
     load: SharedLoad
-    limits: dict[str, LimitSighting]
+    beliefs: Beliefs
     is_region: bool = False
 
 
 class LoadTotals(NamedTuple):
-    """Load of all entries, and the limits of replicas that the receiver of a report knows."""
+    """Load of all entries, and the beliefs of the receiver of a report."""
 
     load: SharedLoad
-    limits: dict[str, LimitSighting]
-
-
-class LimitBook(NamedTuple):
-    """Access to what this process knows of the limits of replicas.
-
-    Attributes:
-        sightings: Returns what it knows.
-        adopt: Takes over what other processes have seen.
-    """
-
-    sightings: Callable[[], dict[str, LimitSighting]]
-    adopt: Callable[[Mapping[str, LimitSighting]], None]
+    beliefs: Beliefs
 
 
 class _Known(NamedTuple):
@@ -86,18 +96,18 @@
 
 _NO_LOAD = SharedLoad({}, {}, 0)
 _NONE = _Known(_NO_LOAD, float("-inf"))
-_NO_LIMITS = LimitBook(dict, lambda _: None)
+_NO_BELIEFS = BeliefBook(lambda: Beliefs({}), lambda _: None)
 
 
 class LoadExchange:
-    """Exchanges loads and limits of replicas with the other entries.
+    """Exchanges loads and beliefs with the other entries.
 
     Args:
         host: Name of this process.
         own_load: Returns the load of this process.
         find_sources: Returns the addresses of the parent and the root; empty if this is the root.
         find_roots: Returns the addresses of the roots of the other regions.
-        limits: What this process knows of the limits of replicas.
+        beliefs: Beliefs of this process.
     """
 
     def __init__(
@@ -106,13 +116,13 @@
         own_load: Callable[[], SharedLoad],
         find_sources: Callable[[], Sequence[str]],
         find_roots: Callable[[], Sequence[str]] = lambda: (),
-        limits: LimitBook = _NO_LIMITS,
+        beliefs: BeliefBook = _NO_BELIEFS,
     ) -> None:
         self._host = host
         self._own_load = own_load
         self._find_sources = find_sources
         self._find_roots = find_roots
-        self._limits = limits
+        self._beliefs = beliefs
         self._children: dict[str, _Known] = {}
         self._regions: dict[str, _Known] = {}
         self._totals = _NONE
@@ -153,8 +163,8 @@
             report = msgspec.msgpack.decode(message, type=LoadReport)
             reports = self._regions if report.is_region else self._children
             reports[report.host] = _Known(report.load, time.monotonic())
-            self._limits.adopt(report.limits)
-            return msgspec.msgpack.encode(LoadTotals(self._total(), self._limits.sightings()))
+            self._beliefs.adopt(report.beliefs)
+            return msgspec.msgpack.encode(LoadTotals(self._total(), self._beliefs.share()))
 
         return {SHARE_LOADS: share}
 
@@ -183,15 +193,15 @@
         return ""
 
     async def _report_region(self, address: str) -> None:
-        """Tells the root of another region the load of this one; of its reply only limits count."""
+        """Tells the root of another region the load of this one; of its reply only beliefs count."""
         await self._send(address, is_region=True)
 
     async def _send(self, address: str, is_region: bool) -> Result[LoadTotals, Failure]:
         client = self._clients.setdefault(address, RpcClient(address))
-        report = LoadReport(self._host, self._subtree(), self._limits.sightings(), is_region)
+        report = LoadReport(self._host, self._subtree(), self._beliefs.share(), is_region)
         reply = await client.call(SHARE_LOADS, report, LoadTotals, TIMEOUT_S)
         if isinstance(reply, Success):
-            self._limits.adopt(reply.unwrap().limits)
+            self._beliefs.adopt(reply.unwrap().beliefs)
         return reply
 
     def _close_other_clients(self, addresses: Sequence[str]) -> None:
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/run.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/run.py
@@ -21,7 +21,7 @@
 from .callers import CallerConnection, RawRequest, RequestHandler, Responder
 from .exchange import Context
 from .fleet import Fleet
-from .load_exchange import LimitBook, LoadExchange, SharedLoad
+from .load_exchange import BeliefBook, Beliefs, LoadExchange, SharedLoad
 from .registration import register_in_background
 from .sockets import LISTEN_BACKLOG
 from .turn_store import TurnStore
@@ -115,8 +115,14 @@
     def own_load() -> SharedLoad:
         return SharedLoad(fleet.demands(), fleet.limits.rates(), 1)
 
-    limits = LimitBook(fleet.limits.sightings, fleet.adopt_limits)
-    loads = LoadExchange(settings.host, own_load, find_sources, find_roots, limits)
+    def share() -> Beliefs:
+        return Beliefs(fleet.limits.sightings())
+
+    def adopt(beliefs: Beliefs) -> None:
+        fleet.adopt_limits(beliefs.limits)
+
+    beliefs = BeliefBook(share, adopt)
+    loads = LoadExchange(settings.host, own_load, find_sources, find_roots, beliefs)
     fleet.set_other_demand(loads.others)
     fleet.limits.set_load(loads.limited_load)
     return loads
--- a/tests/deployed/test_load_exchange.py
+++ b/tests/deployed/test_load_exchange.py
@@ -8,7 +8,8 @@
 from endiveworks_daemon.gateway.load_exchange import (
     EXPIRY_S,
     PERIOD_S,
-    LimitBook,
+    BeliefBook,
+    Beliefs,
     LoadExchange,
     SharedLoad,
 )
@@ -32,7 +33,9 @@
             lambda: SharedLoad(self.turns, self.rates, 1),
             lambda: self.sources,
             lambda: self.roots,
-            LimitBook(lambda: self.limits, lambda found: self.limits.update(found)),
+            BeliefBook(
+                lambda: Beliefs(self.limits), lambda found: self.limits.update(found.limits)
+            ),
         )
         self.address = ""
 
