--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/load_exchange.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/load_exchange.py
@@ -193,7 +193,7 @@
         return ""
 
     async def _report_region(self, address: str) -> None:
-        """Tells the root of another region the load of this one; of its reply only beliefs count."""
+        """Tells the root of another region the load of this one; only its beliefs are used."""
         await self._send(address, is_region=True)
 
     async def _send(self, address: str, is_region: bool) -> Result[LoadTotals, Failure]:
