Send no new requests to a replica that announces in a response that it leaves

Replicas that leave say so in their responses (Server-Leaving), also while the key-value service can't tell. Nothing read it, so an entry went on sending to a replica that it had heard from itself. It is now treated like one that drains, from the first such response on and whatever the list says, until an incarnation with another start time takes its id; of such an incarnation nothing earlier is assumed.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/fleet.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/fleet.py
@@ -85,7 +85,10 @@
         """Applies a new list of replicas from service discovery."""
         now_s = time.monotonic()
         for name, state in list(self._states.items()):
-            is_leaving = name not in listed or listed[name].draining
+            if name in listed and listed[name].started_ms != state.replica.started_ms:
+                del self._states[name]  # Nothing that is known of the earlier incarnation holds.
+                continue
+            is_leaving = name not in listed or listed[name].draining or state.is_leaving
             state.delisted_s = (state.delisted_s or now_s) if is_leaving else None
             if name not in listed and now_s - (state.delisted_s or now_s) > DELISTED_GRACE_S:
                 del self._states[name]
@@ -206,6 +209,17 @@
             state.failures = self._recent_failures(state) + 1.0
             state.last_failure_s = time.monotonic()
 
+    def record_leaving(self, replica: str) -> None:
+        """Records that a replica announced in a response that it is about to leave."""
+        state = self._states.get(replica)
+        if state is None or state.is_leaving:
+            return
+        state.is_leaving = True
+        state.delisted_s = state.delisted_s or time.monotonic()
+        logs.logger("gateway").info(
+            "replica_leaving", service=state.replica.service, peer=replica, running=state.in_flight
+        )
+
     def record_silence(self, service: str, replica: str) -> None:
         """Records a failure of a replica that has left requests without any response for long.
 
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/replica_state.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/replica_state.py
@@ -18,6 +18,7 @@
         cached_parts: Prompt parts that it has probably cached.
         failures: Recent failures, decayed to the time of the last one.
         last_failure_s: Monotonic time of the last failure.
+        is_leaving: Whether it has announced in a response that it is about to leave.
         delisted_s: Monotonic time since which it has been draining or missing from service
             discovery; None while it is listed.
         mean_latency: Mean time per stream event, or per response of a service that doesn't stream.
@@ -34,6 +35,7 @@
         self.cached_parts = PromptCache(memory_tokens)
         self.failures = 0.0
         self.last_failure_s = 0.0
+        self.is_leaving = False
         self.delisted_s: float | None = None
         self.mean_latency = MeanLatency()
         self.stream_waits_s: OrderedDict[int, float] = OrderedDict()
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/retries.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/retries.py
@@ -202,6 +202,8 @@
         async with asyncio.timeout(_response_timeout_s(context, ex)):
             head = await conn.read_head(context.dialect.read_response, ex.request.id)
         context.fleet.limits.observe(replica, head.limit_per_s)
+        if head.is_leaving:
+            context.fleet.record_leaving(replica)
         if head.encoded:
             raise ResponseError("the body has an encoding that was not requested")
         if head.not_run:
--- a/packages/endiveworks/src/endiveworks/gateway/messages.py
+++ b/packages/endiveworks/src/endiveworks/gateway/messages.py
@@ -85,6 +85,7 @@
         length: Value of Content-Length in bytes; None when the header is missing.
         limit_per_s: Requests per second that the replica accepts from all processes together; None
             when it names no limit.
+        is_leaving: Whether the replica announces that it is about to leave.
     """
 
     status: int
@@ -96,6 +97,7 @@
     idle_timeout_s: float | None
     length: int | None
     limit_per_s: float | None = None
+    is_leaving: bool = False
 
 
 class Replica(NamedTuple):
@@ -109,6 +111,8 @@
         region: Region of the failure domain.
         slots: Maximum number of requests that it runs concurrently.
         draining: Whether it is draining before it leaves.
+        started_ms: Time of its start in Unix milliseconds, which tells incarnations with one id
+            apart; 0 when unknown.
     """
 
     id: str
@@ -118,6 +122,7 @@
     region: str
     slots: int
     draining: bool
+    started_ms: int = 0
 
 
 class Dialect(NamedTuple):
--- a/tests/deployed/test_decoding.py
+++ b/tests/deployed/test_decoding.py
@@ -129,6 +129,11 @@
         (found,) = self.read(json.dumps(REPLICA).encode()).values()
         assert (found.id, found.service, found.region) == ("i-1", "llm", "east")
 
+    @pytest.mark.parametrize(("born", "started_ms"), [(1700000000123, 1700000000123), ("x", 0)])
+    def test_the_start_of_a_replica(self, born: object, started_ms: int) -> None:
+        (found,) = self.read(json.dumps(REPLICA | {"born": born}).encode()).values()
+        assert found.started_ms == started_ms
+
     @pytest.mark.parametrize(
         "change",
         [
@@ -265,6 +270,11 @@
         assert headers.read_response(200, [(b"Server-Limit", value)]).limit_per_s == limit_per_s
         assert headers.read_response(200, []).limit_per_s is None
 
+    def test_a_replica_that_leaves(self) -> None:
+        assert headers.read_response(200, [(b"Server-Leaving", b"1")]).is_leaving
+        assert not headers.read_response(200, [(b"Server-Leaving", b"0")]).is_leaving
+        assert not headers.read_response(200, []).is_leaving
+
     def test_an_error_response_carries_retry_after(self) -> None:
         assert headers.write_error("9c41", 0.25) == [
             (b"Request-Id", b"9c41"),
