--- a/packages/endiveworks-standins/src/endiveworks_standins/site_store.py
+++ b/packages/endiveworks-standins/src/endiveworks_standins/site_store.py
@@ -98,6 +98,8 @@
         if not status:
             generation = self._watch_generation
             status, result = self._handle(environ["REQUEST_METHOD"], name, query, body)
+            while self.faults.silent:  # Also holds the responses to watches that were waiting.
+                time.sleep(_POLL_S)
             response_lost = self.faults.lose_answers and name == "kv-txn"
             if response_lost or (name == "kv-watch" and generation != self._watch_generation):
                 return close_connection(environ, start_response)
--- a/tests/deployed/test_change_passing.py
+++ b/tests/deployed/test_change_passing.py
@@ -25,6 +25,7 @@
 from tests.deployed.harness import run
 
 TIMEOUT_S = 8.0
+CONFIG_BOUND_S = 2.5  # Stated time within which every process must follow a new configuration.
 
 
 class Process:
@@ -171,6 +172,27 @@
 
         play(scenario)
 
+    def test_a_source_to_which_the_service_falls_silent_delays_a_change_by_less_than_the_bound(
+        self,
+    ) -> None:
+        async def scenario() -> None:
+            with running_store() as site, running_store() as turned_away:
+                _put_config(turned_away, 1)
+                root = await Process(turned_away).start()
+                await root.wait_for_version(1)
+                _put_config(site, 1)
+                follower = await Process(site, [root.address]).start()
+                await follower.wait_for_version(1)
+                await asyncio.sleep(0.2)
+                turned_away.faults = Faults(silent=True)
+                _put_config(site, 2)
+                started_s = time.monotonic()
+                await follower.wait_for_version(2)
+                turned_away.faults = Faults()
+                assert time.monotonic() - started_s < CONFIG_BOUND_S
+
+        play(scenario)
+
     def test_a_change_that_the_source_missed_and_read_again_reaches_the_follower(self) -> None:
         async def scenario() -> None:
             with running_store() as site:
