Try a request again that was being tried when the queue was looked at

A request that waits for the limit of a replica is tried every 50 ms. If all waiting requests were just being tried when the queue was looked at, nothing looked again, and they waited until something else ended or their time was up. Each request that goes back into the queue now sees to it.

Evidence: test_a_request_that_is_being_tried_when_the_queue_is_looked_at_is_tried_again timed out before.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/fleet.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/fleet.py
@@ -170,6 +170,7 @@
                 self._check_capacity(service, queued, excluded, queue)
                 fut = self._notifications[queued.key] = asyncio.get_running_loop().create_future()
                 queue.add(queued)
+                self._schedule_limit_retry(service)
         finally:
             queue.remove(queued.key)
             self._notifications.pop(queued.key, None)
--- a/tests/deployed/test_rate_limits.py
+++ b/tests/deployed/test_rate_limits.py
@@ -1,13 +1,18 @@
 """Replicas that limit their requests, and what callers get meanwhile."""
 
 import asyncio
+import time
 from collections import Counter
 from pathlib import Path
 
-from endiveworks_daemon.gateway.fleet import LIMIT_RETRY_S
+import pytest
+from endiveworks.gateway.messages import Replica, Request
+from endiveworks.gateway.request_queue import QueuedRequest
+from endiveworks_daemon.gateway import fleet as fleet_module
+from endiveworks_daemon.gateway.fleet import LIMIT_RETRY_S, Fleet
 from endiveworks_standins.site_replica import Arrival, Script, buffered_response
 
-from tests.deployed.harness import LOOKUP, ORDER, Deployment, Response, responds, run
+from tests.deployed.harness import LOCATION, LOOKUP, ORDER, Deployment, Response, responds, run
 
 LIMIT_PER_S = 5.0
 LOAD_PER_S = 40
@@ -81,3 +86,27 @@
                 assert {reply.status for reply in replies} == {200}
 
         run(scenario)
+
+
+class TestQueueOfOneService:
+    def test_a_request_that_is_being_tried_when_the_queue_is_looked_at_is_tried_again(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        async def scenario() -> None:
+            fleet = Fleet(LOCATION)
+            fleet.update({"a": Replica("a", "shop", "127.0.0.1:1", "edin", "east", 4, False)}, {})
+            fleet.limits.observe("a", 20.0)
+            for _ in range(8):
+                fleet.limits.charge("a")
+            now_s = time.monotonic()
+            request = Request("r1", "GET", "/", "host", [], 30.0, None)
+            queued = QueuedRequest("r1", 0, now_s + 30.0, now_s, now_s + 30.0)
+            monkeypatch.setattr(fleet_module, "LIMIT_RETRY_S", 30.0)
+            task = asyncio.create_task(fleet.acquire("shop", request, queued, ()))
+            await asyncio.sleep(0)
+            monkeypatch.setattr(fleet_module, "LIMIT_RETRY_S", LIMIT_RETRY_S)
+            fleet._wake(fleet._queues["shop"], 1)
+            fleet._retry_limited("shop")
+            assert (await asyncio.wait_for(task, 10.0)).replica == "a"
+
+        run(scenario)
