Connect the load exchange before the first state can arrive

An entry that read its state while its servers were not all listening yet raised NameError in the handler of that state: it then counted itself as the only entry until the next change of the store, and used a whole limit of a replica. A probe of a replica that fails unexpectedly also no longer keeps repetitions of its requests waiting.

Evidence: test_a_state_that_arrives_before_all_servers_listen_is_applied failed before.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/quarantine.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/quarantine.py
@@ -132,12 +132,14 @@
     async def _verify(self, replica: str, address: str) -> None:
         """Records which requests a replica was running, if it does not accept connections."""
         at_s = time.monotonic()
-        await asyncio.sleep(COLLECT_S)
-        has_ended = not address or not await _accepts_connections(address)
-        lost = self._lost.pop(replica)
+        try:
+            await asyncio.sleep(COLLECT_S)
+            has_ended = not address or not await _accepts_connections(address)
+        finally:  # Repetitions that wait must go on in any case.
+            lost = self._lost.pop(replica)
+            lost.verified.set()
         if has_ended:
             self._record_crash(lost.requests, replica, at_s)
-        lost.verified.set()
 
     def _record_crash(self, lost: Mapping[str, str], replica: str, at_s: float) -> None:
         logs.logger("gateway").info("replica_ended", peer=replica, amount=len(lost))
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/run.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/run.py
@@ -74,6 +74,7 @@
     watcher = StateWatcher(kv, "", platform.decode_state, on_state, COALESCE_S, find_sources)
     context = Context(platform.dialect, fleet, pool, turns, Quarantine())
     gateway = Gateway(context, metrics, watcher.is_connected)
+    loads = _exchange_loads(settings, fleet, context.quarantine, watcher.sources, latest)
     watcher.start()
     callers = CallerConnections()
     server = await listen(settings.callers_address, gateway.handle, gateway.limits, callers)
@@ -82,7 +83,6 @@
     await listen(settings.readiness_address, readiness, gateway.limits, checks)
     await serve_metrics(settings.metrics_address, metrics)
 
-    loads = _exchange_loads(settings, fleet, context.quarantine, watcher.sources, latest)
     handlers = turns.handlers() | watcher.change_log.handlers() | loads.handlers()
     rpc_server = await rpc.serve(settings.peer_address, handlers)
     register_in_background(kv, own_member(settings, ENTRY_ROLE, 0))
