Log on which software version a stream goes on

A replica's version and the header that names the resumed attempt are decoded, and each resumption is logged. No decision uses them yet.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/replica_state.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/replica_state.py
@@ -73,6 +73,11 @@
         if state is not None:
             state.in_flight += 1
 
+    @property
+    def version(self) -> str:
+        """Software version of the replica; empty when unknown."""
+        return self._state.replica.version if self._state else ""
+
     def start_wait(self, streams: bool) -> None:
         """Starts to time the wait for the first event, or for a response that isn't a stream."""
         if streams:
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/stream.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/stream.py
@@ -5,6 +5,7 @@
 
 from endiveworks.errors import Failure
 from endiveworks.gateway.events import Event, EventSplitter
+from endiveworks.telemetry import logs
 from endiveworks.turns.records import Reservation, Settlement, Turn
 from returns.result import Result, Success
 
@@ -41,6 +42,7 @@
         last_event_id: Id of the last event that the caller has; None before the first.
         output: Data of the events sent, as it is stored with the turn.
         resumes: Number of times that the stream was resumed.
+        version: Software version of the replica that sent the first event; empty when unknown.
     """
 
     def __init__(self, ex: Exchange) -> None:
@@ -50,6 +52,7 @@
         self.last_event_id = ex.request.resume_after
         self.output = bytearray()
         self.resumes = 0
+        self.version = ""
 
     def record_event(self, event: Event) -> None:
         """Records an event that is about to be sent to the caller."""
@@ -173,6 +176,8 @@
         response = await send_with_retries(context, ex, body, stream.last_event_id, preferred)
         if response.head.status != STATUS_OK:
             return await _forward_error(context, ex, responder, response)
+        if stream.last_event_id is not None:
+            _log_resumption(ex, stream, response)
         try:
             await _forward_events(ex, responder, response, stream, reservation_fut)
             response.close(complete=True)
@@ -187,6 +192,20 @@
         return STATUS_OK
 
 
+def _log_resumption(ex: Exchange, stream: _Stream, response: Response) -> None:
+    logs.logger("gateway").info(
+        "stream_resumed",
+        request=ex.request.id,
+        began_as=ex.request.resumes or ex.request.id,
+        reason="response broken off" if stream.events_sent else "taken up by the caller",
+        after_event=stream.last_event_id,
+        service=ex.service,
+        peer=response.replica,
+        replica_version=response.in_flight_request.version,
+        began_version=stream.version,
+    )
+
+
 async def _forward_error(
     context: Context, ex: Exchange, responder: Responder, response: Response
 ) -> int:
@@ -221,6 +240,8 @@
                 if reservation_fut is not None:
                     await _await_reservation(reservation_fut, ex)
                 await responder.start(STATUS_OK, without_content_length(response.head.headers))
+            if not stream.events_sent:
+                stream.version = response.in_flight_request.version
             stream.record_event(event)
             await responder.send(event.raw)
         response.in_flight_request.start_event_wait()
--- a/packages/endiveworks/src/endiveworks/gateway/messages.py
+++ b/packages/endiveworks/src/endiveworks/gateway/messages.py
@@ -40,6 +40,8 @@
         resume_after: Id of the last event that the caller received from an earlier attempt; None
             for none.
         affinity_key: Key of the object that it concerns; empty for none.
+        resumes: Id of the attempt that brought the first event of the stream that it resumes;
+            empty for none.
     """
 
     id: str
@@ -54,6 +56,7 @@
     previous_turn: str = ""
     resume_after: int | None = None
     affinity_key: str = ""
+    resumes: str = ""
 
 
 class Dispatch(NamedTuple):
@@ -113,6 +116,7 @@
         draining: Whether it is draining before it leaves.
         started_ms: Time of its start in Unix milliseconds, which tells incarnations with one id
             apart; 0 when unknown.
+        version: Version of its software; empty when unknown.
     """
 
     id: str
@@ -123,6 +127,7 @@
     slots: int
     draining: bool
     started_ms: int = 0
+    version: str = ""
 
 
 class Dialect(NamedTuple):
--- a/tests/deployed/test_decoding.py
+++ b/tests/deployed/test_decoding.py
@@ -70,6 +70,7 @@
     "zone": "a",
     "slots": 16,
     "state": "ready",
+    "version": "v1.2",
 }
 
 
@@ -128,6 +129,7 @@
     def test_a_replica(self) -> None:
         (found,) = self.read(json.dumps(REPLICA).encode()).values()
         assert (found.id, found.service, found.region) == ("i-1", "llm", "east")
+        assert found.version == "v1.2"
 
     @pytest.mark.parametrize(("born", "started_ms"), [(1700000000123, 1700000000123), ("x", 0)])
     def test_the_start_of_a_replica(self, born: object, started_ms: int) -> None:
@@ -192,6 +194,13 @@
         assert [(p.key, p.tokens) for p in found.parts] == [("5c1e", 800), ("91bd", 410)]
         assert found.max_tokens == 575
 
+    def test_the_attempt_that_a_stream_resumes(self) -> None:
+        assert self.read().resumes == ""
+        found = self.read((b"Resumes", b"77aa"), (b"Last-Event-Id", b"4"))
+        assert (found.resumes, found.resume_after) == ("77aa", 4)
+        sent = headers.write_request(found, Dispatch("i-1", 1.5, found.resume_after))
+        assert (b"Resumes", b"77aa") in sent
+
     def test_hop_by_hop_headers_are_not_forwarded(self) -> None:
         names = {name.lower() for name, _ in self.read().headers}
         assert names.isdisjoint({b"connection", b"x-mine"})
