Reproduce the incident: streams go on at another software version

Stand-ins of two versions, whose events name the version that wrote them: an entry goes on with a broken response at any replica, and a caller that takes a stream up at the same or another entry is sent to any.

--- a/tests/deployed/harness.py
+++ b/tests/deployed/harness.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import json
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from contextlib import AsyncExitStack
 from pathlib import Path
 from typing import Any
@@ -74,33 +74,74 @@
         return Disk(self.name, self.disk_store.folder, self.address, self.name, "east")
 
 
-class Deployment:
-    """A gateway with three disks and scripted replicas.
+class Entry:
+    """A process that serves callers, with knowledge of its own."""
+
+    def __init__(self) -> None:
+        self.turns = TurnStore(LOCATION)
+        self.pool = ConnectionPool()
+        self.fleet = Fleet(LOCATION)
+        self.quarantine = Quarantine()
+        self.kv_reachable = True
+        self.gateway = self.new_gateway()
+        self.callers = CallerConnections()
+        self.address = ""
+
+    def new_gateway(self) -> Gateway:
+        """Returns a gateway that has not read the key-value service yet."""
+        return Gateway(
+            Context(headers.dialect(), self.fleet, self.pool, self.turns, self.quarantine),
+            Metrics("", "test"),
+            lambda: self.kv_reachable,
+        )
+
+    async def listen(self, stack: AsyncExitStack) -> None:
+        """Serves callers until the stack is closed."""
+        server = await listen("127.0.0.1:0", self.gateway.handle, self.gateway.limits, self.callers)
+        stack.callback(server.close)
+        ip, port = server.sockets[0].getsockname()
+        self.address = f"{ip}:{port}"
+
+    async def send(self, target: str, body: bytes = b"", **named: str) -> Response:
+        """Sends a request on a new connection and returns the response."""
+        reader, writer = await self.open()
+        try:
+            write_request(writer, target, body, named)
+            return await read_response(reader)
+        finally:
+            writer.close()
+
+    async def open(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Opens a connection to the gateway."""
+        ip, _, port = self.address.rpartition(":")
+        return await asyncio.open_connection(ip, int(port))
+
+
+class Deployment(Entry):
+    """An entry with three disks and scripted replicas; more entries can be added.
 
     Args:
         folder: Parent of the disks' data folders.
         replicas: Scripts of the replicas by service and name, such as "llm/a".
+        versions: Software versions of replicas by name; "v1" for the others.
         route: Settings that replace those of the default routes.
     """
 
-    def __init__(self, folder: Path, replicas: dict[str, Script], **route: Any) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        replicas: dict[str, Script],
+        versions: Mapping[str, str] | None = None,
+        **route: Any,
+    ) -> None:
+        super().__init__()
         self._folder = folder
         self.replicas = {name: SiteReplica(script) for name, script in replicas.items()}
+        self.versions = dict(versions or {})
         self.route_changes = route
         self.disks: list[RunningDisk] = []
-        self.turns = TurnStore(LOCATION)
-        self.pool = ConnectionPool()
-        self.fleet = Fleet(LOCATION)
-        self.quarantine = Quarantine()
-        self.kv_reachable = True
-        self.gateway = Gateway(
-            Context(headers.dialect(), self.fleet, self.pool, self.turns, self.quarantine),
-            Metrics("", "test"),
-            lambda: self.kv_reachable,
-        )
-        self.callers = CallerConnections()
-        self.address = ""
         self.view: View | None = None
+        self._entries: list[Entry] = [self]
 
     async def __aenter__(self) -> "Deployment":
         self._stack = AsyncExitStack()
@@ -114,7 +155,7 @@
             self._stack.callback(replica.stop)
         self.view = View(1, 1, tuple(disk.disk() for disk in self.disks))
         self.apply(self.view)
-        await self._listen()
+        await self.listen(self._stack)
         return self
 
     async def __aexit__(self, *_: object) -> None:
@@ -123,27 +164,28 @@
 
     async def restart_entry(self) -> None:
         """Serves callers from a new process, which has not read the key-value service yet."""
-        self.gateway = Gateway(
-            Context(headers.dialect(), self.fleet, self.pool, self.turns, self.quarantine),
-            Metrics("", "test"),
-            lambda: self.kv_reachable,
-        )
-        await self._listen()
+        self.gateway = self.new_gateway()
+        await self.listen(self._stack)
 
-    async def _listen(self) -> None:
-        server = await listen("127.0.0.1:0", self.gateway.handle, self.gateway.limits, self.callers)
-        self._stack.callback(server.close)
-        ip, port = server.sockets[0].getsockname()
-        self.address = f"{ip}:{port}"
+    async def add_entry(self) -> Entry:
+        """Starts a further entry with the same replicas and disks."""
+        entry = Entry()
+        self._entries.append(entry)
+        self.apply(self.view)
+        await entry.listen(self._stack)
+        return entry
 
     def apply(self, view: View | None, version: int = 1) -> None:
         """Applies a cluster state with the replicas, a view and a version of the configuration."""
         replicas = {}
         for name, replica in self.replicas.items():
             service, _, label = name.partition("/")
-            replicas[label] = Replica(label, service, replica.address, "edin", "east", 4, False)
+            found = Replica(label, service, replica.address, "edin", "east", 4, False)
+            replicas[label] = found._replace(version=self.versions.get(label, "v1"))
         table = routing_table(version, self.route_changes)
-        self.gateway.apply_state(ClusterState(version, table, replicas, {}, view, 1, frozenset()))
+        state = ClusterState(version, table, replicas, {}, view, 1, frozenset())
+        for entry in self._entries:
+            entry.gateway.apply_state(state)
 
     async def wait_for_disks(self) -> None:
         """Waits until the disks respond within a second, which takes longer on a busy machine."""
@@ -165,20 +207,6 @@
         """Restores direct calls to disks."""
         del self.turns._quorum.links.call_direct
 
-    async def send(self, target: str, body: bytes = b"", **named: str) -> Response:
-        """Sends a request on a new connection and returns the response."""
-        reader, writer = await self.open()
-        try:
-            write_request(writer, target, body, named)
-            return await read_response(reader)
-        finally:
-            writer.close()
-
-    async def open(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
-        """Opens a connection to the gateway."""
-        ip, _, port = self.address.rpartition(":")
-        return await asyncio.open_connection(ip, int(port))
-
 
 def run(scenario: Callable[[], Awaitable[None]]) -> None:
     """Runs a scenario in a new event loop, with a timeout of a minute."""
