Keep each stream at the software version that began it

Callers got streams with events of two versions of a service's software, which don't fit together. Cause: neither an entry that goes on with a broken response nor one at which a caller resumes a stream looked at versions, and an entry at which a stream is resumed could not know where it began, since only the entry that had sent the first event did.

A stream is bound to a version by the first event that goes to the caller, and from then on only replicas of that version are chosen. The entry that sends the first event keeps where the stream began and gives copies to three entries that a hash of the attempt's id selects, in datagrams; an entry at which it is resumed asks these. A copy never changes, so no agreement is needed. Callers that don't name the attempt are found by the request's content. What nobody knows, or a version that has no replica, is refused at once. Requests for one version wait in a queue of their own.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/context.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/context.py
@@ -5,6 +5,7 @@
 from endiveworks.gateway.messages import Dialect
 
 from .fleet import Fleet
+from .origin_exchange import OriginExchange
 from .quarantine import Quarantine
 from .turn_store import TurnStore
 from .upstreams import ConnectionPool
@@ -18,3 +19,4 @@
     pool: ConnectionPool
     turns: TurnStore
     quarantine: Quarantine
+    origins: OriginExchange
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/exchange.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/exchange.py
@@ -46,6 +46,7 @@
         cost_ms: Estimated cost of that choice.
         preferred_replica: Replica that its program prefers; empty for none.
         queued_s: Total time that it has waited for a replica.
+        version: Software version that began its stream; None as long as any may serve it.
     """
 
     def __init__(
@@ -68,6 +69,7 @@
         self.cost_ms = 0.0
         self.preferred_replica = ""
         self.queued_s = 0.0
+        self.version: str | None = None
 
     @functools.cached_property
     def digest(self) -> str:
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/fleet.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/fleet.py
@@ -5,6 +5,7 @@
 import time
 from collections import Counter
 from collections.abc import Callable, Collection, Mapping, Sequence
+from typing import NamedTuple
 
 from endiveworks.gateway.latency import slowdown, typical_mean_s
 from endiveworks.gateway.load_balance import assigned_replica
@@ -63,6 +64,22 @@
         self.reason = reason
 
 
+class ReplicaGroup(NamedTuple):
+    """Replicas that a request may be sent to.
+
+    Attributes:
+        service: Their service.
+        version: Version of their software; None for any.
+    """
+
+    service: str
+    version: str | None = None
+
+    def includes(self, replica: Replica) -> bool:
+        """Returns whether a replica is one of them."""
+        return replica.service == self.service and self.version in (None, replica.version)
+
+
 class Fleet:
     """The replicas of all services, and the queues of requests that wait for one.
 
@@ -75,18 +92,21 @@
         self._demands: Counter[str] = Counter()
         self._other_demand: Callable[[str], int] = lambda _: 0
         self._states: dict[str, ReplicaState] = {}
-        self._queues: dict[str, RequestQueue] = {}
+        self._queues: dict[ReplicaGroup, RequestQueue] = {}
         self._notifications: dict[str, asyncio.Future[None]] = {}
         self._mean_responses_s: dict[str, float] = {}
-        self._limit_retries: set[str] = set()
+        self._limit_retries: set[ReplicaGroup] = set()
         self.limits = RateLimits()
 
     def update(self, listed: Mapping[str, Replica], services: Mapping[str, Service]) -> None:
         """Applies a new list of replicas from service discovery."""
         now_s = time.monotonic()
         for name, state in list(self._states.items()):
-            if name in listed and listed[name].started_ms != state.replica.started_ms:
+            if name in listed and _is_restarted(listed[name], state.replica):
                 del self._states[name]  # Nothing that is known of the earlier incarnation holds.
+                if listed[name].version != state.replica.version:
+                    # Either of them may have run the requests that were sent since the restart.
+                    state.replica = state.replica._replace(version="")
                 continue
             is_leaving = name not in listed or listed[name].draining or state.is_leaving
             state.delisted_s = (state.delisted_s or now_s) if is_leaving else None
@@ -102,8 +122,8 @@
             added = ReplicaState(replica, engine.memory_tokens if engine else 0)
             added.delisted_s = now_s if replica.draining else None
             self._states[name] = added
-        for service_name in list(self._queues):
-            self._notify(service_name)
+        for group in list(self._queues):
+            self._notify(group)
 
     def adopt_limits(self, sightings: Mapping[str, LimitSighting]) -> None:
         """Takes over limits of replicas that other entries have seen."""
@@ -128,7 +148,7 @@
 
     async def acquire(
         self,
-        service: str,
+        group: ReplicaGroup,
         request: Request,
         queued: QueuedRequest,
         excluded: Collection[str],
@@ -137,9 +157,9 @@
         """Returns the replica for a request; queues it by urgency while no slot is free.
 
         Args:
-            service: Service of the request.
+            group: Replicas that may serve the request.
             request: The request.
-            queued: The request as an element of the service's queue.
+            queued: The request as an element of the group's queue.
             excluded: Replicas that refused this request or failed to serve it.
             spread_key: Key whose hash selects the replica, rather than a cached prompt or object;
                 empty for none.
@@ -147,34 +167,38 @@
         Raises:
             RefusedError: There is no replica, or none will have a free slot in time.
         """
-        queue = self._queues.setdefault(service, RequestQueue())
+        queue = self._queues.get(group, RequestQueue())
         choice = (
-            self._choose(service, request, excluded, spread_key)
+            self._choose(group, request, excluded, spread_key)
             if not len(queue)
             else ReplicaChoice("", 0.0)
         )
         if choice.replica:
             return choice
-        self._check_capacity(service, queued, excluded, queue)
+        self._check_capacity(group, queued, excluded, queue)
+        queue = self._queues.setdefault(group, queue)
         fut: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._notifications[queued.key] = fut
         queue.add(queued)
-        self._notify(service)
-        self._schedule_limit_retry(service)
+        self._notify(group)
+        self._schedule_limit_retry(group)
         try:
             while True:
                 await fut
-                choice = self._choose(service, request, excluded, spread_key)
+                choice = self._choose(group, request, excluded, spread_key)
                 if choice.replica:
                     return choice
-                self._check_capacity(service, queued, excluded, queue)
+                self._check_capacity(group, queued, excluded, queue)
+                queue = self._queues.setdefault(group, queue)
                 fut = self._notifications[queued.key] = asyncio.get_running_loop().create_future()
                 queue.add(queued)
-                self._schedule_limit_retry(service)
+                self._schedule_limit_retry(group)
         finally:
             queue.remove(queued.key)
             self._notifications.pop(queued.key, None)
-            self._notify(service)
+            self._notify(group)
+            if group in self._queues and not len(self._queues[group]):
+                del self._queues[group]  # Versions come and go.
 
     def track_request(
         self, service: str, replica: str, request: Request, preferred: str = ""
@@ -199,7 +223,7 @@
             if preferred:
                 self._demands[preferred] -= 1
                 self._demands += Counter()  # Drops counts of zero, also of replicas that are gone.
-            self._notify(service)
+            self._notify_service(service)
 
         return InFlightRequest(state, on_end)
 
@@ -238,38 +262,54 @@
 
     def has_other(self, service: str, excluded: Collection[str]) -> bool:
         """Tells whether a service has a replica besides the excluded ones."""
-        return any(state.replica.id not in excluded for state in self._eligible(service))
+        eligible = self._eligible(ReplicaGroup(service))
+        return any(state.replica.id not in excluded for state in eligible)
+
+    def includes(self, group: ReplicaGroup, replica: str) -> bool:
+        """Returns whether a replica that is known belongs to a group."""
+        state = self._states.get(replica)
+        return state is not None and group.includes(state.replica)
 
     def mean_response_s(self, service: str) -> float:
         """Returns a service's mean response time in seconds."""
         return self._mean_response(service)
 
     def _check_capacity(
-        self, service: str, queued: QueuedRequest, excluded: Collection[str], queue: RequestQueue
+        self,
+        group: ReplicaGroup,
+        queued: QueuedRequest,
+        excluded: Collection[str],
+        queue: RequestQueue,
     ) -> None:
-        usable = [s for s in self._eligible(service) if s.replica.id not in excluded]
+        mean_s = self._mean_response(group.service)
+        usable = [s for s in self._eligible(group) if s.replica.id not in excluded]
+        if not usable and group.version is not None:
+            raise RefusedError(mean_s, "no replica of the version that began it is available")
         if not usable:
-            raise RefusedError(self._mean_response(service), "no replica is available")
-        wait_s = expected_wait_s(
-            queue.count_ahead(queued.priority),
-            self._capacity(service),
-            self._mean_response(service),
-        )
+            raise RefusedError(mean_s, "no replica is available")
+        ahead = queue.count_ahead(queued.priority)
+        wait_s = expected_wait_s(ahead, self._capacity(group), mean_s)
         if cannot_meet_deadline(wait_s, queued.deadline_s - time.monotonic()):
             limited = self.limits.limited()
             is_limited = any(s.replica.id in limited for s in usable)
             cause = "the limits of the replicas leave" if is_limited else "the expected wait leaves"
             raise RefusedError(wait_s, f"{cause} too little time to respond")
 
-    def _notify(self, service: str) -> None:
+    def _notify_service(self, service: str) -> None:
+        groups = [group for group in self._queues if group.service == service]
+        # Callers of streams that have begun notice each pause.
+        for group in sorted(groups, key=lambda group: group.version is None):
+            self._notify(group)
+
+    def _notify(self, group: ReplicaGroup) -> None:
         """Lets as many of the first queued requests retry as there are free slots."""
-        queue = self._queues.get(service)
+        queue = self._queues.get(group)
         if queue is None or not len(queue):
             return
         limited = self.limits.limited()
         free = sum(
             max(0, math.ceil(s.replica.slots * MAX_IN_FLIGHT_FACTOR) - s.in_flight)
-            for s in self._eligible(service)
+            for s in self._eligible(group)
             if s.replica.id not in limited
         )
         self._wake(queue, free)
@@ -283,60 +323,61 @@
             if fut is not None and not fut.done():
                 fut.set_result(None)
 
-    def _schedule_limit_retry(self, service: str) -> None:
-        """Retries queued requests after a while, if replicas of their service have limits."""
+    def _schedule_limit_retry(self, group: ReplicaGroup) -> None:
+        """Retries queued requests after a while, if replicas of their group have limits."""
         limited = self.limits.limited()
-        if service in self._limit_retries or not any(
-            s.replica.id in limited for s in self._eligible(service)
+        if group in self._limit_retries or not any(
+            s.replica.id in limited for s in self._eligible(group)
         ):
             return
-        self._limit_retries.add(service)
-        asyncio.get_running_loop().call_later(LIMIT_RETRY_S, self._retry_limited, service)
+        self._limit_retries.add(group)
+        asyncio.get_running_loop().call_later(LIMIT_RETRY_S, self._retry_limited, group)
 
-    def _retry_limited(self, service: str) -> None:
+    def _retry_limited(self, group: ReplicaGroup) -> None:
         """Lets as many of the first queued requests retry as the limits may let through."""
-        self._limit_retries.discard(service)
-        queue = self._queues.get(service)
+        self._limit_retries.discard(group)
+        queue = self._queues.get(group)
         if queue is None or not len(queue):
             return
         limited = self.limits.limited()
         available_per_s = sum(
             self.limits.available_per_s(s.replica.id)
-            for s in self._eligible(service)
+            for s in self._eligible(group)
             if s.replica.id in limited
         )
         self._wake(queue, max(1, math.ceil(available_per_s * LIMIT_RETRY_S)))
-        self._schedule_limit_retry(service)
+        self._schedule_limit_retry(group)
 
-    def _eligible(self, service: str) -> list[ReplicaState]:
-        """Returns the replicas that may take requests of a service.
+    def _eligible(self, group: ReplicaGroup) -> list[ReplicaState]:
+        """Returns the replicas of a group that may take requests.
 
         If all of them have left service discovery, their registrations have probably lapsed; those
         that left less than DELISTED_GRACE_S ago are then still used.
         """
-        states = [s for s in self._states.values() if s.replica.service == service]
+        states = [s for s in self._states.values() if group.includes(s.replica)]
         listed = [s for s in states if s.delisted_s is None]
         now_s = time.monotonic()
         return listed or [s for s in states if now_s - (s.delisted_s or 0.0) < DELISTED_GRACE_S]
 
-    def _capacity(self, service: str) -> float:
+    def _capacity(self, group: ReplicaGroup) -> float:
         """Returns the slots that this entry can use, as far as limits on requests allow."""
-        mean_s = self._mean_response(service)
+        mean_s = self._mean_response(group.service)
         return sum(
             min(
                 math.ceil(s.replica.slots * MAX_IN_FLIGHT_FACTOR),
                 self.limits.available_per_s(s.replica.id) * mean_s,
             )
-            for s in self._eligible(service)
+            for s in self._eligible(group)
         )
 
     def _mean_response(self, service: str) -> float:
         return self._mean_responses_s.get(service, INITIAL_RESPONSE_TIME_S)
 
     def _choose(
-        self, service: str, request: Request, excluded: Collection[str], spread_key: str
+        self, group: ReplicaGroup, request: Request, excluded: Collection[str], spread_key: str
     ) -> ReplicaChoice:
-        states = {s.replica.id: s for s in self._eligible(service)}
+        service = group.service
+        states = {s.replica.id: s for s in self._eligible(group)}
         typical_s = typical_mean_s([s.mean_latency for s in states.values()])
         mean_response_ms = self._mean_response(service) * 1000
         now_s = time.monotonic()
@@ -399,6 +440,10 @@
         return state.failures * math.pow(0.5, age_s / FAILURE_HALF_LIFE_S)
 
 
+def _is_restarted(listed: Replica, known: Replica) -> bool:
+    return (listed.started_ms, listed.version) != (known.started_ms, known.version)
+
+
 def _stall_of_silence_s(state: ReplicaState, now_s: float, limit_s: float) -> float:
     """Returns the stall of a replica whose silence is over the limit, else 0."""
     silent_s = state.silent_s(now_s)
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/retries.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/retries.py
@@ -11,7 +11,7 @@
 
 from .context import Context
 from .exchange import Exchange, HttpError
-from .fleet import RefusedError
+from .fleet import RefusedError, ReplicaGroup
 from .replica_state import InFlightRequest
 from .upstreams import ResponseError, UpstreamConnection
 
@@ -80,13 +80,15 @@
     while True:
         if ex.may_have_run:
             context.quarantine.check_repeat(ex)
+        group = ReplicaGroup(ex.service, ex.version)
         if not preferred and len(ex.sent_to) >= ex.route.max_attempts:
             preferred = next(iter(ex.sent_to))
-        if preferred and preferred not in ex.excluded:
+        is_usable = ex.version is None or context.fleet.includes(group, preferred)
+        if preferred and preferred not in ex.excluded and is_usable:
             replica = preferred
             context.fleet.limits.charge(replica)
         else:
-            replica = await _choose(context, ex)
+            replica = await _choose(context, ex, group)
         preferred = ""
         address = context.fleet.address(replica)
         if not address:
@@ -130,11 +132,11 @@
     ex.sent_to.discard(replica)
 
 
-async def _choose(context: Context, ex: Exchange) -> str:
+async def _choose(context: Context, ex: Exchange, group: ReplicaGroup) -> str:
     started_s = time.monotonic()
     try:
         choice = await context.fleet.acquire(
-            ex.service,
+            group,
             ex.request,
             ex.queued_request(),
             ex.excluded,
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/run.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/run.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 from endiveworks.gateway.cluster_state import ClusterState
 from endiveworks.gateway.messages import Dialect
@@ -22,6 +22,7 @@
 from .context import Context
 from .fleet import Fleet
 from .load_exchange import BeliefBook, Beliefs, LoadExchange, SharedLoad
+from .origin_exchange import OriginExchange
 from .quarantine import Quarantine
 from .registration import register_in_background
 from .sockets import LISTEN_BACKLOG
@@ -64,6 +65,7 @@
         latest[:] = [state]
         gateway.apply_state(state)
         turns.update_relays(state.members.values(), settings.host)
+        origins.update_members(state.members.values())
         loads.expect_entries(sum(m.role == ENTRY_ROLE for m in state.members.values()))
 
     kv = platform.connect_kv()
@@ -72,7 +74,8 @@
         return sources_of_entry(settings.host, settings.region, state.members.values())
 
     watcher = StateWatcher(kv, "", platform.decode_state, on_state, COALESCE_S, find_sources)
-    context = Context(platform.dialect, fleet, pool, turns, Quarantine())
+    origins = OriginExchange(settings.host)
+    context = Context(platform.dialect, fleet, pool, turns, Quarantine(), origins)
     gateway = Gateway(context, metrics, watcher.is_connected)
     loads = _exchange_loads(settings, fleet, context.quarantine, watcher.sources, latest)
     watcher.start()
@@ -84,7 +87,7 @@
     await serve_metrics(settings.metrics_address, metrics)
 
     handlers = turns.handlers() | watcher.change_log.handlers() | loads.handlers()
-    rpc_server = await rpc.serve(settings.peer_address, handlers)
+    close_peers = await _serve_peers(settings.peer_address, handlers, origins)
     register_in_background(kv, own_member(settings, ENTRY_ROLE, 0))
     background = asyncio.gather(
         _expire_forever(gateway, fleet, pool, latest), turns.probe_forever(), loads.run()
@@ -98,7 +101,7 @@
     except TimeoutError:
         logs.logger("turns").warning("settlements_left")
     watcher.stop()
-    rpc_server.close()
+    close_peers()
 
 
 def _exchange_loads(
@@ -132,6 +135,20 @@
     return loads
 
 
+async def _serve_peers(
+    address: str, handlers: Mapping[str, rpc.Handler], origins: OriginExchange
+) -> Callable[[], None]:
+    """Receives calls and datagrams of other processes, and returns a function that ends this."""
+    rpc_server = await rpc.serve(address, handlers)
+    await origins.start(address)
+
+    def close() -> None:
+        origins.close()
+        rpc_server.close()
+
+    return close
+
+
 async def listen(
     address: str, handle: RequestHandler, limits: Callable[[], Limits], callers: CallerConnections
 ) -> asyncio.Server:
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/stream.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/stream.py
@@ -5,7 +5,6 @@
 
 from endiveworks.errors import Failure
 from endiveworks.gateway.events import Event, EventSplitter
-from endiveworks.telemetry import logs
 from endiveworks.turns.records import Reservation, Settlement, Turn
 from returns.result import Result, Success
 
@@ -13,6 +12,7 @@
 from .callers import Responder
 from .context import Context
 from .exchange import Exchange, HttpError
+from .resumption import adopt_origin, check_version, log_resumption, record_origin
 from .retries import (
     STATUS_BAD_GATEWAY,
     STATUS_UNAVAILABLE,
@@ -42,7 +42,6 @@
         last_event_id: Id of the last event that the caller has; None before the first.
         output: Data of the events sent, as it is stored with the turn.
         resumes: Number of times that the stream was resumed.
-        version: Software version of the replica that sent the first event; empty when unknown.
     """
 
     def __init__(self, ex: Exchange) -> None:
@@ -52,7 +51,6 @@
         self.last_event_id = ex.request.resume_after
         self.output = bytearray()
         self.resumes = 0
-        self.version = ""
 
     def record_event(self, event: Event) -> None:
         """Records an event that is about to be sent to the caller."""
@@ -78,6 +76,7 @@
         raise HttpError(
             STATUS_UNAVAILABLE, "too few disks are reachable", DISKS_UNAVAILABLE_RETRY_S
         )
+    await adopt_origin(context, ex)
     stream = _Stream(ex)
     if reservation is None:
         body = await _build_prompt(context, ex)
@@ -177,9 +176,9 @@
         if response.head.status != STATUS_OK:
             return await _forward_error(context, ex, responder, response)
         if stream.last_event_id is not None:
-            _log_resumption(ex, stream, response)
+            log_resumption(ex, response, stream.last_event_id)
         try:
-            await _forward_events(ex, responder, response, stream, reservation_fut)
+            await _forward_events(context, ex, responder, response, stream, reservation_fut)
             response.close(complete=True)
             context.quarantine.record_response(ex)
         except (OSError, ResponseError) as exc:
@@ -192,20 +191,6 @@
         return STATUS_OK
 
 
-def _log_resumption(ex: Exchange, stream: _Stream, response: Response) -> None:
-    logs.logger("gateway").info(
-        "stream_resumed",
-        request=ex.request.id,
-        began_as=ex.request.resumes or ex.request.id,
-        reason="response broken off" if stream.events_sent else "taken up by the caller",
-        after_event=stream.last_event_id,
-        service=ex.service,
-        peer=response.replica,
-        replica_version=response.in_flight_request.version,
-        began_version=stream.version,
-    )
-
-
 async def _forward_error(
     context: Context, ex: Exchange, responder: Responder, response: Response
 ) -> int:
@@ -217,6 +202,7 @@
 
 
 async def _forward_events(
+    context: Context,
     ex: Exchange,
     responder: Responder,
     response: Response,
@@ -240,8 +226,7 @@
                 if reservation_fut is not None:
                     await _await_reservation(reservation_fut, ex)
                 await responder.start(STATUS_OK, without_content_length(response.head.headers))
-            if not stream.events_sent:
-                stream.version = response.in_flight_request.version
+            record_origin(context, ex, response)
             stream.record_event(event)
             await responder.send(event.raw)
         response.in_flight_request.start_event_wait()
@@ -263,6 +248,7 @@
             record_loss(context, ex, response.replica, cause)
             raise ResponseError(str(cause)) from cause
         handle_lost_response(context, ex, response.replica, cause)
+    check_version(ex, response)
     stream.resumes += 1
     return response.replica
 
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/tests/test_replica_choice.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/tests/test_replica_choice.py
@@ -9,7 +9,7 @@
 from endiveworks.gateway.request_queue import QueuedRequest
 from endiveworks.gateway.routes import EngineConfig, Service
 
-from ..gateway.fleet import Fleet
+from ..gateway.fleet import Fleet, ReplicaGroup
 
 SERVICE = Service("llm", 100, EngineConfig(6, 200_000, 1))
 PARTS = (PromptPart("shared", 12_600), PromptPart("own", 1_680))
@@ -41,7 +41,7 @@
     for n in range(choices):
         queued = QueuedRequest(str(n), 0, 4.0, 0.0, time.monotonic() + 4.0)
         started_s = time.perf_counter()
-        choice = await fleet.acquire("llm", request(f"p{n}"), queued, ())
+        choice = await fleet.acquire(ReplicaGroup("llm"), request(f"p{n}"), queued, ())
         took_s.append(time.perf_counter() - started_s)
         assert choice.replica
     return min(took_s)
--- a/tests/deployed/harness.py
+++ b/tests/deployed/harness.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import json
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable, Collection, Mapping
 from contextlib import AsyncExitStack
 from pathlib import Path
 from typing import Any
@@ -12,6 +12,7 @@
 from endiveworks.gateway.messages import Replica
 from endiveworks.gateway.placement import Location
 from endiveworks.gateway.routes import RoutingTable
+from endiveworks.members.member import Member
 from endiveworks.telemetry.metrics import Metrics
 from endiveworks.turns.records import Reservation
 from endiveworks.turns.view import Disk, View
@@ -20,6 +21,7 @@
 from endiveworks_daemon.gateway.app import Gateway
 from endiveworks_daemon.gateway.context import Context
 from endiveworks_daemon.gateway.fleet import Fleet
+from endiveworks_daemon.gateway.origin_exchange import OriginExchange
 from endiveworks_daemon.gateway.quarantine import Quarantine
 from endiveworks_daemon.gateway.run import CallerConnections, listen
 from endiveworks_daemon.gateway.turn_store import TurnStore
@@ -77,11 +79,13 @@
 class Entry:
     """A process that serves callers, with knowledge of its own."""
 
-    def __init__(self) -> None:
+    def __init__(self, host: str) -> None:
+        self.host = host
         self.turns = TurnStore(LOCATION)
         self.pool = ConnectionPool()
         self.fleet = Fleet(LOCATION)
         self.quarantine = Quarantine()
+        self.origins = OriginExchange(host)
         self.kv_reachable = True
         self.gateway = self.new_gateway()
         self.callers = CallerConnections()
@@ -89,18 +93,25 @@
 
     def new_gateway(self) -> Gateway:
         """Returns a gateway that has not read the key-value service yet."""
+        dialect = headers.dialect()
         return Gateway(
-            Context(headers.dialect(), self.fleet, self.pool, self.turns, self.quarantine),
+            Context(dialect, self.fleet, self.pool, self.turns, self.quarantine, self.origins),
             Metrics("", "test"),
             lambda: self.kv_reachable,
         )
 
     async def listen(self, stack: AsyncExitStack) -> None:
-        """Serves callers until the stack is closed."""
+        """Serves callers, and other entries at the same port, until the stack is closed."""
         server = await listen("127.0.0.1:0", self.gateway.handle, self.gateway.limits, self.callers)
         stack.callback(server.close)
         ip, port = server.sockets[0].getsockname()
         self.address = f"{ip}:{port}"
+        await self.origins.start(self.address)
+        stack.callback(self.origins.close)
+
+    def member(self) -> Member:
+        """Returns the entry as a process of the deployment."""
+        return Member(self.host, self.address, "entry", "", "east", "edin", 1)
 
     async def send(self, target: str, body: bytes = b"", **named: str) -> Response:
         """Sends a request on a new connection and returns the response."""
@@ -125,6 +136,9 @@
         replicas: Scripts of the replicas by service and name, such as "llm/a".
         versions: Software versions of replicas by name; "v1" for the others.
         route: Settings that replace those of the default routes.
+
+    Attributes:
+        unlisted: Names of replicas that are not in service discovery.
     """
 
     def __init__(
@@ -134,10 +148,11 @@
         versions: Mapping[str, str] | None = None,
         **route: Any,
     ) -> None:
-        super().__init__()
+        super().__init__("entry-0")
         self._folder = folder
         self.replicas = {name: SiteReplica(script) for name, script in replicas.items()}
         self.versions = dict(versions or {})
+        self.unlisted: Collection[str] = ()
         self.route_changes = route
         self.disks: list[RunningDisk] = []
         self.view: View | None = None
@@ -154,8 +169,8 @@
             await replica.start()
             self._stack.callback(replica.stop)
         self.view = View(1, 1, tuple(disk.disk() for disk in self.disks))
-        self.apply(self.view)
         await self.listen(self._stack)
+        self.apply(self.view)
         return self
 
     async def __aexit__(self, *_: object) -> None:
@@ -165,14 +180,15 @@
     async def restart_entry(self) -> None:
         """Serves callers from a new process, which has not read the key-value service yet."""
         self.gateway = self.new_gateway()
+        self.origins.close()
         await self.listen(self._stack)
 
     async def add_entry(self) -> Entry:
         """Starts a further entry with the same replicas and disks."""
-        entry = Entry()
+        entry = Entry(f"entry-{len(self._entries)}")
         self._entries.append(entry)
-        self.apply(self.view)
         await entry.listen(self._stack)
+        self.apply(self.view)
         return entry
 
     def apply(self, view: View | None, version: int = 1) -> None:
@@ -180,12 +196,20 @@
         replicas = {}
         for name, replica in self.replicas.items():
             service, _, label = name.partition("/")
+            if label in self.unlisted:
+                continue
             found = Replica(label, service, replica.address, "edin", "east", 4, False)
             replicas[label] = found._replace(version=self.versions.get(label, "v1"))
         table = routing_table(version, self.route_changes)
         state = ClusterState(version, table, replicas, {}, view, 1, frozenset())
         for entry in self._entries:
             entry.gateway.apply_state(state)
+            entry.origins.update_members(each.member() for each in self._entries)
+
+    def list_all_except(self, *unlisted: str) -> None:
+        """Removes replicas from service discovery, and returns all others to it."""
+        self.unlisted = unlisted
+        self.apply(self.view)
 
     async def wait_for_disks(self) -> None:
         """Waits until the disks respond within a second, which takes longer on a busy machine."""
--- a/tests/deployed/test_rate_limits.py
+++ b/tests/deployed/test_rate_limits.py
@@ -9,7 +9,7 @@
 from endiveworks.gateway.messages import Replica, Request
 from endiveworks.gateway.request_queue import QueuedRequest
 from endiveworks_daemon.gateway import fleet as fleet_module
-from endiveworks_daemon.gateway.fleet import LIMIT_RETRY_S, Fleet
+from endiveworks_daemon.gateway.fleet import LIMIT_RETRY_S, Fleet, ReplicaGroup
 from endiveworks_standins.site_replica import Arrival, Script, buffered_response
 
 from tests.deployed.harness import LOCATION, LOOKUP, ORDER, Deployment, Response, responds, run
@@ -93,7 +93,7 @@
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
         async def scenario() -> None:
-            fleet = Fleet(LOCATION)
+            fleet, shop = Fleet(LOCATION), ReplicaGroup("shop")
             fleet.update({"a": Replica("a", "shop", "127.0.0.1:1", "edin", "east", 4, False)}, {})
             fleet.limits.observe("a", 20.0)
             for _ in range(8):
@@ -102,11 +102,11 @@
             request = Request("r1", "GET", "/", "host", [], 30.0, None)
             queued = QueuedRequest("r1", 0, now_s + 30.0, now_s, now_s + 30.0)
             monkeypatch.setattr(fleet_module, "LIMIT_RETRY_S", 30.0)
-            task = asyncio.create_task(fleet.acquire("shop", request, queued, ()))
+            task = asyncio.create_task(fleet.acquire(shop, request, queued, ()))
             await asyncio.sleep(0)
             monkeypatch.setattr(fleet_module, "LIMIT_RETRY_S", LIMIT_RETRY_S)
-            fleet._wake(fleet._queues["shop"], 1)
-            fleet._retry_limited("shop")
+            fleet._wake(fleet._queues[shop], 1)
+            fleet._retry_limited(shop)
             assert (await asyncio.wait_for(task, 10.0)).replica == "a"
 
         run(scenario)
--- a/tests/deployed/test_software_versions.py
+++ b/tests/deployed/test_software_versions.py
@@ -2,9 +2,13 @@
 
 import asyncio
 import re
+import time
 from pathlib import Path
 
-from endiveworks_standins.site_caller import Response
+from endiveworks.gateway.stream_origins import StreamOrigins
+from endiveworks_daemon.gateway.fleet import DELISTED_GRACE_S
+from endiveworks_daemon.gateway.origin_exchange import QUERY_TIMEOUT_S
+from endiveworks_standins.site_caller import Response, read_response
 from endiveworks_standins.site_replica import (
     Arrival,
     Script,
@@ -15,20 +19,22 @@
 )
 from endiveworks_standins.site_replica import reset as reset_connection
 
-from tests.deployed.harness import DRAFT, Deployment, Entry, responds, run, write_request
+from tests.deployed.harness import DRAFT, Deployment, Entry, run, write_request
 
 EVENTS = 4
+SLOTS = 4  # Of each replica of the harness.
 # The new version has most replicas, so that a choice without regard to versions hardly misses it.
 OLD, NEW = ("g", "h"), tuple("abcdef")
-VERSIONS = {label: "v1" for label in OLD} | {label: "v2" for label in NEW}
+VERSIONS = dict.fromkeys(OLD, "v1") | dict.fromkeys(NEW, "v2")
 
 
-def writes(version: str, breaks_after: int | None = None) -> Script:
+def writes(version: str, breaks_after: int | None = None, pause_s: float = 0.02) -> Script:
     """Returns a script whose events name the version that wrote them.
 
     Args:
         version: Version of the replica.
         breaks_after: Id of the event after which a stream from the start is reset.
+        pause_s: Pause before the reset.
     """
 
     async def script(arrival: Arrival, writer: asyncio.StreamWriter) -> bool:
@@ -37,7 +43,7 @@
         for number in range(after + 1, EVENTS + 1):
             if not after and breaks_after is not None and number > breaks_after:
                 await writer.drain()
-                await asyncio.sleep(0.02)
+                await asyncio.sleep(pause_s)
                 reset_connection(writer)
                 return False
             writer.write(chunk(event(number, f"{version}.{number}")))
@@ -106,35 +112,23 @@
 
 
 async def begin_at_version_1(deployed: Deployment, entry: Entry) -> list[str]:
-    """Begins streams until some of them run at v1, and breaks these off; returns their ids."""
+    """Begins streams at v1, before v2 is listed, and breaks them off; returns their ids."""
     names = [f"s{number}" for number in range(3)]
-    for label in NEW:
-        deployed.replicas[f"llm/{label}"].script = responds(b"", "503 Busy", "Not-Executed: 1")
+    deployed.list_all_except(*NEW)
     for name in names:
         await begin(entry, name)
-    for label in NEW:
-        deployed.replicas[f"llm/{label}"].script = writes("v2")
+    deployed.list_all_except()
     return names
 
 
 class TestBrokenResponse:
     def test_a_response_goes_on_at_the_version_that_began_it(self, tmp_path: Path) -> None:
         async def scenario() -> None:
-            async with Deployment(tmp_path, two_versions(writes("v1")), VERSIONS) as deployed:
-                ending = deployed.replicas["llm/h"]
-                ending.script = ends_after(2, ending)
-                for label in ("g", *NEW):
-                    deployed.replicas[f"llm/{label}"].script = responds(
-                        b"", "503 Busy", "Not-Executed: 1"
-                    )
-                task = asyncio.create_task(deployed.send(DRAFT, b"p"))
-                while not ending.arrivals:
-                    await asyncio.sleep(0.001)
-                deployed.replicas["llm/g"].script = writes("v1")
-                for label in NEW:
-                    deployed.replicas[f"llm/{label}"].script = writes("v2")
-                reply = await task
+            scripts = two_versions(writes("v1"))
+            async with Deployment(tmp_path, scripts, VERSIONS) as deployed:
+                reply = await self.send_to_ending_replica(deployed, "g")
                 assert (versions(reply), reply.complete) == ({b"v1"}, True)
+                assert arrivals(deployed, NEW) == []
 
         run(scenario)
 
@@ -142,19 +136,40 @@
         self, tmp_path: Path
     ) -> None:
         async def scenario() -> None:
-            scripts = {"llm/h": writes("v1"), "llm/a": responds(b"", "503 Busy", "Not-Executed: 1")}
+            scripts = {"llm/h": writes("v1"), "llm/a": writes("v2")}
             async with Deployment(tmp_path, scripts, VERSIONS) as deployed:
-                ending = deployed.replicas["llm/h"]
-                ending.script = ends_after(2, ending)
-                task = asyncio.create_task(deployed.send(DRAFT, b"p"))
-                while not ending.arrivals:
-                    await asyncio.sleep(0.001)
-                deployed.replicas["llm/a"].script = writes("v2")
-                reply = await task
+                reply = await self.send_to_ending_replica(deployed, "a")
                 assert (reply.status, versions(reply), reply.complete) == (200, {b"v1"}, False)
 
         run(scenario)
 
+    def test_a_response_does_not_go_on_at_a_replica_that_changed_its_version(
+        self, tmp_path: Path
+    ) -> None:
+        async def scenario() -> None:
+            async with Deployment(tmp_path, {"llm/h": writes("v1", 2, pause_s=0.1)}) as deployed:
+                reader, writer = await deployed.open()
+                write_request(writer, DRAFT, b"p", {})
+                await reader.readuntil(b"v1.2")
+                deployed.versions["h"] = "v2"
+                deployed.apply(deployed.view, 2)
+                reply = await read_response(reader)
+                assert not reply.complete
+                assert len(arrivals(deployed, ("h",))) == 1
+
+        run(scenario)
+
+    async def send_to_ending_replica(self, deployed: Deployment, *others: str) -> Response:
+        """Returns the response to a request whose replica ends while all others are listed."""
+        ending = deployed.replicas["llm/h"]
+        ending.script = ends_after(2, ending)
+        deployed.list_all_except(*NEW, *others)
+        task = asyncio.create_task(deployed.send(DRAFT, b"p"))
+        while not ending.arrivals:
+            await asyncio.sleep(0.001)
+        deployed.list_all_except()
+        return await task
+
     def test_a_response_without_events_may_go_on_at_any_version(self, tmp_path: Path) -> None:
         async def scenario() -> None:
             scripts = {"llm/h": writes("v1"), "llm/a": writes("v2")}
@@ -220,3 +235,95 @@
                 assert arrivals(deployed, OLD + NEW) == []
 
         run(scenario)
+
+    def test_without_the_attempt_that_began_it_its_content_tells(self, tmp_path: Path) -> None:
+        async def scenario() -> None:
+            async with Deployment(tmp_path, two_versions(hangs_after(2)), VERSIONS) as deployed:
+                other = await deployed.add_entry()
+                await begin_at_version_1(deployed, deployed)
+                reply = await other.send(DRAFT, b"p", Request_Id="again", Last_Event_Id="2")
+                assert (reply.status, versions(reply), reply.complete) == (200, {b"v1"}, True)
+
+        run(scenario)
+
+    def test_an_entry_that_was_restarted_asks_others(self, tmp_path: Path) -> None:
+        async def scenario() -> None:
+            async with Deployment(tmp_path, two_versions(hangs_after(2)), VERSIONS) as deployed:
+                await deployed.add_entry()
+                names = await begin_at_version_1(deployed, deployed)
+                deployed.origins._origins = StreamOrigins()
+                for name in names:
+                    reply = await resume(deployed, name)
+                    assert (reply.status, versions(reply), reply.complete) == (200, {b"v1"}, True)
+
+        run(scenario)
+
+    def test_an_entry_that_is_cut_off_from_others_refuses_it(self, tmp_path: Path) -> None:
+        async def scenario() -> None:
+            async with Deployment(tmp_path, two_versions(hangs_after(2)), VERSIONS) as deployed:
+                other = await deployed.add_entry()
+                name, *_ = await begin_at_version_1(deployed, deployed)
+                deployed.origins.close()
+                other.origins._origins = StreamOrigins()
+                started_s = time.monotonic()
+                reply = await resume(other, name)
+                assert (reply.status, "retry-after" in reply.headers) == (503, True)
+                assert time.monotonic() - started_s < 2 * QUERY_TIMEOUT_S
+
+        run(scenario)
+
+    def test_it_is_refused_where_the_version_is_not_listed_yet(self, tmp_path: Path) -> None:
+        async def scenario() -> None:
+            async with Deployment(tmp_path, two_versions(hangs_after(2)), VERSIONS) as deployed:
+                other = await deployed.add_entry()
+                name, *_ = await begin_at_version_1(deployed, deployed)
+                deployed.list_all_except(*OLD)
+                await asyncio.sleep(DELISTED_GRACE_S)
+                assert (await resume(other, name)).status == 503
+                deployed.list_all_except()
+                reply = await resume(other, name)
+                assert (reply.status, versions(reply), reply.complete) == (200, {b"v1"}, True)
+
+        run(scenario)
+
+    def test_it_goes_on_at_the_service_that_began_it(self, tmp_path: Path) -> None:
+        async def scenario() -> None:
+            split = [{"backend": "llm", "weight": 1}, {"backend": "shop", "weight": 99}]
+            scripts = {"llm/h": hangs_after(2), "shop/s": writes("v2")}
+            async with Deployment(tmp_path, scripts, traffic_split=None) as deployed:
+                await begin(deployed, "s0")
+                deployed.route_changes = {"traffic_split": split}
+                deployed.apply(deployed.view, 2)
+                reply = await resume(deployed, "s0")
+                assert (reply.status, versions(reply), reply.complete) == (200, {b"v1"}, True)
+                deployed.route_changes = {"backend": "shop"}
+                deployed.apply(deployed.view, 3)
+                assert (await resume(deployed, "s0")).status == 503
+
+        run(scenario)
+
+    def test_it_waits_for_a_slot_at_its_version(self, tmp_path: Path) -> None:
+        async def scenario() -> None:
+            scripts = {"llm/h": hangs_after(2), "llm/a": writes("v2")}
+            async with Deployment(tmp_path, scripts, VERSIONS) as deployed:
+                deployed.list_all_except("a")
+                await begin(deployed, "s0")
+                busy = [await self.occupy(deployed, f"b{number}") for number in range(SLOTS)]
+                deployed.list_all_except()
+                task = asyncio.create_task(resume(deployed, "s0"))
+                await asyncio.sleep(0.1)
+                assert (await deployed.send(DRAFT, b"p", Request_Id="n")).body.count(b"v2") > 0
+                assert not task.done()
+                busy[0].transport.abort()
+                reply = await task
+                assert (reply.status, versions(reply), reply.complete) == (200, {b"v1"}, True)
+                assert not deployed.fleet._queues
+
+        run(scenario)
+
+    async def occupy(self, deployed: Deployment, name: str) -> asyncio.StreamWriter:
+        """Takes a slot until the connection is closed."""
+        reader, writer = await deployed.open()
+        write_request(writer, DRAFT, b"p", {"Request_Id": name})
+        await reader.readuntil(b"v1.2")
+        return writer
