Store a turn whole when its caller has resumed its stream

A turn on a route that retains turns and is resumable, resumed by its caller, was stored with only the events after Last-Event-Id: the next turn's history lacked its head. Cause: the output that is stored was that of one attempt.

Later events did not reach the caller and are dropped; an attempt that is still under way ends. If the head is lost, the resumption is refused before anything runs.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/context.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/context.py
@@ -7,6 +7,7 @@
 from .fleet import Fleet
 from .origin_exchange import OriginExchange
 from .quarantine import Quarantine
+from .transcripts import Transcripts
 from .turn_store import TurnStore
 from .upstreams import ConnectionPool
 
@@ -20,3 +21,4 @@
     turns: TurnStore
     quarantine: Quarantine
     origins: OriginExchange
+    transcripts: Transcripts
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/origin_exchange.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/origin_exchange.py
@@ -87,6 +87,11 @@
             self._addresses = addresses
             self._holders = OriginHolders(addresses)
 
+    def address(self, host: str) -> str:
+        """Returns the address of an entry as "ip:port"; empty if it is not known."""
+        ip, port = self._addresses.get(host, ("", 0))
+        return f"{ip}:{port}" if ip else ""
+
     def record(self, request_id: str, digest: str, service: str, version: str) -> None:
         """Keeps where a stream began, and tells its holders.
 
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/resumption.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/resumption.py
@@ -14,20 +14,33 @@
 from .upstreams import ResponseError
 
 
-async def adopt_origin(context: Context, ex: Exchange) -> None:
+async def adopt_origin(context: Context, ex: Exchange) -> bytes:
     """Binds a stream that its caller resumes to the service and version that began it.
 
+    Returns:
+        The output of the events that the caller has, if it is stored with the turn.
+
     Raises:
-        HttpError: It isn't known where the stream began, or the route no longer leads there.
+        HttpError: It isn't known where the stream began, the route no longer leads there, or the
+            output is lost.
     """
     if ex.request.resume_after is None:
-        return
+        return b""
     origin = await context.origins.find(ex.request.resumes, ex.digest)
     if origin is None:
         raise _refusal("it is not known where the resumed stream began")
     if origin.service not in (share.service for share in ex.route.shares):
         raise _refusal("the route does not lead to the service that began the resumed stream")
     ex.service, ex.version = origin.service, origin.version
+    if not ex.route.retains_turns:
+        return b""
+    address = context.origins.address(origin.host)
+    output = await context.transcripts.take_from(
+        origin.host, address, ex.request.resumes, ex.request.resume_after
+    )
+    if output is None:
+        raise _refusal("the events before the resumption are lost")
+    return output
 
 
 def record_origin(context: Context, ex: Exchange, response: Response) -> None:
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/run.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/run.py
@@ -26,6 +26,7 @@
 from .quarantine import Quarantine
 from .registration import register_in_background
 from .sockets import LISTEN_BACKLOG
+from .transcripts import Transcripts
 from .turn_store import TurnStore
 from .upstreams import ConnectionPool
 
@@ -75,7 +76,9 @@
 
     watcher = StateWatcher(kv, "", platform.decode_state, on_state, COALESCE_S, find_sources)
     origins = OriginExchange(settings.host)
-    context = Context(platform.dialect, fleet, pool, turns, Quarantine(), origins)
+    context = Context(
+        platform.dialect, fleet, pool, turns, Quarantine(), origins, Transcripts(settings.host)
+    )
     gateway = Gateway(context, metrics, watcher.is_connected)
     loads = _exchange_loads(settings, fleet, context.quarantine, watcher.sources, latest)
     watcher.start()
@@ -86,7 +89,12 @@
     await listen(settings.readiness_address, readiness, gateway.limits, checks)
     await serve_metrics(settings.metrics_address, metrics)
 
-    handlers = turns.handlers() | watcher.change_log.handlers() | loads.handlers()
+    handlers = {
+        **turns.handlers(),
+        **watcher.change_log.handlers(),
+        **loads.handlers(),
+        **context.transcripts.handlers(),
+    }
     close_peers = await _serve_peers(settings.peer_address, handlers, origins)
     register_in_background(kv, own_member(settings, ENTRY_ROLE, 0))
     background = asyncio.gather(
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/stream.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/stream.py
@@ -21,6 +21,7 @@
     record_loss,
     send_with_retries,
 )
+from .transcripts import Transcript
 from .upstreams import ResponseError
 
 STATUS_BUDGET_SPENT = 402
@@ -40,22 +41,22 @@
         tokens_per_event: Number of tokens in one event.
         events_sent: Number of events sent to the caller.
         last_event_id: Id of the last event that the caller has; None before the first.
-        output: Data of the events sent, as it is stored with the turn.
+        transcript: Events that the caller has, also from earlier attempts.
         resumes: Number of times that the stream was resumed.
     """
 
-    def __init__(self, ex: Exchange) -> None:
+    def __init__(self, ex: Exchange, transcript: Transcript) -> None:
         engine = ex.table.services[ex.service].engine if ex.service in ex.table.services else None
         self.tokens_per_event = engine.tokens_per_event if engine else 1
         self.events_sent = 0
         self.last_event_id = ex.request.resume_after
-        self.output = bytearray()
+        self.transcript = transcript
         self.resumes = 0
 
     def record_event(self, event: Event) -> None:
         """Records an event that is about to be sent to the caller."""
         self.events_sent += 1
-        self.output += event.data + b"\n"
+        self.transcript.add(event.id, event.data)
         if event.id is not None:
             self.last_event_id = event.id
 
@@ -76,8 +77,17 @@
         raise HttpError(
             STATUS_UNAVAILABLE, "too few disks are reachable", DISKS_UNAVAILABLE_RETRY_S
         )
-    await adopt_origin(context, ex)
-    stream = _Stream(ex)
+    with context.transcripts.kept(ex, await adopt_origin(context, ex)) as transcript:
+        return await _serve_turn(context, ex, responder, _Stream(ex, transcript), reservation)
+
+
+async def _serve_turn(
+    context: Context,
+    ex: Exchange,
+    responder: Responder,
+    stream: _Stream,
+    reservation: Reservation | None,
+) -> int:
     if reservation is None:
         body = await _build_prompt(context, ex)
         return await _serve_events(context, ex, responder, body, stream, None)
@@ -177,6 +187,7 @@
             return await _forward_error(context, ex, responder, response)
         if stream.last_event_id is not None:
             log_resumption(ex, response, stream.last_event_id)
+        stream.transcript.on_taken = response.conn.close
         try:
             await _forward_events(context, ex, responder, response, stream, reservation_fut)
             response.close(complete=True)
@@ -248,6 +259,8 @@
             record_loss(context, ex, response.replica, cause)
             raise ResponseError(str(cause)) from cause
         handle_lost_response(context, ex, response.replica, cause)
+    if stream.transcript.taken:
+        raise ResponseError("the caller resumed the stream in another request")
     check_version(ex, response)
     stream.resumes += 1
     return response.replica
@@ -262,7 +275,7 @@
             ex.request.id,
             ex.request.previous_turn,
             ex.body,
-            bytes(stream.output),
+            bytes(stream.transcript.output),
             ex.route.retention_s,
         )
         stored = await context.turns.commit(turn, settlement, max(0.0, ex.remaining_s()))
--- a/tests/deployed/harness.py
+++ b/tests/deployed/harness.py
@@ -24,6 +24,7 @@
 from endiveworks_daemon.gateway.origin_exchange import OriginExchange
 from endiveworks_daemon.gateway.quarantine import Quarantine
 from endiveworks_daemon.gateway.run import CallerConnections, listen
+from endiveworks_daemon.gateway.transcripts import Transcripts
 from endiveworks_daemon.gateway.turn_store import TurnStore
 from endiveworks_daemon.gateway.upstreams import ConnectionPool
 from endiveworks_site import config, headers
@@ -86,6 +87,8 @@
         self.fleet = Fleet(LOCATION)
         self.quarantine = Quarantine()
         self.origins = OriginExchange(host)
+        self.transcripts = Transcripts(host)
+        self.peer_address = ""
         self.kv_reachable = True
         self.gateway = self.new_gateway()
         self.callers = CallerConnections()
@@ -93,25 +96,32 @@
 
     def new_gateway(self) -> Gateway:
         """Returns a gateway that has not read the key-value service yet."""
-        dialect = headers.dialect()
-        return Gateway(
-            Context(dialect, self.fleet, self.pool, self.turns, self.quarantine, self.origins),
-            Metrics("", "test"),
-            lambda: self.kv_reachable,
+        context = Context(
+            headers.dialect(),
+            self.fleet,
+            self.pool,
+            self.turns,
+            self.quarantine,
+            self.origins,
+            self.transcripts,
         )
+        return Gateway(context, Metrics("", "test"), lambda: self.kv_reachable)
 
     async def listen(self, stack: AsyncExitStack) -> None:
-        """Serves callers, and other entries at the same port, until the stack is closed."""
+        """Serves callers and other entries until the stack is closed."""
         server = await listen("127.0.0.1:0", self.gateway.handle, self.gateway.limits, self.callers)
         stack.callback(server.close)
         ip, port = server.sockets[0].getsockname()
         self.address = f"{ip}:{port}"
-        await self.origins.start(self.address)
+        peer_server = await rpc.serve("127.0.0.1:0", self.transcripts.handlers())
+        self.peer_address, self.stop_calls = peer_server.address, peer_server.close
+        await self.origins.start(self.peer_address)
+        stack.callback(self.stop_calls)
         stack.callback(self.origins.close)
 
     def member(self) -> Member:
         """Returns the entry as a process of the deployment."""
-        return Member(self.host, self.address, "entry", "", "east", "edin", 1)
+        return Member(self.host, self.peer_address, "entry", "", "east", "edin", 1)
 
     async def send(self, target: str, body: bytes = b"", **named: str) -> Response:
         """Sends a request on a new connection and returns the response."""
