--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/retries.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/retries.py
@@ -106,6 +106,7 @@
         "answer_lost",
         request=ex.request.id,
         digest=ex.digest,
+        previous_turn=ex.request.previous_turn,
         service=ex.service,
         peer=replica,
         reason=f"{type(cause).__name__}: {cause}",
--- a/packages/endiveworks/src/endiveworks/telemetry/fields.py
+++ b/packages/endiveworks/src/endiveworks/telemetry/fields.py
@@ -44,6 +44,7 @@
     "path": "File or folder of this host.",
     "peer": "Host or address of the other side.",
     "port": "Port number.",
+    "previous_turn": "Id of the turn that a turn continues; empty for none.",
     "program": "Program id.",
     "queued": "Calls that wait.",
     "queued_ms": "Time spent waiting for a replica, in milliseconds.",
