Count each replica that a stream ended, also within one response

A request on a resumable route that ends each replica that runs it ended up to four within one response: an entry went on with the broken stream at the next replica without counting the end of the last one, nor waiting until it was known.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/quarantine.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/quarantine.py
@@ -59,9 +59,7 @@
         Raises:
             HttpError: The request has ended too many replicas, or runs already and is suspected.
         """
-        for lost in list(self._lost.values()):
-            if ex.digest in lost.requests:
-                await lost.verified.wait()
+        await self._wait_verified(ex)
         self._check(ex, own_runs=0)
         self._requests.start(ex.digest)
         try:
@@ -69,8 +67,9 @@
         finally:
             self._requests.end(ex.digest)
 
-    def check_repeat(self, ex: Exchange) -> None:
+    async def check_repeat(self, ex: Exchange) -> None:
         """Raises HttpError if a request that was admitted may not be sent to a further replica."""
+        await self._wait_verified(ex)
         self._check(ex, own_runs=1)
 
     def record_loss(self, ex: Exchange, replica: str, address: str) -> None:
@@ -117,6 +116,12 @@
         for digest in self._requests.adopt(told.requests, now_s):
             self._log_stopped(digest, "another entry")
 
+    async def _wait_verified(self, ex: Exchange) -> None:
+        """Waits until it is known whether the replicas that broke off the request have ended."""
+        for lost in list(self._lost.values()):
+            if ex.digest in lost.requests:
+                await lost.verified.wait()
+
     def _check(self, ex: Exchange, own_runs: int) -> None:
         now_s = time.monotonic()
         verdict = self._requests.check(ex.digest, now_s, own_runs)
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/stream.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/stream.py
@@ -254,13 +254,15 @@
         HttpError: No event was sent, and the request may not run again.
         ResponseError: Events were sent, and the stream can't be resumed.
     """
-    if not ex.route.resumable or stream.resumes >= MAX_RESUMES:
-        if stream.events_sent:
-            record_loss(context, ex, response.replica, cause)
-            raise ResponseError(str(cause)) from cause
-        handle_lost_response(context, ex, response.replica, cause)
     if stream.transcript.taken:
         raise ResponseError("the caller resumed the stream in another request")
+    may_resume = ex.route.resumable and stream.resumes < MAX_RESUMES
+    if not may_resume and not stream.events_sent:
+        handle_lost_response(context, ex, response.replica, cause)
+    else:
+        record_loss(context, ex, response.replica, cause)
+    if not may_resume and stream.events_sent:
+        raise ResponseError(str(cause)) from cause
     check_version(ex, response)
     stream.resumes += 1
     return response.replica
--- a/tests/deployed/test_quarantine.py
+++ b/tests/deployed/test_quarantine.py
@@ -4,10 +4,18 @@
 from pathlib import Path
 
 from endiveworks.gateway.suspects import HOLD_CRASHES, HOLD_S, MAX_CRASHES
-from endiveworks_standins.site_replica import Arrival, Script, SiteReplica, buffered_response
+from endiveworks_standins.site_replica import (
+    Arrival,
+    Script,
+    SiteReplica,
+    buffered_response,
+    chunk,
+    event,
+    stream_head,
+)
 from endiveworks_standins.site_replica import reset as reset_connection
 
-from tests.deployed.harness import LOOKUP, ORDER, Deployment, run
+from tests.deployed.harness import DRAFT, LOOKUP, ORDER, Deployment, run, streams
 
 HARMFUL = b"harmful"
 REPETITIONS = 12
@@ -93,3 +101,52 @@
                 assert arrivals <= MAX_CRASHES + 1
 
         run(scenario)
+
+
+class TestStreamThatEndsReplicas:
+    def test_a_response_goes_on_at_no_more_replicas_than_a_request_may_end(
+        self, tmp_path: Path
+    ) -> None:
+        async def scenario() -> None:
+            replicas: list[SiteReplica] = []
+            script = streams_then_ends(replicas)
+            async with Deployment(tmp_path, {f"llm/{n}": script for n in "abcdef"}) as deployed:
+                replicas += deployed.replicas.values()
+                reply = await deployed.send(DRAFT, HARMFUL, Request_Id="r1")
+                assert (reply.status, reply.complete) == (200, False)
+                assert harmful_arrivals(deployed) == HOLD_CRASHES
+                resumed = {"Resumes": "r1", "Last_Event_Id": str(HOLD_CRASHES)}
+                again = await deployed.send(DRAFT, HARMFUL, Request_Id="r2", **resumed)
+                assert (again.status, "retry-after" in again.headers) == (503, True)
+                assert harmful_arrivals(deployed) == HOLD_CRASHES
+
+        run(scenario)
+
+    def test_a_stream_that_breaks_at_replicas_that_go_on_is_not_stopped(
+        self, tmp_path: Path
+    ) -> None:
+        async def scenario() -> None:
+            script = streams("x", "y", cut_after=1)
+            async with Deployment(tmp_path, {"llm/a": script}) as deployed:
+                for number in range(REPETITIONS):
+                    deployed.replicas["llm/a"].script = streams("x", "y", cut_after=1)
+                    reply = await deployed.send(DRAFT, b"p", Request_Id=f"r{number}")
+                    assert (reply.status, reply.complete) == (200, True)
+
+        run(scenario)
+
+
+def streams_then_ends(replicas: list[SiteReplica]) -> Script:
+    """Returns a script that sends one more event of a stream and then ends its replica."""
+
+    async def script(arrival: Arrival, writer: asyncio.StreamWriter) -> bool:
+        ended = next(r for r in replicas if arrival in r.arrivals)
+        ended.stop()
+        number = int(arrival.headers.get("last-event-id", 0)) + 1
+        writer.write(stream_head(arrival) + chunk(event(number, "x")))
+        await writer.drain()
+        await asyncio.sleep(0.02)
+        reset_connection(writer)
+        return False
+
+    return script
