--- a/tests/deployed/test_decoding.py
+++ b/tests/deployed/test_decoding.py
@@ -146,12 +146,18 @@
             {"address": "10.128.0.9"},
             {"address": 5},
             {"backend": None},
+            {"version": None},
+            {"version": 2},
             {"zone": None, "state": None},
         ],
     )
     def test_entries_with_invalid_fields(self, change: dict[str, Any]) -> None:
         assert self.read(json.dumps(REPLICA | change).encode()) == {}
 
+    def test_an_entry_without_a_version(self) -> None:
+        fields = {name: value for name, value in REPLICA.items() if name != "version"}
+        assert self.read(json.dumps(fields).encode()) == {}
+
     @pytest.mark.parametrize("value", [b"", b"\xff\xfe", b"[]", b"{}", b"null"])
     def test_entries_that_cannot_be_decoded(self, value: bytes) -> None:
         assert self.read(value) == {}
