Soak with replicas of two software versions and streams that break

Callers break off half of their drafts and resume them, with the attempt that began them, at any entry; an event names its version. A run fails on a stream with two versions or a missing event, and if less than half of the streams that are broken off after the faults go on.

--- a/packages/endiveworks-standins/src/endiveworks_standins/site_caller.py
+++ b/packages/endiveworks-standins/src/endiveworks_standins/site_caller.py
@@ -36,8 +36,15 @@
     writer.write("\r\n".join(lines).encode() + body)
 
 
-async def read_response(reader: asyncio.StreamReader) -> Response:
-    """Reads one response; its status is 0 if the connection ended before one."""
+async def read_response(
+    reader: asyncio.StreamReader, body_timeout_s: float | None = None
+) -> Response:
+    """Reads one response; its status is 0 if the connection ended before one.
+
+    Args:
+        reader: The connection.
+        body_timeout_s: Time after which the rest of the body is not read; None for no limit.
+    """
     try:
         head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
     except (asyncio.IncompleteReadError, OSError):
@@ -48,13 +55,14 @@
     status = int(line.split()[1])
     body = b""
     try:
-        if "transfer-encoding" not in headers:
-            body = await reader.readexactly(int(headers.get("content-length", 0)))
-            return Response(status, headers, body, True)
-        while size := int(await reader.readline(), 16):
-            body += await reader.readexactly(size)
+        async with asyncio.timeout(body_timeout_s):
+            if "transfer-encoding" not in headers:
+                body = await reader.readexactly(int(headers.get("content-length", 0)))
+                return Response(status, headers, body, True)
+            while size := int(await reader.readline(), 16):
+                body += await reader.readexactly(size)
+                await reader.readexactly(2)
             await reader.readexactly(2)
-        await reader.readexactly(2)
-        return Response(status, headers, body, True)
+            return Response(status, headers, body, True)
     except (asyncio.IncompleteReadError, ValueError, OSError):
         return Response(status, headers, body, False)
--- a/tests/soak/load.py
+++ b/tests/soak/load.py
@@ -9,7 +9,7 @@
 from endiveworks_standins.site_config import TOKENS_PER_EVENT
 
 from .record import KeptTurn
-from .replicas import EVENTS, piece
+from .replicas import EVENT_PAUSE_S, EVENTS, piece
 from .site import Site
 
 CALLERS = 8
@@ -22,6 +22,10 @@
 PAUSE_S = 0.05
 KEEP_OPEN_SHARE = 0.5
 LEAVE_SHARE = 0.05
+BREAK_SHARE = 0.5
+MAX_RESUMPTIONS = 2
+# Time after which a caller breaks off a stream; about half of what a stream takes.
+BREAK_AFTER_S = EVENTS * EVENT_PAUSE_S / 2
 
 Conn = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 
@@ -108,33 +112,78 @@
             self._site.record.problems.append(f"request {name} got the answer {reply.body!r}")
 
     async def _draft(self) -> None:
+        """Asks for a draft, and resumes its stream where that breaks."""
         name, text = secrets.token_hex(8), secrets.token_hex(10).encode()
         self._site.record.prompts[name] = text
-        self._events(name, await self._send("/drafts/x", text, {"Request_Id": name}))
+        is_broken_off = self._rng.random() < BREAK_SHARE
+        break_after_s = self._rng.uniform(0.0, 2 * BREAK_AFTER_S) if is_broken_off else None
+        reply = await self._send("/drafts/x", text, {"Request_Id": name}, break_after_s)
+        events = self._events(name, reply)
+        for _ in range(MAX_RESUMPTIONS):
+            if reply.complete or not events:
+                return
+            reply = await self.resume(name, text, events)
+            events += self._events(name, reply, tuple(events))
+
+    async def break_and_resume(self) -> bool:
+        """Breaks off a draft after some events, and returns whether it could be resumed whole."""
+        name, text = secrets.token_hex(8), secrets.token_hex(10).encode()
+        self._site.record.prompts[name] = text
+        reply = await self._send("/drafts/x", text, {"Request_Id": name}, BREAK_AFTER_S)
+        events = self._events(name, reply)
+        if not events or reply.complete:
+            return False
+        reply = await self.resume(name, text, events)
+        self._events(name, reply, tuple(events))
+        return reply.status == 200 and reply.complete
+
+    async def resume(self, began_as: str, text: bytes, events: list[bytes]) -> Response:
+        """Resumes a stream after its events so far, at any entry."""
+        name, record = secrets.token_hex(8), self._site.record
+        record.prompts[name] = text
+        named = {"Request_Id": name, "Resumes": began_as, "Last_Event_Id": str(len(events))}
+        reply = await self._send("/drafts/x", text, named)
+        record.resumptions[reply.status] += 1
+        return reply
+
+    def _events(self, name: str, reply: Response, before: tuple[bytes, ...] = ()) -> list[bytes]:
+        """Returns the data of a reply's events.
+
+        It checks that none is missing or repeated, and that one version wrote them all.
 
-    def _events(self, name: str, reply: Response) -> list[bytes]:
-        """Returns the data of a reply's events, and checks that none is missing or repeated."""
+        Args:
+            name: Id of the request that began the stream.
+            reply: The reply.
+            before: Data of the events of earlier replies.
+        """
         if reply.status != 200:
             return []
         *blocks, rest = reply.body.split(b"\n\n")
         found = [block.partition(b"data: ")[2] for block in blocks]
-        expected = [piece(name, number).encode() for number in range(1, EVENTS + 1)]
-        if found != expected[: len(found)] or (reply.complete and (found != expected or rest)):
-            self._site.record.problems.append(f"stream {name} has the events {found}")
+        events = [*before, *found]
+        versions = {event.rpartition(b".")[2].decode() for event in events}
+        version = min(versions, default="")
+        expected = [piece(name, number, version).encode() for number in range(1, EVENTS + 1)]
+        is_whole = events == expected and not rest
+        if events != expected[: len(events)] or (reply.complete and not is_whole):
+            self._site.record.problems.append(f"stream {name} has the events {events}")
         return found
 
-    async def _send(self, target: str, body: bytes, named: dict[str, str]) -> Response:
+    async def _send(
+        self, target: str, body: bytes, named: dict[str, str], break_after_s: float | None = None
+    ) -> Response:
+        """Sends a request and returns the reply, or its part until the connection is broken off."""
         entry = self._rng.choice(self._site.entries)
         named |= {"Deadline_Ms": str(int(DEADLINE_S * 1000))}
         patience_s = DEADLINE_S + ANSWER_MARGIN_S
-        if self._rng.random() < LEAVE_SHARE:
+        if break_after_s is None and self._rng.random() < LEAVE_SHARE:
             patience_s = self._rng.uniform(0.0, 0.1)
         reply, conn = Response(0, {}, b"", False), None
         try:
             conn = await self._connect(entry.front)
             write_request(conn[1], target, body, named)
             async with asyncio.timeout(patience_s):
-                reply = await read_response(conn[0])
+                reply = await read_response(conn[0], break_after_s)
         except (OSError, TimeoutError):
             pass  # Counted below as a broken connection.
         if conn is not None:
--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -23,6 +23,7 @@
         budgets: Budget of each program, in tokens, and the most that one turn of it generates.
         handed: Tokens handed to callers by program.
         kept: Turns whose answers were whole.
+        resumptions: How often a resumption of a stream was answered with each status.
         statuses: How often each status was answered; 0 stands for a broken connection.
         problems: Promises that were broken.
     """
@@ -35,6 +36,7 @@
         self.handed: Counter[str] = Counter()
         self.kept: list[KeptTurn] = []
         self.statuses: Counter[int] = Counter()
+        self.resumptions: Counter[int] = Counter()
         self.problems: list[str] = []
 
     def arrived(self, request: str, body: bytes, once: bool) -> None:
--- a/tests/soak/replicas.py
+++ b/tests/soak/replicas.py
@@ -23,15 +23,24 @@
 # Share of requests whose answer is lost, cut or late while replicas are in trouble.
 TROUBLE_SHARE = 0.15
 HANG_S = 1.0
+# The software versions of the replicas; what two of them write doesn't fit together.
+VERSIONS = {
+    "llm-a": "v1",
+    "llm-b": "v2",
+    "llm-c": "v1",
+    "llm-d": "v2",
+    "shop-a": "v1",
+    "shop-b": "v1",
+}
 
 
-def piece(request: str, number: int) -> str:
-    """Returns the data of one event of a request's answer, the same in each run."""
-    return f"{request}.{number}"
+def piece(request: str, number: int, version: str) -> str:
+    """Returns the data of one event of a request's answer, the same in each run at a version."""
+    return f"{request}.{number}.{version}"
 
 
 class Replicas:
-    """Two model replicas and two of a plain service.
+    """Model replicas of two versions, and replicas of a plain service.
 
     Attributes:
         troubled: Whether they fail at times.
@@ -41,8 +50,7 @@
         self.troubled = False
         self._record = record
         self._rng = rng
-        names = ("llm-a", "llm-b", "shop-a", "shop-b")
-        self._replicas = {name: SiteReplica(self._script(name)) for name in names}
+        self._replicas = {name: SiteReplica(self._script(name)) for name in VERSIONS}
 
     async def start(self) -> None:
         """Begins to listen."""
@@ -72,7 +80,7 @@
                 await asyncio.sleep(HANG_S)
             if streams:
                 cut_after = self._rng.randrange(EVENTS) if trouble < TROUBLE_SHARE else EVENTS
-                return await _stream(arrival, writer, cut_after)
+                return await _stream(arrival, writer, cut_after, VERSIONS[name])
             await asyncio.sleep(PLAIN_S)
             if trouble < TROUBLE_SHARE:
                 reset(writer)
@@ -83,7 +91,10 @@
         return play
 
 
-async def _stream(arrival: Arrival, writer: asyncio.StreamWriter, cut_after: int) -> bool:
+async def _stream(
+    arrival: Arrival, writer: asyncio.StreamWriter, cut_after: int, version: str
+) -> bool:
+    began_as = arrival.headers.get("resumes", arrival.id)
     after = int(arrival.headers.get("last-event-id", 0))
     writer.write(stream_head(arrival))
     for number in range(after + 1, EVENTS + 1):
@@ -91,7 +102,7 @@
             reset(writer)
             return False
         await asyncio.sleep(EVENT_PAUSE_S)
-        writer.write(chunk(event(number, piece(arrival.id, number))))
+        writer.write(chunk(event(number, piece(began_as, number, version))))
         await writer.drain()
     writer.write(chunk(b""))
     return True
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -26,6 +26,7 @@
 # Time in which service has to be back, as the platform's settings state it.
 RECOVER_S = 12.0
 CHECKED_TURNS = 20
+BROKEN_STREAMS = 12
 TRY_PAUSE_S = 0.3
 
 _FIRST_SEED = flags.DEFINE_integer("first_seed", 1, "Seed of the first run.")
@@ -40,12 +41,14 @@
     Attributes:
         problems: Broken promises, in words.
         statuses: How often each status was answered.
+        resumptions: How often a resumption of a stream was answered with each status.
         kept: Turns whose answers were whole.
         injected: The faults.
     """
 
     problems: list[str]
     statuses: dict[int, int]
+    resumptions: dict[int, int]
     kept: int
     injected: list[Injected]
 
@@ -76,7 +79,8 @@
         f"{h.name} ended by itself with {code}" for h in site.hosts() for code in h.unasked
     ]
     statuses = dict(sorted(site.record.statuses.items()))
-    return Outcome(problems, statuses, len(site.record.kept), injector.injected)
+    resumptions = dict(sorted(site.record.resumptions.items()))
+    return Outcome(problems, statuses, resumptions, len(site.record.kept), injector.injected)
 
 
 async def _come_back(site: Site, load: Load) -> list[str]:
@@ -86,9 +90,9 @@
         await site.wait_ready(RECOVER_S)
     except TimeoutError:
         return ["entries are not ready again"]
+    problems = await _resume_streams(load)
     kept = site.record.kept
     checked = random.Random(len(kept)).sample(kept, min(CHECKED_TURNS, len(kept)))
-    problems = []
     for number, turn in enumerate(checked):
         while await load.turn(f"check-{number}", 10**6, turn) is None:
             if time.monotonic() > end_s:
@@ -98,6 +102,14 @@
     return problems
 
 
+async def _resume_streams(load: Load) -> list[str]:
+    """Breaks off streams after the faults; half of them have to go on."""
+    went_on = [await load.break_and_resume() for _ in range(BROKEN_STREAMS)]
+    if sum(went_on) < BROKEN_STREAMS / 2:
+        return [f"{sum(went_on)} of {BROKEN_STREAMS} broken streams could be resumed"]
+    return []
+
+
 def main(_: list[str]) -> None:
     """Runs the seeds one after the other and exits with 1 if a promise was broken."""
     # Ends the processes of a run that is stopped.
@@ -108,6 +120,7 @@
         outcome = asyncio.run(soak(folder, seed, _FAULTS_S.value))
         (folder / "outcome.json").write_text(json.dumps(outcome._asdict(), indent=1))
         kept = f"{outcome.kept} turns kept, statuses {outcome.statuses}"
+        kept += f", of resumptions {outcome.resumptions}"
         print(f"seed {seed}: {len(outcome.problems)} problems, {kept}", flush=True)
         for problem in outcome.problems[:10]:
             print(f"  {problem}", flush=True)
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -12,7 +12,7 @@
 
 from .hosts import ZONES, Host
 from .record import Record
-from .replicas import Replicas
+from .replicas import VERSIONS, Replicas
 
 ENTRIES = ("entry-0", "entry-1", "entry-2")
 DISKS = ("disk-0", "disk-1", "disk-2", "disk-3")
@@ -106,7 +106,7 @@
                     "backend": name.partition("-")[0],
                     "address": address,
                     "zone": ZONES[number % 2],
-                    "version": "1",
+                    "version": VERSIONS[name],
                     "slots": SLOTS,
                     "state": "ready",
                     "cold_remaining_ms": 0,
