Stop a request for good after three replicas, also if another one explains one of them

With two replicas that nothing else explains, the others that it was running at count as well. Test failed before.

--- a/packages/endiveworks/src/endiveworks/gateway/suspects.py
+++ b/packages/endiveworks/src/endiveworks/gateway/suspects.py
@@ -227,9 +227,10 @@
             for other, found in self._records.items()
             if len(found.crashes) >= len(crashes)
         )
-        if len(crashes) >= (MAX_SHARED_CRASHES if is_shared else MAX_CRASHES):
-            return RETENTION_S
-        return 0.0 if is_shared else HOLD_S
+        if is_shared:
+            return RETENTION_S if len(crashes) >= MAX_SHARED_CRASHES else 0.0
+        # With two that nothing else explains, those that another request explains count as well.
+        return RETENTION_S if len(record.crashes) >= MAX_CRASHES else HOLD_S
 
     def _is_refused(self, digest: str) -> bool:
         record = self._records.get(digest)
--- a/packages/endiveworks/src/endiveworks/gateway/tests/test_suspects.py
+++ b/packages/endiveworks/src/endiveworks/gateway/tests/test_suspects.py
@@ -195,6 +195,16 @@
         assert table.check("x", 3.0).may_run
         assert table.check("y", 3.0).may_run
 
+    def test_a_replica_that_two_harmful_requests_ended_counts_for_both(self) -> None:
+        table = Suspects()
+        table.record_crash(["first", "second"], "r1", 1.0)
+        for number in range(MAX_CRASHES):
+            table.record_crash(["first"], f"r2{number}", 1.1 + number)
+        table.record_crash(["second"], "r4", 2.0)
+        assert table.check("second", 2.1).may_run
+        table.record_crash(["second"], "r5", 3.0)
+        assert not table.check("second", 4.0 + HOLD_S).may_run
+
     def test_it_is_forgotten_after_a_while(self) -> None:
         table = Suspects()
         for number in range(MAX_CRASHES):
