Leave a replica's connection open once it is back in the pool

Found by reading. When a caller resumed a retained turn while the first attempt was being stored, the connection of that attempt was closed, though it was in the pool again and may have carried another request. The test saw a second connection before.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/stream.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/stream.py
@@ -198,6 +198,7 @@
             await context.quarantine.wait_before_resuming(ex)
             continue
         finally:
+            stream.transcript.on_taken = None  # The connection may serve other requests.
             response.close(complete=False)
         await _finish(context, ex, responder, stream)
         return STATUS_OK
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/transcripts.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/transcripts.py
@@ -42,13 +42,13 @@
     Attributes:
         output: Data of the events, as it is stored with the turn.
         taken: Whether the caller has resumed the stream in another request.
-        on_taken: Called when it does.
+        on_taken: Called when it does, while a replica is sending the stream.
     """
 
     def __init__(self, output: bytes = b"") -> None:
         self.output = bytearray(output)
         self.taken = False
-        self.on_taken: Callable[[], None] = lambda: None
+        self.on_taken: Callable[[], None] | None = None
         self._ends: dict[int, int] = {}
 
     def add(self, event_id: int | None, data: bytes) -> None:
@@ -130,7 +130,8 @@
         if transcript is None:
             return None
         transcript.taken = True
-        transcript.on_taken()
+        if transcript.on_taken is not None:
+            transcript.on_taken()
         size = len(transcript.output)
         is_known = transcript.truncate(last_event_id)
         if kept:
--- a/tests/deployed/test_resumed_turns.py
+++ b/tests/deployed/test_resumed_turns.py
@@ -138,6 +138,26 @@
 
         run(scenario)
 
+    def test_a_connection_that_went_back_to_the_pool_is_left_open(self, tmp_path: Path) -> None:
+        async def scenario() -> None:
+            async with deployment(tmp_path) as deployed:
+                commit = deployed.turns.commit
+
+                async def commit_late(*args: Any) -> Any:
+                    await asyncio.sleep(0.3)
+                    return await commit(*args)
+
+                deployed.turns.commit = commit_late  # type: ignore[method-assign]
+                first = asyncio.create_task(deployed.send(TURN, b"one", Request_Id="t1"))
+                while not deployed.transcripts._active:
+                    await asyncio.sleep(0.01)
+                await asyncio.sleep(0.1)
+                assert (await resume(deployed, 3, "t2")).complete
+                assert (await first).complete
+                assert deployed.replicas["llm/a"].connections == 1
+
+        run(scenario)
+
 
 class TestTranscripts:
     def test_their_size_is_bounded(self, tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
--- a/tests/deployed/test_software_versions.py
+++ b/tests/deployed/test_software_versions.py
@@ -106,7 +106,7 @@
 
 
 async def resume(entry: Entry, began_as: str, number: int = 2) -> Response:
-    """Takes a stream up after an event."""
+    """Resumes a stream after an event."""
     named = {"Resumes": began_as, "Last_Event_Id": str(number)}
     return await entry.send(DRAFT, b"p", Request_Id=f"again-{began_as}", **named)
 
@@ -183,7 +183,7 @@
         run(scenario)
 
 
-class TestStreamTakenUpByItsCaller:
+class TestStreamResumedByItsCaller:
     def test_it_goes_on_at_its_version_at_the_same_entry(self, tmp_path: Path) -> None:
         async def scenario() -> None:
             async with Deployment(tmp_path, two_versions(hangs_after(2)), VERSIONS) as deployed:
