Keep no transcript of streams that sent no event

Found by reading. Requests on retained, resumable routes that were refused left an empty transcript each for up to a minute, which no bound counted. The test found one before.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/transcripts.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/transcripts.py
@@ -111,6 +111,8 @@
             self._active.pop(ex.request.id, None)
 
     def _keep(self, attempt: str, transcript: Transcript) -> None:
+        if not transcript.output:
+            return
         self._drop(attempt)
         self._kept[attempt] = _Kept(transcript, time.monotonic())
         self._kept_bytes += len(transcript.output)
--- a/tests/deployed/test_resumed_turns.py
+++ b/tests/deployed/test_resumed_turns.py
@@ -6,6 +6,7 @@
 
 import pytest
 from endiveworks_daemon.gateway import transcripts as transcripts_module
+from endiveworks_daemon.gateway.fleet import DELISTED_GRACE_S
 from endiveworks_standins.site_caller import Response
 from endiveworks_standins.site_replica import Arrival, Script, chunk, event, stream_head
 
@@ -160,6 +161,16 @@
 
 
 class TestTranscripts:
+    def test_streams_without_events_are_not_kept(self, tmp_path: Path) -> None:
+        async def scenario() -> None:
+            async with deployment(tmp_path) as deployed:
+                deployed.list_all_except("a")
+                await asyncio.sleep(DELISTED_GRACE_S)
+                assert (await deployed.send(TURN, b"one", Request_Id="t1")).status == 503
+                assert not deployed.transcripts._kept
+
+        run(scenario)
+
     def test_their_size_is_bounded(self, tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
         async def scenario() -> None:
             monkeypatch.setattr(transcripts_module, "MAX_KEPT_BYTES", 60)
