--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/fleet.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/fleet.py
@@ -105,7 +105,7 @@
             if name in listed and _is_restarted(listed[name], state.replica):
                 del self._states[name]  # Nothing that is known of the earlier incarnation holds.
                 if listed[name].version != state.replica.version:
-                    # Either of them may have run the requests that were sent since the restart.
+                    # Either incarnation may have run the requests that were in flight.
                     state.replica = state.replica._replace(version="")
                 continue
             is_leaving = name not in listed or listed[name].draining or state.is_leaving
--- a/packages/endiveworks/src/endiveworks/gateway/stream_origins.py
+++ b/packages/endiveworks/src/endiveworks/gateway/stream_origins.py
@@ -16,9 +16,9 @@
 
 # Entries that keep a copy; all of them are rarely lost at once with the entry that sent the stream.
 COPIES = 3
-# Time for which an origin is kept; callers give up earlier.
+# Time for which an origin is kept after the first event of its stream.
 RETENTION_S = 60.0
-# Origins that one process keeps; several times those of a busy minute.
+# Origins that one process keeps at most; the oldest are dropped.
 MAX_ORIGINS = 20_000
 
 
--- a/packages/endiveworks/src/endiveworks/gateway/suspects.py
+++ b/packages/endiveworks/src/endiveworks/gateway/suspects.py
@@ -229,7 +229,7 @@
         )
         if is_shared:
             return RETENTION_S if len(crashes) >= MAX_SHARED_CRASHES else 0.0
-        # With two that nothing else explains, those that another request explains count as well.
+        # Two crashes that no other request explains make the shared ones count as well.
         return RETENTION_S if len(record.crashes) >= MAX_CRASHES else HOLD_S
 
     def _is_refused(self, digest: str) -> bool:
