Log how much of a cut response was sent, and the previous turn of a request

The ways in which a request can end without an answer could not be told apart: request_ended with status 0 said neither whether the response had begun nor, for a turn, which turn it continued. 'sent' is none, part or whole; 'previous_turn' leads to the line of that turn.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/app.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/app.py
@@ -200,10 +200,10 @@
         except TimeoutError:
             await self._send_timeout(ex, responder)
         except (ResponseError, CallerDisconnectedError) as exc:
-            self._record_end(ex, 0, f"aborted: {type(exc).__name__} {exc}")
+            self._record_cut(ex, responder, f"aborted: {type(exc).__name__} {exc}")
             raise CallerDisconnectedError from exc
         except asyncio.CancelledError:
-            self._record_end(ex, 0, responder.cut_reason or "the caller disconnected")
+            self._record_cut(ex, responder, responder.cut_reason or "the caller disconnected")
             raise
         except Exception as exc:
             logs.logger("gateway").error("request_failed", request=ex.request.id, exc_info=exc)
@@ -216,7 +216,7 @@
 
     async def _send_timeout(self, ex: Exchange, responder: Responder) -> None:
         if responder.started:
-            self._record_end(ex, 0, "timed out after the response had started")
+            self._record_cut(ex, responder, "timed out after the response had started")
             raise CallerDisconnectedError
         error = HttpError(STATUS_TIMEOUT, "timed out waiting for a replica")
         if not ex.may_have_run:
@@ -229,7 +229,7 @@
         self, ex: Exchange | None, responder: Responder, request_id: str, error: HttpError
     ) -> None:
         if responder.started:
-            self._record_end(ex, 0, f"aborted: {error.reason}")
+            self._record_cut(ex, responder, f"aborted: {error.reason}")
             raise CallerDisconnectedError
         if ex is not None:
             self._record_end(ex, error.status, error.reason)
@@ -240,7 +240,13 @@
             headers = [*headers, (b"WWW-Authenticate", b"Bearer")]
         await responder.respond(error.status, headers, b"")
 
-    def _record_end(self, ex: Exchange | None, status: int, reason: str) -> None:
+    def _record_cut(self, ex: Exchange | None, responder: Responder, reason: str) -> None:
+        """Logs and counts a request whose response was cut short, or never began."""
+        self._record_end(ex, 0, reason, "part" if responder.started else "none")
+
+    def _record_end(
+        self, ex: Exchange | None, status: int, reason: str, sent: str = "whole"
+    ) -> None:
         """Logs and counts a finished request; status 0 means that its response was cut short."""
         if ex is None:
             return
@@ -256,4 +262,4 @@
             self._metrics.count("requests_refused", 1, tenant, ex.route.name)
         else:
             self._metrics.count("requests_failed", 1, tenant, ex.route.name)
-        self._log.record_end(ex, status, reason, took_ms)
+        self._log.record_end(ex, status, reason, took_ms, sent)
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/request_log.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/request_log.py
@@ -42,8 +42,16 @@
         self._served = _RateLimit(MAX_SERVED_LINES_PER_S)
         self._failed = _RateLimit(MAX_FAILED_LINES_PER_S)
 
-    def record_end(self, ex: Exchange, status: int, reason: str, took_ms: float) -> None:
-        """Logs a finished request; status 0 means that its response was cut short."""
+    def record_end(self, ex: Exchange, status: int, reason: str, took_ms: float, sent: str) -> None:
+        """Logs a finished request.
+
+        Args:
+            ex: The request.
+            status: Status of its response; 0 if that was cut short or never began.
+            reason: Why it failed; empty if a replica served it.
+            took_ms: Time since its arrival in milliseconds.
+            sent: How much of the response went to the caller: "none", "part" or "whole".
+        """
         failed = not status or status >= _FIRST_ERROR
         if not (self._failed if failed else self._served).acquire():
             return
@@ -62,6 +70,8 @@
             cost_ms=round(ex.cost_ms, 1),
             queued_ms=round(ex.queued_s * 1000, 1),
             attempt=ex.send_count,
+            previous_turn=ex.request.previous_turn,
+            sent=sent,
             took_ms=round(took_ms, 1),
         )
 
--- a/packages/endiveworks/src/endiveworks/telemetry/fields.py
+++ b/packages/endiveworks/src/endiveworks/telemetry/fields.py
@@ -63,6 +63,7 @@
     "role": "entry or upstream.",
     "running": "Calls under way.",
     "replica_version": "Software version of a replica.",
+    "sent": "How much of a response was sent to the caller: none, part or whole.",
     "sent_per_s": "Requests a second that all known entries send to a replica.",
     "service": "Service name.",
     "signal": "Name of the signal received.",
