Answer requests whose streams end before their first event

Callers saw their connection, also a kept one, closed without an answer after their request had been passed on to a sound replica. ResponseError means that a response has to be broken off; Gateway._serve closed the connection for it whether or not a response had begun. It was raised so early in four ways: a caller resumed a stream after its last event, so that nothing was left to send; a resumed stream broke and its replica had changed its version; a replica sent a stream without events; a replica's error broke off on a route that may resume.

Now the connection is closed only within a response; before one, the caller gets 502, which promises nothing. A resumed stream with nothing left is answered 200 and complete, and a retained turn is stored with the events from before. A new stream without events counts as a lost response, so that a route that may resume tries again, as does an error that breaks off there.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/app.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/app.py
@@ -199,9 +199,12 @@
             await self._send_error(ex, responder, ex.request.id, error)
         except TimeoutError:
             await self._send_timeout(ex, responder)
-        except (ResponseError, CallerDisconnectedError) as exc:
+        except ResponseError as exc:
+            broken = HttpError(STATUS_BAD_GATEWAY, f"{type(exc).__name__} {exc}")
+            await self._send_error(ex, responder, ex.request.id, broken)
+        except CallerDisconnectedError as exc:
             self._record_cut(ex, responder, f"aborted: {type(exc).__name__} {exc}")
-            raise CallerDisconnectedError from exc
+            raise
         except asyncio.CancelledError:
             self._record_cut(ex, responder, responder.cut_reason or "the caller disconnected")
             raise
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/stream.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/stream.py
@@ -206,12 +206,17 @@
     while True:
         response = await send_with_retries(context, ex, body, stream.last_event_id, preferred)
         if response.head.status != STATUS_OK:
-            return await _forward_error(context, ex, responder, response)
+            status = await _forward_error(context, ex, responder, response)
+            if status is None:
+                continue
+            return status
         if stream.last_event_id is not None:
             log_resumption(ex, response, stream.last_event_id)
         stream.transcript.on_taken = response.conn.close
         try:
             await _forward_events(context, ex, responder, response, stream, reservation_fut)
+            if not stream.events_sent and stream.last_event_id is None:
+                raise ResponseError("the stream contained no events")
             response.close(complete=True)
             context.quarantine.record_response(ex)
         except (OSError, ResponseError) as exc:
@@ -222,19 +227,25 @@
         finally:
             stream.transcript.on_taken = None  # The connection may serve other requests.
             response.close(complete=False)
-        await _finish(context, ex, responder, stream)
+        await _finish(context, ex, responder, response, stream)
         return STATUS_OK
 
 
 async def _forward_error(
     context: Context, ex: Exchange, responder: Responder, response: Response
-) -> int:
+) -> int | None:
+    """Sends a replica's error to the caller; returns its status, or None to try another replica.
+
+    Raises:
+        HttpError: The error is incomplete, and the request may not be sent again.
+        ResponseError: A part of the stream or of the error has been sent.
+    """
     is_resumed = responder.started
     body = await read_body(context, ex, response, None if is_resumed else responder)
-    if body is None and responder.started and not is_resumed:
-        return response.head.status
-    if body is None or is_resumed:
+    if is_resumed:
         raise ResponseError("the stream could not be resumed")
+    if body is None:
+        return response.head.status if responder.started else None
     await responder.respond(response.head.status, response.head.headers, body)
     return response.head.status
 
@@ -302,7 +313,9 @@
     return response.replica
 
 
-async def _finish(context: Context, ex: Exchange, responder: Responder, stream: _Stream) -> None:
+async def _finish(
+    context: Context, ex: Exchange, responder: Responder, response: Response, stream: _Stream
+) -> None:
     """Ends the response; on routes that retain turns, only after the turn is durable."""
     if ex.route.retains_turns:
         reservation = _reservation(ex)
@@ -317,6 +330,6 @@
         stored = await context.turns.commit(turn, settlement, max(0.0, ex.remaining_s()))
         if not isinstance(stored, Success):
             raise ResponseError(str(stored.failure()))
-    if not responder.started:
-        raise ResponseError("the stream contained no events")
+    if not responder.started:  # The caller resumed the stream after its last event.
+        await responder.start(STATUS_OK, without_content_length(response.head.headers))
     await responder.end()
