Let a stopping entry end only after its callers have been sent their responses

Callers that read slowly lost the end of a response that had been complete: an entry that stops waits for its open connections, but a connection counted as closed as soon as its last response was handed to the transport, where up to 64 KiB may wait for the caller. The end of the process dropped them. A connection without a memory bound now waits, as one with a bound did already, until they are sent.

Evidence: test_stopping_entry.py, a caller whose buffers are full when the entry stops, who goes on reading 2.75 s later: without the change the last of its responses is incomplete ('Right contains one more item: 49152'), with it all are whole. The connection still ends if a caller takes in nothing for 3 s.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/callers.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/callers.py
@@ -137,7 +137,8 @@
         self._writer.close()
         if self._account.is_limited:
             self._account.end_request()
-            # What the caller has not read yet is still held.
+        # What the caller has not read yet is still held, and a stopping process waits for it.
+        if self._account.is_limited or self._writer.transport.get_write_buffer_size():
             with contextlib.suppress(OSError):
                 await self._writer.wait_closed()
 
