Close idle connections to replicas at the end of a test

Cause: a deployment of tests/deployed left its pool's connections open. The garbage collector closed them later, in a loop that had ended, and the error from StreamWriter.__del__ appeared in whatever test ran then.

--- a/tests/deployed/harness.py
+++ b/tests/deployed/harness.py
@@ -224,6 +224,8 @@
 
     async def __aexit__(self, *_: object) -> None:
         await self.turns.wait_settled()
+        for entry in self._entries:
+            entry.pool.close_expired(frozenset())
         await self._stack.aclose()
 
     async def restart_entry(self) -> None:
