Take only a response with the request's id on a kept connection

Seen: a faulty replica wrote an earlier refusal once more on a kept connection. Callers were told that a request had not run although a replica ran it, or an order ran at a second replica. Cause: read_head took a response without an id for that of the pending request. A refusal with Not-Executed and no id, where the response to the next request was due, made the gateway send that request to another replica; one without Not-Executed went to the caller as 503. Only the first response on a connection may lack it, since nothing precedes it. Later, and after a response with another id, one without it is skipped, whatever its status; neither its limit nor its leaving has an effect. A skipped response without framing ends the exchange at once, since its end can't be known: 502 for what can't be repeated. A request without an id, or with that of an earlier request on the connection, can't be told apart by it and gets a new connection. The line response_skipped names the replica, at most 20 times a second. Cost: a replica that leaves out the id on a kept connection loses that response: its caller waits for the timeout.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/retries.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/retries.py
@@ -197,7 +197,7 @@
     conn: UpstreamConnection | None = None
     handed_over = False
     try:
-        conn = await context.pool.acquire(replica, address, not ex.route.may_retry())
+        conn = await context.pool.acquire(replica, address, not ex.route.may_retry(), ex.request.id)
         is_first = replica not in ex.sent_to
         _send(context, ex, replica, conn, body, resume_after)
         in_flight_request.start_wait(ex.route.type is RouteType.STREAMING)
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/upstreams.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/upstreams.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from collections import deque
 from collections.abc import Callable, Sequence
 
 import h11
@@ -9,6 +10,7 @@
 from endiveworks.telemetry.unquoted import unquoted
 
 from .callers import READ_BYTES
+from .skipped_responses import SkippedResponses
 from .sockets import connect, limit_buffers
 
 # Idle timeout assumed for replicas that don't state when they close idle connections.
@@ -18,8 +20,10 @@
 IDLE_MARGIN_S = 0.5
 # A request that must not be repeated reuses a connection only if it was idle for less than this.
 FRESH_IDLE_S = 0.3
-# Number of late responses to earlier requests after which the connection is given up.
+# Number of responses to other requests after which the connection is given up.
 MAX_LATE_RESPONSES = 4
+# Number of earlier requests on a connection whose ids are remembered.
+MAX_EARLIER_IDS = 32
 # Size of the pieces in which a body is sent if the process has a memory bound.
 PIECE_BYTES = 64 * 1024
 # Bytes that are taken in of a response in one go, and while nothing is read, in such a process.
@@ -29,7 +33,11 @@
 WRITE_TIMEOUT_S = 2.0
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024  # Longer responses would not fit into a machine's memory.
 
+# Statuses of responses that have no body.
+_NO_BODY = (204, 304)
+
 ParseHead = Callable[[int, Sequence[tuple[bytes, bytes]]], ResponseHead]
+OnSkipped = Callable[[str, ResponseHead], None]
 
 
 class ResponseError(Exception):
@@ -50,19 +58,30 @@
         reader: Stream from the replica.
         writer: Stream to the replica.
         in_pieces: Whether long bodies are sent in pieces, as the replica takes them in.
+        on_skipped: Called with the id of the pending request and the head of a response to another
+            request.
     """
 
     def __init__(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, in_pieces: bool = False
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        in_pieces: bool = False,
+        on_skipped: OnSkipped | None = None,
     ) -> None:
         self._reader = reader
         self._writer = writer
         self._conn = h11.Connection(h11.CLIENT)
         self._request: tuple[h11.Request, bytes] | None = None
+        self._request_id = ""
+        self._earlier_ids: deque[int] = deque(maxlen=MAX_EARLIER_IDS)
+        # Whether nothing can precede the response, which may then lack the request's id.
+        self._is_first = True
         self._has_framing = False
         self._idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         self._last_used_s = time.monotonic()
         self._in_pieces = in_pieces
+        self._on_skipped = on_skipped
         self._sending: asyncio.Task[None] | None = None
         self._is_stalled = False
         if in_pieces:
@@ -82,20 +101,26 @@
             self._writer.write(b"".join(parts))
 
     async def read_head(self, parse_head: ParseHead, request_id: str) -> ResponseHead:
-        """Reads the head of the response to a request; drops late responses to earlier ones.
+        """Reads the head of the response to a request; skips responses to other requests.
 
         Raises:
             OSError: The connection was lost.
             ResponseError: The response is malformed, or belongs to another request.
         """
+        self._request_id = request_id
         for _ in range(MAX_LATE_RESPONSES):
             event = await self._next_event()
             if not isinstance(event, h11.Response):
                 raise ResponseError("the connection ended before a response")
             head = parse_head(event.status_code, list(event.headers))
-            if head.request_id in ("", request_id):
-                self._record_framing(event, head)
+            self._record_framing(event)
+            if head.request_id == request_id if head.request_id else self._is_first:
+                self._record_idle_timeout(head)
                 return head
+            if self._on_skipped is not None:
+                self._on_skipped(request_id, head)
+            if not self._has_framing and head.status not in _NO_BODY:
+                raise ResponseError("the end of a response to another request is unknown")
             await self.skip_body()
             self._skip_late_response()
         raise ResponseError("only responses to other requests were received")
@@ -139,6 +164,8 @@
         """Prepares a reusable connection for the next request, and starts its idle time."""
         self._conn.start_next_cycle()
         self._request = None  # Its body would stay in memory.
+        self._earlier_ids.append(hash(self._request_id))
+        self._is_first = False
         self._last_used_s = time.monotonic()
 
     def is_usable(self, only_fresh: bool) -> bool:
@@ -155,6 +182,10 @@
         closing = self._writer.is_closing() or self._reader.at_eof()
         return idle_s < max_idle_s and not has_unread and not closing
 
+    def identifies(self, request_id: str) -> bool:
+        """Tells whether the id tells the response to a new request from those to earlier ones."""
+        return self._is_first or (bool(request_id) and hash(request_id) not in self._earlier_ids)
+
     def is_expired(self) -> bool:
         """Tells whether an idle connection is no longer usable for any request."""
         return not self.is_usable(only_fresh=False)
@@ -186,15 +217,18 @@
         except OSError:
             pass  # The connection was lost, which the reader of the response notices.
 
-    def _record_framing(self, event: h11.Response, head: ResponseHead) -> None:
+    def _record_framing(self, event: h11.Response) -> None:
         names = {name for name, _ in event.headers}
         self._has_framing = b"content-length" in names or b"transfer-encoding" in names
+
+    def _record_idle_timeout(self, head: ResponseHead) -> None:
         if head.idle_timeout_s is not None:
             self._idle_timeout_s = max(0.0, head.idle_timeout_s - IDLE_MARGIN_S)
 
     def _skip_late_response(self) -> None:
-        """Resets the parser to the bytes after a response to an earlier request."""
+        """Resets the parser to the bytes after a response to another request."""
         rest = self._conn.trailing_data[0]
+        self._is_first = False
         self._conn = h11.Connection(h11.CLIENT)
         if self._request is not None:
             self._encode(*self._request)
@@ -226,14 +260,27 @@
     def __init__(self, in_pieces: bool = False) -> None:
         self._in_pieces = in_pieces
         self._idle: dict[str, list[UpstreamConnection]] = {}
+        self._skipped = SkippedResponses()
         self.opened = 0
 
-    async def acquire(self, replica: str, address: str, only_fresh: bool) -> UpstreamConnection:
-        """Returns an idle or new connection; raises OSError if the replica is unreachable."""
+    async def acquire(
+        self, replica: str, address: str, only_fresh: bool, request_id: str = ""
+    ) -> UpstreamConnection:
+        """Returns a connection for a request, an idle one if possible.
+
+        Args:
+            replica: Id of the replica.
+            address: Its address.
+            only_fresh: Whether the request can't be repeated, see UpstreamConnection.is_usable.
+            request_id: Id of the request; empty for none.
+
+        Raises:
+            OSError: The replica is unreachable.
+        """
         idle = self._idle.get(replica, [])
         while idle:
             conn = idle.pop()
-            if conn.is_usable(only_fresh):
+            if conn.is_usable(only_fresh) and conn.identifies(request_id):
                 return conn
             if conn.is_expired():
                 conn.close()
@@ -241,10 +288,15 @@
             idle.append(conn)
             break
         self.opened += 1
-        if not self._in_pieces:
-            return UpstreamConnection(*await connect(address))
-        reader, writer = await connect(address, read_bytes=BOUNDED_READ_BYTES // 2)
-        return UpstreamConnection(reader, writer, in_pieces=True)
+        if self._in_pieces:
+            reader, writer = await connect(address, read_bytes=BOUNDED_READ_BYTES // 2)
+        else:
+            reader, writer = await connect(address)
+
+        def on_skipped(pending_id: str, head: ResponseHead) -> None:
+            self._skipped.record(pending_id, replica, head)
+
+        return UpstreamConnection(reader, writer, self._in_pieces, on_skipped)
 
     def release(self, replica: str, conn: UpstreamConnection) -> None:
         """Returns a connection to the pool after an exchange; closes it if it isn't reusable."""
