Break off a stream at bytes that are no event

Seen: a stream broke off and the next replica answered with an error. Callers found the error's text, at times with its head, in the middle of their stream, or the stream ended as if it were complete. Cause: EventSplitter took any bytes up to a blank line for an event, and the check of ids passed over events without one. In a response that ends with its connection, a second head after the first events came out as an event and was sent, and stored with the turn; so did text with a blank line from the replica that a stream was resumed at. Anything else breaks the stream off: it is resumed where the route allows it, and the caller's connection is reset elsewhere, or the status is 502 before the first event.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/stream.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/stream.py
@@ -258,12 +258,7 @@
             raise ResponseError("there is too little memory for an event")
         response.in_flight_request.record_events(len(events))
         for event in events:
-            if (
-                stream.last_event_id is not None
-                and event.id is not None
-                and event.id <= stream.last_event_id
-            ):
-                raise ResponseError(f"event {event.id} followed event {stream.last_event_id}")
+            _check_event(event, stream.last_event_id)
             if not responder.started:
                 if reservation_fut is not None:
                     await _await_reservation(reservation_fut, ex)
@@ -279,6 +274,14 @@
         raise ResponseError("the stream ended in the middle of an event")
 
 
+def _check_event(event: Event, last_event_id: int | None) -> None:
+    """Raises ResponseError if an event can't be the next one of a stream."""
+    if not event.is_well_formed or event.id is None:
+        raise ResponseError("the stream contains bytes that are no event")
+    if last_event_id is not None and event.id <= last_event_id:
+        raise ResponseError(f"event {event.id} followed event {last_event_id}")
+
+
 def _start_resume(
     context: Context, ex: Exchange, response: Response, stream: _Stream, cause: Exception
 ) -> str:
--- a/packages/endiveworks/src/endiveworks/gateway/events.py
+++ b/packages/endiveworks/src/endiveworks/gateway/events.py
@@ -1,16 +1,28 @@
 """Incremental parsing of a server-sent event stream."""
 
+import re
 from typing import NamedTuple
 
 _BLANK_LINES = (b"\r\n\r\n", b"\n\n")
+# A first line may tell a number of the replica, such as the version of its weights.
+_NUMBER_LINE = re.compile(rb"[a-z][a-z0-9-]*: ?[0-9]+")
+_FIELDS = frozenset((b"data", b"id", b"event", b"retry"))
 
 
 class Event(NamedTuple):
-    """One event: its bytes as received, its id (None without a numeric id) and its data."""
+    """One event of a stream.
+
+    Attributes:
+        raw: Its bytes as received.
+        id: Its id; None without a numeric id.
+        data: Its data.
+        is_well_formed: Whether all its lines are those of an event with a single id.
+    """
 
     raw: bytes
     id: int | None
     data: bytes
+    is_well_formed: bool
 
 
 class EventSplitter:
@@ -39,13 +51,23 @@
 
 
 def _parse(raw: bytes) -> Event:
-    number: int | None = None
+    ids: list[int | None] = []
     data: list[bytes] = []
-    for line in raw.splitlines():
+    line_end = b"\r\n" if raw.endswith(b"\r\n\r\n") else b"\n"
+    lines = raw.removesuffix(line_end * 2).split(line_end)
+    for line in lines:
         name, _, value = line.partition(b":")
         value = value.removeprefix(b" ")
         if name == b"data":
             data.append(value)
-        elif name == b"id" and value.isdigit():
-            number = int(value)
-    return Event(raw, number, b"\n".join(data))
+        elif name == b"id":
+            ids.append(int(value) if value.isdigit() else None)
+    number = ids[-1] if ids else None
+    is_well_formed = number is not None and len(ids) == 1 and _has_only_fields(lines)
+    return Event(raw, number, b"\n".join(data), is_well_formed)
+
+
+def _has_only_fields(lines: list[bytes]) -> bool:
+    if _NUMBER_LINE.fullmatch(lines[0]):
+        lines = lines[1:]
+    return all(line.startswith(b":") or line.partition(b":")[0] in _FIELDS for line in lines)
