Take no response for complete on a connection that this process closed

Seen: with test_closed_upstreams.py, a turn whose caller had resumed it elsewhere was ended as complete, and stored, with the events up to the one before the resumption. Cause: close() aborts the connection, and asyncio then feeds the end of the connection to its reader. For a response with neither length nor chunks that is the end of its body. The transcript of a resumable turn closes the connection so when the caller goes on elsewhere. Evidence: three of the six tests failed before: test_a_stream_resumed_elsewhere_is_not_ended_as_complete: assert b'\r\n0\r\n\r\n' == b'\r\n' test_its_response_is_never_complete[False] and [True]: DID NOT RAISE ResponseError Change: the connection remembers that it was closed here, and whatever is read of it afterwards is an incomplete response. The other three tests show that a response without framing is not followed by another on its connection; they passed before.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/upstreams.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/upstreams.py
@@ -84,6 +84,7 @@
         self._on_skipped = on_skipped
         self._sending: asyncio.Task[None] | None = None
         self._is_stalled = False
+        self._is_closed = False
         if in_pieces:
             limit_buffers(writer, BOUNDED_READ_BYTES)
 
@@ -191,7 +192,11 @@
         return not self.is_usable(only_fresh=False)
 
     def close(self) -> None:
-        """Aborts the connection, so that the replica stops working on the request."""
+        """Aborts the connection, so that the replica stops working on the request.
+
+        A response that is still being read is incomplete then.
+        """
+        self._is_closed = True
         if self._sending is not None:
             self._sending.cancel()
         self._writer.transport.abort()
@@ -235,15 +240,22 @@
         if rest:
             self._conn.receive_data(rest)
 
+    async def _receive(self) -> bytes:
+        """Returns bytes from the replica, none at the end that it gave the connection."""
+        data = await self._reader.read(READ_BYTES)
+        if self._is_stalled:
+            raise ResponseError("the replica did not read the request")
+        # The reader shows the end of an aborted connection in the same way.
+        if self._is_closed:
+            raise ResponseError("the connection was closed by this process")
+        return data
+
     async def _next_event(self) -> object:
         try:
             while True:
                 event = self._conn.next_event()
                 if event is h11.NEED_DATA:
-                    data = await self._reader.read(READ_BYTES)
-                    if self._is_stalled:
-                        raise ResponseError("the replica did not read the request")
-                    self._conn.receive_data(data)
+                    self._conn.receive_data(await self._receive())
                 elif not isinstance(event, h11.InformationalResponse):
                     return event
         except h11.RemoteProtocolError as exc:
