Log turns that no disk holds, with the disks that replied

A 404 for a previous turn, or a 503 for a broken chain, left no trace in the log of which disks had been asked and in which view, so it could not be told from a turn that never existed.

One warning `turn_missing` now names the previous turn and its tenant, the view's epoch, the hosts that replied, and the missing ancestor of a broken chain.

Both tests failed before: "ValueError: not enough values to unpack (expected 1, got 0)".

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/turn_store.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/turn_store.py
@@ -13,7 +13,7 @@
 from endiveworks.turns import messages
 from endiveworks.turns.ledger import Ledger, Spending, allocated_tokens, fits_budget, merge_ledgers
 from endiveworks.turns.records import Record, Reservation, Settlement, Turn, encode
-from endiveworks.turns.view import View, is_read_quorum, is_write_quorum
+from endiveworks.turns.view import View, all_disks, is_read_quorum, is_write_quorum
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
@@ -149,7 +149,10 @@
                 fetched = await self._fetch(turn_id, timeout_s)
                 if not isinstance(fetched, Success):
                     return Err(fetched.failure())
-                found = fetched.unwrap()
+                replies = fetched.unwrap()
+                found = self._turns.get(turn_id)
+                if found is None:
+                    self._log_missing(turn, turn_id, [reply.folder for reply in replies])
                 if found is None and not chain:
                     return Success(None)
                 if found is None:
@@ -161,6 +164,21 @@
             turn_id = found.parent
         return Success(tuple(reversed(chain)))
 
+    def _log_missing(self, turn: str, missing: str, folders: Collection[str]) -> None:
+        view = self._quorum.view
+        tenant, _, name = turn.rpartition("\n")
+        logs.logger("turns").warning(
+            "turn_missing",
+            tenant=tenant,
+            previous_turn=name,
+            epoch=view.epoch if view else 0,
+            copies=(
+                [disk.host for disk in all_disks(view) if disk.folder in folders] if view else []
+            ),
+            reason="unknown turn" if missing == turn else "broken chain",
+            detail="" if missing == turn else f"its ancestor {missing!r} is missing",
+        )
+
     async def _settle(self, settlement: Settlement) -> None:
         for _ in range(MAX_SETTLE_ATTEMPTS):
             stored = await self._store([settlement], "", RPC_TIMEOUT_S)
@@ -212,7 +230,8 @@
         result = await self._quorum.call(call, timeout_s)
         return result.map(lambda replies: merge_ledgers(reply.spending for reply in replies))
 
-    async def _fetch(self, turn: str, timeout_s: float) -> Result[Turn | None, Failure]:
+    async def _fetch(self, turn: str, timeout_s: float) -> Result[list[messages.Fetched], Failure]:
+        """Caches a turn and its ancestors as far as a disk holds them; returns the replies."""
         known_ids = list(self._turns)[-MAX_KNOWN_IDS:]
 
         def build_message(view: View) -> messages.Fetch:
@@ -225,9 +244,7 @@
             messages.FETCH, messages.Fetched, build_message, is_read_quorum, is_sufficient
         )
         result = await self._quorum.call(call, timeout_s)
-        if not isinstance(result, Success):
-            return Err(result.failure())
-        for reply in result.unwrap():
+        for reply in result.value_or([]):
             for fetched in reply.chain:
                 self._cache_turn(fetched)
-        return Success(self._turns.get(turn))
+        return result
--- /dev/null
+++ b/tests/deployed/test_turn_reads.py
@@ -0,0 +1,66 @@
+"""Reads of stored turns by a process that doesn't have them, and turns that are missing."""
+
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+from endiveworks.turns.disk import apply
+from endiveworks.turns.records import Turn
+from endiveworks_daemon.gateway.turn_store import TurnStore
+from structlog.testing import capture_logs
+
+from tests.deployed.harness import LOCATION, Deployment, run, streams
+
+TIMEOUT_S = 2.0
+
+
+def stored(name: str, parent: str = "") -> Turn:
+    """Returns a turn whose prompt is its name."""
+    return Turn(name, parent, name.encode(), b"out\n", 60.0)
+
+
+def reader_of(deployed: Deployment) -> TurnStore:
+    """Returns the turn store of another process, with an empty cache."""
+    reader = TurnStore(LOCATION)
+    reader.adopt(deployed.view)
+    return reader
+
+
+class TestMissingTurns:
+    @pytest.fixture
+    def events(self) -> Iterator[list[Any]]:
+        with capture_logs() as captured:
+            yield captured
+
+    def missing(self, events: list[Any]) -> list[Any]:
+        return [event for event in events if event["event"] == "turn_missing"]
+
+    def test_an_unknown_turn_is_logged_with_the_disks_that_replied(
+        self, tmp_path: Path, events: list[Any]
+    ) -> None:
+        async def scenario() -> None:
+            async with Deployment(tmp_path, {"llm/a": streams("x")}) as deployed:
+                found = await reader_of(deployed).read_chain("acme\nt1", TIMEOUT_S)
+                assert found.unwrap() is None
+                (event,) = self.missing(events)
+                assert (event["tenant"], event["previous_turn"]) == ("acme", "t1")
+                assert (event["epoch"], len(event["copies"])) == (1, 2)
+                assert event["reason"] == "unknown turn"
+
+        run(scenario)
+
+    def test_a_broken_chain_is_logged_with_the_missing_ancestor(
+        self, tmp_path: Path, events: list[Any]
+    ) -> None:
+        async def scenario() -> None:
+            async with Deployment(tmp_path, {"llm/a": streams("x")}) as deployed:
+                for disk in deployed.disks:
+                    apply(disk.disk_store.state, stored("t2", "t1"), 0.0)
+                found = await reader_of(deployed).read_chain("t2", TIMEOUT_S)
+                assert "is missing" in str(found.failure())
+                (event,) = self.missing(events)
+                assert (event["previous_turn"], event["reason"]) == ("t2", "broken chain")
+                assert "'t1'" in event["detail"]
+
+        run(scenario)
