Return turns from the reply of a disk, not from the cache it went into

Callers could get 404 "the previous turn does not exist" for a turn that the disk had just sent, and 503 for a chain that no cache holds as a whole. `_fetch` put the reply into the cache and then looked there for the turn; a reply larger than the cache's bound had evicted it already.

`read_chain` keeps what it has fetched until it returns.

The tests set a bound of 3 bytes. Both failed before: "assert None is not None" for a committed turn, alone and at the end of a chain of three. At the real bound this takes a chain of 24 MiB.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/turn_store.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/turn_store.py
@@ -20,8 +20,8 @@
 from ..rpc import Handler
 from .disk_links import RELAY
 from .quorum import RPC_TIMEOUT_S, QuorumCall, QuorumClient
+from .turn_cache import TurnCache
 
-MAX_CACHE_BYTES = 24 * 1024 * 1024  # Cached turns; a sixth of the smallest machine's memory.
 # Programs whose ledger is cached; several times the number on a busy day.
 MAX_CACHED_LEDGERS = 20_000
 # Attempts to write a settlement; if all fail, the reservation keeps counting against the budget.
@@ -31,7 +31,6 @@
 # Turns that must fit into the remaining budget before one is sent ahead of its reservation: the
 # turn itself, and turns of sub-agents that other processes may be sending at the same time.
 HEADROOM_TURNS = 4
-MAX_KNOWN_IDS = 64  # Ids of cached turns sent with a fetch, so that the reply omits these turns.
 
 
 class TurnStore:
@@ -44,8 +43,7 @@
     def __init__(self, here: Location) -> None:
         self._here = here
         self._quorum = QuorumClient(here)
-        self._turns: OrderedDict[str, Turn] = OrderedDict()
-        self._turn_bytes = 0
+        self._turns = TurnCache()
         self._ledgers: OrderedDict[str, Ledger] = OrderedDict()
         self._background: set[asyncio.Task[None]] = set()
 
@@ -122,7 +120,7 @@
             stored = await self._store(records, "", deadline_s - time.monotonic())
         if settlement is not None:
             self._record_settlement(settlement)
-        self._cache_turn(turn)
+        self._turns.add(turn)
         return Success(None)
 
     def settle(self, settlement: Settlement) -> None:
@@ -142,15 +140,18 @@
     ) -> Result[tuple[Turn, ...] | None, Failure]:
         """Returns a turn and all its predecessors, oldest first; None if the turn doesn't exist."""
         chain: list[Turn] = []
+        fetched: dict[str, Turn] = {}
         turn_id = turn
         while turn_id:
-            found = self._turns.get(turn_id)
+            found = fetched.get(turn_id) or self._turns.get(turn_id)
             if found is None:
-                fetched = await self._fetch(turn_id, timeout_s)
-                if not isinstance(fetched, Success):
-                    return Err(fetched.failure())
-                replies = fetched.unwrap()
-                found = self._turns.get(turn_id)
+                result = await self._fetch(turn_id, timeout_s)
+                if not isinstance(result, Success):
+                    return Err(result.failure())
+                replies = result.unwrap()
+                # The cache may have evicted them already.
+                fetched |= {found.turn: found for reply in replies for found in reply.chain}
+                found = fetched.get(turn_id)
                 if found is None:
                     self._log_missing(turn, turn_id, [reply.folder for reply in replies])
                 if found is None and not chain:
@@ -158,8 +159,6 @@
                 if found is None:
                     detail = f"the turn before {chain[-1].turn} is missing"
                     return Err(Failure(Code.CORRUPT, "turns.chain", "", detail, not_run=True))
-            else:
-                self._turns.move_to_end(turn_id)
             chain.append(found)
             turn_id = found.parent
         return Success(tuple(reversed(chain)))
@@ -206,15 +205,6 @@
         if len(self._ledgers) > MAX_CACHED_LEDGERS:
             self._ledgers.popitem(last=False)
 
-    def _cache_turn(self, turn: Turn) -> None:
-        if turn.turn in self._turns:
-            return
-        self._turns[turn.turn] = turn
-        self._turn_bytes += len(turn.prompt) + len(turn.output)
-        while self._turn_bytes > MAX_CACHE_BYTES:
-            _, evicted = self._turns.popitem(last=False)
-            self._turn_bytes -= len(evicted.prompt) + len(evicted.output)
-
     async def _store(
         self, records: Sequence[Record], program: str, timeout_s: float
     ) -> Result[Ledger, Failure]:
@@ -232,7 +222,7 @@
 
     async def _fetch(self, turn: str, timeout_s: float) -> Result[list[messages.Fetched], Failure]:
         """Caches a turn and its ancestors as far as a disk holds them; returns the replies."""
-        known_ids = list(self._turns)[-MAX_KNOWN_IDS:]
+        known_ids = self._turns.known_ids()
 
         def build_message(view: View) -> messages.Fetch:
             return messages.Fetch(view.epoch, turn, known_ids)
@@ -246,5 +236,5 @@
         result = await self._quorum.call(call, timeout_s)
         for reply in result.value_or([]):
             for fetched in reply.chain:
-                self._cache_turn(fetched)
+                self._turns.add(fetched)
         return result
--- a/tests/deployed/test_turn_reads.py
+++ b/tests/deployed/test_turn_reads.py
@@ -7,7 +7,9 @@
 import pytest
 from endiveworks.turns.disk import apply
 from endiveworks.turns.records import Turn
+from endiveworks_daemon.gateway import turn_cache as cache_module
 from endiveworks_daemon.gateway.turn_store import TurnStore
+from returns.result import Success
 from structlog.testing import capture_logs
 
 from tests.deployed.harness import LOCATION, Deployment, run, streams
@@ -64,3 +66,24 @@
                 assert "'t1'" in event["detail"]
 
         run(scenario)
+
+
+class TestFullCache:
+    """Turns are pushed out of a reader's cache while their chain is read."""
+
+    @pytest.mark.parametrize("length", [1, 3])
+    def test_a_chain_larger_than_the_cache_is_read(
+        self, tmp_path: Path, monkeypatch: pytest.MonkeyPatch, length: int
+    ) -> None:
+        async def scenario() -> None:
+            async with Deployment(tmp_path, {"llm/a": streams("x")}) as deployed:
+                names = [f"t{number}" for number in range(1, length + 1)]
+                for parent, name in zip(["", *names], names, strict=False):
+                    turn = stored(name, parent)
+                    assert isinstance(await deployed.turns.commit(turn, None, TIMEOUT_S), Success)
+                monkeypatch.setattr(cache_module, "MAX_CACHE_BYTES", 3)
+                chain = (await reader_of(deployed).read_chain(names[-1], TIMEOUT_S)).unwrap()
+                assert chain is not None
+                assert [turn.turn for turn in chain] == names
+
+        run(scenario)
