--- a/packages/endiveworks/src/endiveworks/journal/store.py
+++ b/packages/endiveworks/src/endiveworks/journal/store.py
@@ -78,7 +78,7 @@
         return Err(locked.failure())
     identity, lock = locked.unwrap()
     shared = SharedState(data_dir, RecordIndex(), {}, threading.RLock())
-    recovered = _recover(shared)
+    recovered = _recover(shared, write_calls)
     if not isinstance(recovered, Success):
         _close_files(shared, lock)
         return Err(recovered.failure())
@@ -123,13 +123,16 @@
     os.close(lock)
 
 
-def _recover(shared: SharedState) -> Result[None, Failure]:
+def _recover(shared: SharedState, write_calls: WriteCalls) -> Result[None, Failure]:
     numbers = segments.list_segments(shared.data_dir)
     try:
         for number in numbers:
             replayed = _recover_segment(shared, number, number == numbers[-1])
             if not isinstance(replayed, Success):
                 return Err(replayed.failure())
+        if numbers:
+            # A process that was killed may have left frames that are readable but not on disk.
+            write_calls.sync(shared.fds[numbers[-1]])
     except ValueError as exc:
         return Err(_corrupt(shared, str(exc)))
     except OSError as exc:
