Keep the view that a disk has agreed to refuse older ones for on the disk

After a view change a turn that was stored during it could be unknown to the new view's disks (404). A disk that joins reads from a recovery quorum, whose disks refuse writers with older views from then on. They held that view in memory only: a disk that was restarted, or lost power, accepted such a writer again until the key-value service was read. A turn stored then, on it and on a disk that hadn't heard of the change, was committed by the writer's view, and missing at the disk that had read before.

A disk now syncs the view to view.json before it lists its records for a reader, and starts with it.

The model test gets restarts, notifications that are kept in memory only, and a loss of power of all disks and writers, at times with one disk wiped. With epochs that a restart forgets, as in the code before, it failed: "a read can miss record 1" after change_view(leaving={'a'}), catch_up(sources=['a', 'b', ...]), restart_disk('a'), and a write by the first view to a and c. With synced epochs it passes.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/disks/disk_store.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/disks/disk_store.py
@@ -27,6 +27,7 @@
 from returns.result import Result, Success
 
 from ..rpc import Handler
+from .view_file import load_view, save_view
 
 _DEPLOYMENT = "turns"
 _PARTITION = 0  # A journal holds one log per partition; a disk uses a single log.
@@ -42,7 +43,9 @@
         is_new: Whether the data folder was made by this process.
     """
 
-    def __init__(self, journal: Journal, log: Log, state: DiskState, is_new: bool) -> None:
+    def __init__(
+        self, data_dir: Path, journal: Journal, log: Log, state: DiskState, is_new: bool
+    ) -> None:
         self.is_new = is_new
         self.folder = journal.store.folder
         self.state = state
@@ -51,6 +54,9 @@
         self.last_store_s = 0.0
         self._journal = journal
         self._log = log
+        self._data_dir = data_dir
+        self._saved_epoch = 0
+        self._saving = asyncio.Lock()
 
     def adopt(self, view: View | None) -> None:
         """Adopts a view unless it is older; requests made under an older view are rejected."""
@@ -76,9 +82,14 @@
         return msgspec.msgpack.encode(messages.Fetched(self.folder, None, chain))
 
     async def list_held(self, message: bytes) -> bytes:
-        """Handles ListHeld."""
+        """Handles ListHeld; replies once the view is synced.
+
+        Raises:
+            OSError: The view can't be written.
+        """
         req = msgspec.msgpack.decode(message, type=messages.ListHeld)
         self.adopt(req.view)
+        await self._save_view()
         ledgers = [encode(record) for record in ledger_records(self.state)]
         return msgspec.msgpack.encode(messages.Held(self.folder, list(self.state.turns), ledgers))
 
@@ -129,6 +140,14 @@
         self._log.close()
         self._journal.close()
 
+    async def _save_view(self) -> None:
+        """Saves the view, so that requests made under an older one are refused after a restart."""
+        async with self._saving:
+            view = self.view
+            if view is not None and view.epoch > self._saved_epoch:
+                await asyncio.to_thread(save_view, self._data_dir, view)
+                self._saved_epoch = view.epoch
+
     def _is_stale(self, epoch: int) -> bool:
         return self.view is not None and epoch < self.view.epoch
 
@@ -147,6 +166,10 @@
         if not isinstance(result, Success):
             return Err(result.failure())
     journal = result.unwrap()
+    view = load_view(data_dir)
+    if not isinstance(view, Success):
+        journal.close()
+        return Err(view.failure())
     stored = journal.store.state(_PARTITION)
     log = journal.open_log(_PARTITION, stored.epoch + 1 if stored else 1)
     if not isinstance(log, Success):
@@ -155,7 +178,9 @@
     now_s = time.time()
     for data in log.unwrap().records:
         apply(state, decode(data), now_s)
-    return Success(DiskStore(journal, log.unwrap().log, state, stored is None))
+    disk_store = DiskStore(data_dir, journal, log.unwrap().log, state, stored is None)
+    disk_store.adopt(view.unwrap())
+    return Success(disk_store)
 
 
 def _wrap_future(fut: AppendFuture) -> "Awaitable[Result[int, Failure]]":
--- a/packages/endiveworks/src/endiveworks/turns/tests/test_quorum_model.py
+++ b/packages/endiveworks/src/endiveworks/turns/tests/test_quorum_model.py
@@ -35,6 +35,8 @@
         self.disks = {name: Disk(name, name + "0", name, name, "east") for name in HOSTS}
         self.held: dict[str, set[int]] = {d.folder: set() for d in self.disks.values()}
         self.epochs: dict[str, int] = {d.folder: 0 for d in self.disks.values()}
+        # Epochs that a disk has synced, as it does before it lists its records for a reader.
+        self.synced_epochs = dict(self.epochs)
         self.view = View(1, TOLERANCE, tuple(self.disks[name] for name in HOSTS[:3]))
         self.views = [self.view]
         self.writes: list[_Write] = []
@@ -63,10 +65,30 @@
     def lose_disk(self, name: str) -> None:
         old = self.disks[name]
         new = old._replace(folder=name + str(int(old.folder[1:]) + 1))
-        del self.held[old.folder], self.epochs[old.folder]
+        del self.held[old.folder], self.epochs[old.folder], self.synced_epochs[old.folder]
         self.held[new.folder], self.epochs[new.folder] = set(), 0
+        self.synced_epochs[new.folder] = 0
         self.disks[name] = new
 
+    @rule(name=st.sampled_from(HOSTS))
+    def restart_disk(self, name: str) -> None:
+        """Ends the process of a disk, which knows no view until it is told again."""
+        self._forget(self.disks[name].folder)
+
+    @rule(name=st.sampled_from(HOSTS))
+    def notify_disk(self, name: str) -> None:
+        """Tells a disk the current view, which it keeps in memory only."""
+        self.epochs[self.disks[name].folder] = self.view.epoch
+
+    @rule(wiped=st.sampled_from(["", *HOSTS]))
+    def lose_power(self, wiped: str) -> None:
+        """All disks and writers lose power at once; one disk may come back empty."""
+        self.writes.clear()
+        for disk in self.disks.values():
+            self._forget(disk.folder)
+        if wiped and all(d.folder in self.held for d in self._needed()):
+            self.lose_disk(wiped)
+
     @rule(
         leaving=st.sets(st.sampled_from(HOSTS), max_size=1),
         unresponsive=st.sets(st.sampled_from(HOSTS), max_size=2),
@@ -99,6 +121,7 @@
                 break
             folder = members[name].folder
             self.epochs[folder] = max(self.epochs[folder], self.view.epoch)
+            self.synced_epochs[folder] = self.epochs[folder]
             self.held[reader.folder] |= self.held[folder]
             responded.add(folder)
         if is_recovery_quorum(self.view, responded) and reader.folder not in self.view.synced:
@@ -121,6 +144,9 @@
         """Returns the disks that must all have their data before another one is lost."""
         return (*self.view.members, *self.view.incoming)
 
+    def _forget(self, folder: str) -> None:
+        self.epochs[folder] = self.synced_epochs[folder]
+
     def _adopt(self, view: View) -> None:
         self.view = view
         self.views.append(view)
