Renew the retention of a chain at every disk, also across gaps

A turn whose previous turn was answered whole within its retention time could get 503 for good, "the turn before t2 is missing". A write goes to a quorum, so a disk often holds a chain with gaps, and a turn extended the retention only of ancestors up to the first one that its disk lacks. The ones beyond the gap expired at retention_s + 60 s after they were last extended, at all disks, while their descendants lived. Chains older than that, with turns taken by several entries, were affected.

The process that reads a chain to continue it now sends the ids of its turns to every disk, in the background and at most once in 20 s for a chain. It is a Fetch without a turn, which releases before answer with an empty chain, so that mixed releases work, and old disks behave as before. No turn is copied: each ancestor lives on at all disks that hold it, so any of its write quorum may be lost. Restarted and joining disks keep turns for a whole retention time from then on and need nothing.

The time between the read and the commit of a turn, plus the 20 s, is covered by the margin of 60 s if a turn takes less than 40 s.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/disks/disk_store.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/disks/disk_store.py
@@ -19,6 +19,7 @@
     expire,
     ledger_records,
     records,
+    renew,
     spending_of,
 )
 from endiveworks.turns.records import decode, encode
@@ -78,6 +79,8 @@
         req = msgspec.msgpack.decode(message, type=messages.Fetch)
         if self._is_stale(req.epoch):
             return msgspec.msgpack.encode(messages.Fetched(self.folder, self.view, []))
+        if not req.turn:
+            renew(self.state, req.known, time.time())
         chain = list(chain_of(self.state, req.turn, req.known))
         return msgspec.msgpack.encode(messages.Fetched(self.folder, None, chain))
 
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/turn_store.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/turn_store.py
@@ -18,6 +18,7 @@
 from returns.result import Result, Success
 
 from ..rpc import Handler
+from .chain_renewal import ChainRenewer
 from .disk_links import RELAY
 from .quorum import RPC_TIMEOUT_S, QuorumCall, QuorumClient
 from .turn_cache import TurnCache
@@ -44,6 +45,7 @@
         self._here = here
         self._quorum = QuorumClient(here)
         self._turns = TurnCache()
+        self._renewer = ChainRenewer(self._quorum)
         self._ledgers: OrderedDict[str, Ledger] = OrderedDict()
         self._background: set[asyncio.Task[None]] = set()
 
@@ -121,6 +123,8 @@
         if settlement is not None:
             self._record_settlement(settlement)
         self._turns.add(turn)
+        if not turn.parent:
+            self._renewer.record(turn.turn)
         return Success(None)
 
     def settle(self, settlement: Settlement) -> None:
@@ -161,7 +165,10 @@
                     return Err(Failure(Code.CORRUPT, "turns.chain", "", detail, not_run=True))
             chain.append(found)
             turn_id = found.parent
-        return Success(tuple(reversed(chain)))
+        chain.reverse()
+        if chain:
+            self._renewer.renew(chain)
+        return Success(tuple(chain))
 
     def _log_missing(self, turn: str, missing: str, folders: Collection[str]) -> None:
         view = self._quorum.view
--- a/packages/endiveworks/src/endiveworks/turns/disk.py
+++ b/packages/endiveworks/src/endiveworks/turns/disk.py
@@ -68,6 +68,15 @@
     return tuple(chain)
 
 
+def renew(state: DiskState, turns: Iterable[str], now_s: float) -> None:
+    """Starts the retention time of turns again; those that are missing here are passed over."""
+    for name in turns:
+        stored = state.turns.get(name)
+        if stored is not None:
+            expires_s = now_s + stored.turn.retention_s + EXPIRY_MARGIN_S
+            state.turns[name] = stored._replace(expires_s=max(stored.expires_s, expires_s))
+
+
 def expire(state: DiskState, now_s: float) -> int:
     """Deletes expired turns and ledgers; returns how many were deleted."""
     turns = [name for name, stored in state.turns.items() if stored.expires_s < now_s]
--- a/packages/endiveworks/src/endiveworks/turns/messages.py
+++ b/packages/endiveworks/src/endiveworks/turns/messages.py
@@ -43,7 +43,10 @@
 
 
 class Fetch(NamedTuple):
-    """Request for a turn and its ancestors, except those that the reader has cached."""
+    """Request for a turn and its ancestors, except those that the reader has cached.
+
+    Without a turn, the retention of the turns in known starts again.
+    """
 
     epoch: int
     turn: str
