Renew a turn's retention though its parent was renewed for a sibling

Found in review: a renewal of the chain that ends with a turn's parent was taken to cover the turn. If the turn is older than that renewal, as when several turns name one previous turn, it expired at disks that lack its next turn, and one lost disk then lost it: 'the turn before grandchild is missing', 503 for good. A turn counts as covered now by its own record alone, which is made when this process stores it. After a renewal that didn't reach every disk the next one waits 2 s, so that turns don't tell all disks again while one is away. test_renewal_of_siblings.py failed with a disk lost and passes. test_a_chain_is_renewed_once_within_the_period expected the fault: that a turn stored by another process is covered by the renewal of its parent. It now stores that turn itself after the renewal, and expects one renewal as before.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/chain_renewal.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/chain_renewal.py
@@ -18,6 +18,7 @@
 from .quorum import RPC_TIMEOUT_S, QuorumCall, QuorumClient
 
 RENEW_PERIOD_S = 20.0  # Interval between renewals of a chain; a fraction of EXPIRY_MARGIN_S.
+RETRY_S = 2.0  # Pause after a renewal that did not reach every disk.
 MAX_RENEWED_CHAINS = 20_000  # Chains whose last renewal is known; several times those in use.
 
 
@@ -29,19 +30,19 @@
         self._renewed_s: OrderedDict[str, float] = OrderedDict()  # By the newest turn of the chain.
         self._tasks: set[asyncio.Task[None]] = set()
 
-    def record(self, turn: str) -> None:
-        """Records that the chain that ends with a turn has been stored or renewed now."""
-        self._record(turn, time.monotonic())
+    def record(self, turn: Turn) -> None:
+        """Records that a turn has been stored now, and its ancestors as they were last renewed."""
+        at_s = self._renewed_s.get(turn.parent) if turn.parent else time.monotonic()
+        if at_s is not None:
+            self._record(turn.turn, at_s)
 
     def renew(self, chain: Sequence[Turn]) -> None:
         """Renews a chain, oldest turn first, unless it was renewed within RENEW_PERIOD_S."""
-        newest = chain[-1]
-        # The newest turn is at least as recent as the renewal of the chain that it continued.
-        known_s = [self._renewed_s[t] for t in (newest.turn, newest.parent) if t in self._renewed_s]
-        if known_s and time.monotonic() - max(known_s) < RENEW_PERIOD_S:
-            self._record(newest.turn, max(known_s))
+        newest = chain[-1].turn
+        known_s = self._renewed_s.get(newest)
+        if known_s is not None and time.monotonic() - known_s < RENEW_PERIOD_S:
             return
-        self.record(newest.turn)
+        self._record(newest, time.monotonic())
         task = asyncio.create_task(self._renew([turn.turn for turn in chain]))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -53,7 +54,7 @@
         call = QuorumCall(messages.FETCH, messages.Fetched, build_message, _includes_all)
         result = await self._quorum.call(call, RPC_TIMEOUT_S)
         if not isinstance(result, Success):
-            self._renewed_s.pop(turns[-1], None)  # The next turn tries again.
+            self._record(turns[-1], time.monotonic() - RENEW_PERIOD_S + RETRY_S)
             logs.logger("turns").info("renewal_failed", detail=str(result.failure()))
 
     def _record(self, turn: str, renewed_s: float) -> None:
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/turn_store.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/turn_store.py
@@ -123,8 +123,7 @@
         if settlement is not None:
             self._record_settlement(settlement)
         self._turns.add(turn)
-        if not turn.parent:
-            self._renewer.record(turn.turn)
+        self._renewer.record(turn)
         return Success(None)
 
     def settle(self, settlement: Settlement) -> None:
