End a stream that its caller has resumed elsewhere, also between two replicas

Found in review: while an entry looked for another replica for a broken stream, a request that resumed the stream elsewhere was not noticed: the entry completed the first response, and stored its turn without the events that the other request had taken. The transcript is checked now before each send and each event and before the end. test_turns_taken_between_attempts.py failed ('not rest.endswith(0 chunk)') and passes.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/stream.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/stream.py
@@ -71,6 +71,11 @@
         if event.id is not None:
             self.last_event_id = event.id
 
+    def check_not_taken(self) -> None:
+        """Raises ResponseError if the caller has resumed the stream in another request."""
+        if self.transcript.taken:
+            raise ResponseError("the caller resumed the stream in another request")
+
     def tokens(self) -> int:
         """Returns the number of tokens sent to the caller."""
         return self.events_sent * self.tokens_per_event
@@ -204,6 +209,7 @@
 ) -> int:
     preferred = ""
     while True:
+        stream.check_not_taken()
         response = await send_with_retries(context, ex, body, stream.last_event_id, preferred)
         if response.head.status != STATUS_OK:
             status = await _forward_error(context, ex, responder, response)
@@ -217,6 +223,7 @@
             await _forward_events(context, ex, responder, response, stream, reservation_fut)
             if not stream.events_sent and stream.last_event_id is None:
                 raise ResponseError("the stream contained no events")
+            stream.check_not_taken()
             response.close(complete=True)
             context.quarantine.record_response(ex)
         except (OSError, ResponseError) as exc:
@@ -269,6 +276,7 @@
             raise ResponseError("there is too little memory for an event")
         response.in_flight_request.record_events(len(events))
         for event in events:
+            stream.check_not_taken()
             _check_event(event, stream.last_event_id)
             if not responder.started:
                 if reservation_fut is not None:
@@ -302,8 +310,7 @@
         HttpError: No event was sent, and the request may not run again.
         ResponseError: Events were sent, and the stream can't be resumed.
     """
-    if stream.transcript.taken:
-        raise ResponseError("the caller resumed the stream in another request")
+    stream.check_not_taken()
     may_resume = ex.route.resumable and stream.resumes < MAX_RESUMES
     if not may_resume and not stream.events_sent:
         handle_lost_response(context, ex, response.replica, cause)
