Reset the connection of an HTTP/1.0 caller whose response is cut

Found in review: such a response ends with its connection, so that a cut one looked complete (DID NOT RAISE ConnectionResetError). With it, a responder counts as started only once its head has been accepted by the parser, so that a head that can't be written is followed by an error (no case known). test_cut_unframed_responses.py failed and passes.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/callers.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/callers.py
@@ -128,7 +128,8 @@
 
     async def _close(self) -> None:
         if self._ended_early():
-            if self._account.is_limited:
+            # Without chunks, the end of the connection would be that of a complete body.
+            if self._account.is_limited or self._conn.their_http_version == b"1.0":
                 reset_on_close(self._writer)
             self._writer.transport.abort()
             return
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/responder.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/responder.py
@@ -83,10 +83,10 @@
 
     async def start(self, status: int, headers: Headers) -> None:
         """Writes the head; without a Content-Length, the body is sent in chunks."""
-        self.started = True
         if self._closing():
             headers = [*headers, (b"connection", b"close")]
         self._write_event(h11.Response(status_code=status, headers=headers))
+        self.started = True
 
     async def send(self, data: bytes | bytearray) -> None:
         """Writes a part of the body."""
