Take no plain service's response for whole if its head is cut within Content-Length

Found in review, in the product's own interface: a head cut after 'Content-Length:' counted as framed and gave a 200 with an empty body. Only a number is a length now; the two new rows of test_cut_short_is_unknown failed and pass. A third, a chunked body cut within the size of a chunk ('0' of '02'), which the HTTP library takes for the last chunk, fails still and is listed.

--- a/packages/endiveworks/src/endiveworks/engines/plain.py
+++ b/packages/endiveworks/src/endiveworks/engines/plain.py
@@ -104,7 +104,9 @@
 
 
 def _is_framed(response: urllib3.BaseHTTPResponse) -> bool:
-    if response.status == HTTPStatus.NO_CONTENT or "Content-Length" in response.headers:
+    if response.status == HTTPStatus.NO_CONTENT:
+        return True
+    if response.headers.get("Content-Length", "").strip().isdigit():
         return True
     return response.headers.get("Transfer-Encoding", "").lower() == "chunked"
 
--- a/packages/endiveworks/src/endiveworks/engines/tests/test_plain.py
+++ b/packages/endiveworks/src/endiveworks/engines/tests/test_plain.py
@@ -47,6 +47,9 @@
             HEAD + b"Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n",
             HEAD + b"Transfer-Encoding: chunked\r\n\r\n6\r\nwhole",
             HEAD,
+            HEAD + b"Content-Length:",
+            HEAD + b"Content-Length: ",
+            HEAD + b"Transfer-Encoding: chunked\r\n\r\n3\r\nwho\r\n0",  # Of "02".
             b"",
         ],
     )
