Sync the name of a new data folder before it gets an identity

Found in review, by reading: the folder was made without a sync of its parent, so that a loss of power soon after the first start could take it away, at several disks at once. Its name is synced before its identity is written, so that a folder with an identity has been synced also if the first start was killed. test_identity.py failed (only the folder itself was synced) and passes.

--- a/packages/endiveworks/src/endiveworks/journal/identity.py
+++ b/packages/endiveworks/src/endiveworks/journal/identity.py
@@ -119,6 +119,7 @@
 
 
 def _create(data_dir: Path, deployment: str) -> Identity:
+    sync_dir(data_dir.parent)  # The folder itself may be new.
     identity = Identity(deployment, uuid.uuid4().hex, _FORMAT)
     tmp_path = data_dir / (_IDENTITY_FILE + ".tmp")
     with open(tmp_path, "wb") as file:
