--- a/packages/endiveworks/src/endiveworks/gateway/quota.py
+++ b/packages/endiveworks/src/endiveworks/gateway/quota.py
@@ -12,14 +12,18 @@
 
 import math
 from collections import deque
+from typing import NamedTuple
 
-from .quota_news import NEWS_S, USUAL_AGE_S, MeanShare, is_late
-from .quota_terms import CAP_SHARE, Allowance, Quota, QuotaTerms
+from .quota_terms import CAP_SHARE, Quota, QuotaTerms
 from .rate_limit import LimitedLoad, RateMeter, Rates
 from .window_count import WindowCount
 
+# Age of news at the time that it is heard, after a report up a tree of depth 2 and back.
+NEWS_S = 0.7
 # Share of an entry's part that is left unused while it hears nobody, as parts were used unevenly.
 UNHEARD_GUARD = 0.15
+# Age of the last news up to which nothing is wrong: the period of the reports.
+USUAL_AGE_S = 0.2
 # Share of what may be used that only programs under way may take, so that these end whole.
 RESERVED_SHARE = 0.03
 # Spans of which each entry knows its part, so that little is sent just before all are killed.
@@ -54,6 +58,24 @@
 MIN_WAIT_S = 0.3
 
 
+class Allowance(NamedTuple):
+    """What an entry may let through now.
+
+    Attributes:
+        of_all: Requests that all entries together may send.
+        requests: Requests that this entry may send before it hears more.
+        new_requests: The same for requests of programs that are not under way.
+        share: Share of the demand that is let through.
+        wait_s: Time after which there is more.
+    """
+
+    of_all: float
+    requests: float
+    new_requests: float
+    share: float
+    wait_s: float
+
+
 class QuotaUse:
     """The use of one tenant's quota at one entry.
 
@@ -71,7 +93,6 @@
         self._past: deque[tuple[float, float]] = deque()
         self._program_requests = 0.0
         self._others = 0.0
-        self._shares = MeanShare()
         self._coverage = 1.0
         self._newcomer_until_s = -math.inf
         self._silent = 0.0
@@ -133,14 +154,11 @@
             before.offered_per_s + load.others.offered_per_s, self._demand_per_s(now_s)
         )
         steady = min(quota.steady_use(self._terms) * load.coverage, cap)
-        # What the others have sent since their numbers were taken is not in them.
-        used += self._shares.rise(load)
         allowed_per_s = max(0.0, used / window_s + (steady - used) / SETTLE_S)
         # Chance alone is no reason to refuse, so only what exceeds it counts.
         chance = max(CHANCE / math.sqrt(DEMAND_WINDOW_S), math.sqrt(self._program_requests))
         demand_per_s = max(0.0, demand_per_s - chance * math.sqrt(demand_per_s))
         share = min(1.0, allowed_per_s / demand_per_s) if demand_per_s else 1.0
-        self._shares.record(share, now_s)
         # As much as is sent unknown to others leaves the window meanwhile.
         left = cap - used
         unheard = left + self._leaving(used, NEWS_S, now_s)
@@ -169,8 +187,7 @@
 
         def room(span_s: float, requests: float, usual_s: float) -> float:
             mean = max(part, 1 / heard) * usual_per_s * usual_s
-            # If all are cut off, nobody makes up for what each sends beyond its part.
-            usual = 0.0 if is_late(load) else mean + NOISE * math.sqrt(mean) + FEW
+            usual = mean + NOISE * math.sqrt(mean) + FEW
             return max(part * requests, usual) - self._sent.newest(now_s, span_s)
 
         news_s = NEWS_S + load.age_s
@@ -215,12 +232,8 @@
         heard = max(1.0, entries * load.coverage)
         known = _share(before.offered_per_s, others_per_s, 1 / heard)
         # Demand that others report may be older than this entry's own; what was sent is steadier.
-        own = before if is_new or is_late(load) else self.rates(now_s)
-        sent = _share(own.sent_per_s, load.others.sent_per_s, 1 / heard)
-        if is_late(load):
-            # The means of all entries add up to 1, the larger ones to more.
-            return EQUAL_SHARE / heard + (1 - EQUAL_SHARE) * (known + sent) / 2
-        known = max(known, sent)
+        own = before if is_new else self.rates(now_s)
+        known = max(known, _share(own.sent_per_s, load.others.sent_per_s, 1 / heard))
         part = EQUAL_SHARE / heard + (1 - EQUAL_SHARE) * known
         if is_new:
             return max(part, 1 / heard)
--- a/packages/endiveworks/src/endiveworks/gateway/quota_terms.py
+++ b/packages/endiveworks/src/endiveworks/gateway/quota_terms.py
@@ -63,21 +63,3 @@
         """Returns the requests in a window that are let through while demand is higher."""
         more = STEADY_BURST_SHARE * self.burst + STEADY_SLACK_SHARE * terms.slack
         return self.rate_per_s * terms.window_s + more
-
-
-class Allowance(NamedTuple):
-    """What an entry may let through now.
-
-    Attributes:
-        of_all: Requests that all entries together may send.
-        requests: Requests that this entry may send before it hears more.
-        new_requests: The same for requests of programs that are not under way.
-        share: Share of the demand that is let through.
-        wait_s: Time after which there is more.
-    """
-
-    of_all: float
-    requests: float
-    new_requests: float
-    share: float
-    wait_s: float
--- a/packages/endiveworks/src/endiveworks/gateway/tenant_admission.py
+++ b/packages/endiveworks/src/endiveworks/gateway/tenant_admission.py
@@ -8,8 +8,8 @@
 from typing import NamedTuple
 
 from .program_shares import Caller, Programs, ShareHistory, may_pass
-from .quota import QuotaUse
-from .quota_terms import Allowance, Quota, QuotaTerms
+from .quota import Allowance, QuotaUse
+from .quota_terms import Quota, QuotaTerms
 from .rate_limit import LimitedLoad, Rates
 
 # Longest time for which a request waits for the entry's part of the quota. After it, what the entry
