Log which disks a host takes for unresponsive, and what a joining disk lacks

Change: disk_unresponsive and disk_responsive with how late the observer's own round began, catch_up_started with the number of turns that are missing, took_ms of disk_synced, and the hosts taken for unavailable as the reason of view_proposed. No decision changes.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/disks/catch_up.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/disks/catch_up.py
@@ -1,6 +1,8 @@
 """Copies the records that this host's disk is missing from the members of a view."""
 
 import asyncio
+import time
+from collections.abc import Mapping
 
 from endiveworks.errors import Failure
 from endiveworks.telemetry import logs
@@ -27,6 +29,7 @@
         view: A view that this disk joins as a member.
         region: Region of this host.
     """
+    started_s = time.monotonic()
     members = sorted(view.members, key=lambda disk: disk.region != region)
     own = [disk for disk in members if disk.folder == disk_store.folder]
     others = [disk for disk in members if disk.folder != disk_store.folder]
@@ -37,6 +40,7 @@
             absent = [disk.host for disk in others if disk.folder not in replies]
             logs.logger("turns").warning("catch_up_waits", epoch=view.epoch, copies=absent)
             return False
+        _log_start(disk_store, view, replies)
         for held in replies.values():
             await disk_store.persist(held.ledgers)
         for folder, held in replies.items():
@@ -45,10 +49,25 @@
     finally:
         for client in clients.values():
             client.close()
-    logs.logger("turns").info("disk_synced", epoch=view.epoch, amount=len(disk_store.state))
+    logs.logger("turns").info(
+        "disk_synced",
+        epoch=view.epoch,
+        amount=len(disk_store.state),
+        took_ms=round((time.monotonic() - started_s) * 1000),
+    )
     return True
 
 
+def _log_start(disk_store: DiskStore, view: View, replies: Mapping[str, messages.Held]) -> None:
+    listed = {turn_id for held in replies.values() for turn_id in held.turns}
+    logs.logger("turns").info(
+        "catch_up_started",
+        epoch=view.epoch,
+        copies=[disk.host for disk in view.members if disk.folder in replies],
+        amount=len(listed - disk_store.state.turns.keys()),
+    )
+
+
 async def _list_until_quorum(
     clients: dict[str, RpcClient], others: list[Disk], view: View, own: set[str]
 ) -> dict[str, messages.Held]:
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/disks/failure_detector.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/disks/failure_detector.py
@@ -1,8 +1,10 @@
 """Detects unresponsive hosts with disks before their registrations expire."""
 
 import asyncio
+import time
 from collections.abc import Collection
 
+from endiveworks.telemetry import logs
 from endiveworks.turns import messages
 from endiveworks.turns.view import Disk
 from returns.result import Success
@@ -23,6 +25,7 @@
         self._clients: dict[str, RpcClient] = {}
         self._missed_rounds: dict[str, int] = {}
         self._targets: tuple[Disk, ...] = ()
+        self._late_s = 0.0  # How late the last round began, which shows a busy event loop.
 
     def set_targets(self, disks: Collection[Disk]) -> None:
         """Sets the disks whose hosts are pinged."""
@@ -39,7 +42,9 @@
     async def run(self) -> None:
         """Pings all targets periodically."""
         while True:
+            due_s = time.monotonic() + PING_PERIOD_S
             await asyncio.sleep(PING_PERIOD_S)
+            self._late_s = time.monotonic() - due_s
             await asyncio.gather(*(self._ping(disk) for disk in self._targets))
 
     async def _ping(self, disk: Disk) -> None:
@@ -47,6 +52,14 @@
         ping = messages.Ping(self._own_host)
         reply = await client.call(messages.PING, ping, messages.Pong, PING_TIMEOUT_S)
         if isinstance(reply, Success):
-            self._missed_rounds.pop(disk.address, None)
-        else:
-            self._missed_rounds[disk.address] = self._missed_rounds.get(disk.address, 0) + 1
+            if self._missed_rounds.pop(disk.address, 0) >= UNRESPONSIVE_ROUNDS:
+                logs.logger("turns").info("disk_responsive", peer=disk.host)
+            return
+        self._missed_rounds[disk.address] = self._missed_rounds.get(disk.address, 0) + 1
+        if self._missed_rounds[disk.address] == UNRESPONSIVE_ROUNDS:
+            logs.logger("turns").warning(
+                "disk_unresponsive",
+                peer=disk.host,
+                late_ms=round(self._late_s * 1000),
+                detail=str(reply.failure()),
+            )
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/disks/view_manager.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/disks/view_manager.py
@@ -116,7 +116,7 @@
             )
         if proposed is not None:
             if not self._has_pending_proposal(state):
-                await self._propose(state, proposed)
+                await self._propose(state, proposed, _reason(statuses))
         elif state.view is not None:
             await self._report_emptied_hosts(state.view, state.leaving)
 
@@ -172,7 +172,7 @@
             return None
         return view._replace(synced=(*view.synced, folder))
 
-    async def _propose(self, state: ClusterState, proposed: View) -> None:
+    async def _propose(self, state: ClusterState, proposed: View, reason: str) -> None:
         is_own_sync = self._disk_store.folder in proposed.synced
         if not is_own_sync:
             delay_s = self._rng.random() * PROPOSAL_JITTER_S
@@ -190,6 +190,7 @@
             copies=[disk.host for disk in proposed.members],
             owner=self._name,
             state=_swap_outcome(swapped),
+            reason=reason,
             detail=", ".join(disk.host for disk in proposed.incoming),
         )
 
@@ -220,6 +221,13 @@
     return Disk(member.host, member.folder, member.address, member.failure_domain, member.region)
 
 
+def _reason(statuses: Mapping[str, DiskStatus]) -> str:
+    """Returns which hosts this one takes for unavailable, for the log."""
+    absent = [name for name, status in statuses.items() if status.absent_s]
+    unresponsive = [name for name, status in statuses.items() if status.unresponsive]
+    return f"absent: {', '.join(absent) or '-'}; unresponsive: {', '.join(unresponsive) or '-'}"
+
+
 def _swap_outcome(result: Result[SwapResult, Failure]) -> str:
     if not isinstance(result, Success):
         return str(result.failure())
