Send nothing more to disks that have come back without their data

Cause: an entry knows such a disk by the other data folder in its replies, but treated it like a late one. Each record went to it again after 1.5 s, and since it never counted as heard of, each hedge repeated the record over a relay, too. Records crossed the link between the regions two to five times, the link filled, calls to the three disks that were needed timed out and were repeated, and the joining disk, which reads over the same link, never caught up.

Change: a disk whose address answers from another folder is asked nothing more until the view changes, neither by calls nor probes nor renewals.

It works because the load after the fault is again that of the disks that hold data.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/chain_renewal.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/chain_renewal.py
@@ -12,7 +12,7 @@
 from endiveworks.telemetry import logs
 from endiveworks.turns import messages
 from endiveworks.turns.records import Turn
-from endiveworks.turns.view import View, all_disks
+from endiveworks.turns.view import View
 from returns.result import Success
 
 from .quorum import RPC_TIMEOUT_S, QuorumCall, QuorumClient
@@ -51,7 +51,7 @@
         def build_message(view: View) -> messages.Fetch:
             return messages.Fetch(view.epoch, "", turns)
 
-        call = QuorumCall(messages.FETCH, messages.Fetched, build_message, _includes_all)
+        call = QuorumCall(messages.FETCH, messages.Fetched, build_message, self._includes_all)
         result = await self._quorum.call(call, RPC_TIMEOUT_S)
         if not isinstance(result, Success):
             self._record(turns[-1], time.monotonic() - RENEW_PERIOD_S + RETRY_S)
@@ -63,6 +63,5 @@
         if len(self._renewed_s) > MAX_RENEWED_CHAINS:
             self._renewed_s.popitem(last=False)
 
-
-def _includes_all(view: View, folders: Collection[str]) -> bool:
-    return all(disk.folder in folders for disk in all_disks(view))
+    def _includes_all(self, view: View, folders: Collection[str]) -> bool:
+        return all(disk.folder in folders for disk in self._quorum.present(view))
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/quorum.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/quorum.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Collection, Coroutine
+from collections.abc import Callable, Collection, Coroutine, Sequence
 from typing import Any, Generic, NamedTuple, Protocol, TypeVar
 
 from endiveworks.errors import Code, Failure
@@ -52,14 +52,19 @@
         reply_type: Type of the reply.
         build_message: Returns the message for a view.
         has_quorum: Tells whether replies of these folders suffice.
-        is_sufficient: Tells whether one reply suffices alone.
+        is_sufficient: Tells whether one reply suffices alone; None if none does. Otherwise one disk
+            is asked first, and more only if its reply doesn't suffice or is late.
     """
 
     method: str
     reply_type: type[_R]
     build_message: Callable[[View], object]
     has_quorum: Callable[[View, Collection[str]], bool]
-    is_sufficient: Callable[[_R], bool] = lambda _: False
+    is_sufficient: Callable[[_R], bool] | None = None
+
+    def suffices(self, reply: _R) -> bool:
+        """Tells whether a reply suffices alone."""
+        return self.is_sufficient is not None and self.is_sufficient(reply)
 
 
 class Path(NamedTuple):
@@ -79,6 +84,8 @@
         self.links = DiskLinks()
         self._suspected_until_s: dict[str, float] = {}
         self._unreachable: set[str] = set()
+        # Folders whose address belongs to another folder now; they don't come back.
+        self._erased: set[str] = set()
         self._last_reply_s: dict[str, float] = {}
         self._tasks: set[asyncio.Task[Any]] = set()
 
@@ -93,19 +100,24 @@
         )
         self.links.retain_only(in_use)
         self._unreachable &= {disk.address for disk in in_use}
+        self._erased &= {disk.folder for disk in in_use}
 
     def is_reachable(self) -> bool:
         """Tells whether the disks that replied to their latest call suffice to write and read."""
         view = self.view
         if view is None:
             return False
-        folders = [d.folder for d in all_disks(view) if d.address not in self._unreachable]
+        folders = [d.folder for d in self.present(view) if d.address not in self._unreachable]
         return is_write_quorum(view, folders) and is_read_quorum(view, folders)
 
     def is_in_use(self, address: str) -> bool:
         """Tells whether an address belongs to a disk of the current view."""
         return self.view is not None and any(d.address == address for d in all_disks(self.view))
 
+    def present(self, view: View) -> list[Disk]:
+        """Returns the disks of a view, except those that are known to have lost their data."""
+        return [disk for disk in all_disks(view) if disk.folder not in self._erased]
+
     async def probe_forever(self) -> None:
         """Probes unreachable and relayed disks, so that no request has to detect their recovery."""
         while True:
@@ -113,8 +125,9 @@
             view = self.view
             if view is None:
                 continue
-            unreachable = [d for d in all_disks(view) if d.address in self._unreachable]
-            relayed = [d for d in all_disks(view) if self.links.is_relayed(d)]
+            present = self.present(view)
+            unreachable = [d for d in present if d.address in self._unreachable]
+            relayed = [d for d in present if self.links.is_relayed(d)]
             await asyncio.gather(
                 *(
                     self._probe(view, disk, self.links.call_direct)
@@ -130,6 +143,8 @@
             self.adopt(result.unwrap().newer_view)
             if result.unwrap().folder == disk.folder:
                 self._mark_reachable(disk)
+            else:
+                self._mark_erased(disk)
 
     async def call(self, call: QuorumCall[_R], timeout_s: float) -> Result[list[_R], Failure]:
         """Calls disks until the replies suffice, again if the view changes; returns the replies."""
@@ -161,12 +176,10 @@
                 timeout=min(remaining_s, self._hedge_s(pending.values())),
                 return_when=asyncio.FIRST_COMPLETED,
             )
-            if not done:
-                self._suspect(pending.values(), "no reply within the usual time")
-                path = next((path for path in paths if self._may_hedge(path)), None)
-                if path is not None:
-                    paths.remove(path)
-                    self._start_call(pending, path, view, call, deadline_s)
+            path = None if done else self._path_to_hedge(paths, pending.values())
+            if path is not None:
+                paths.remove(path)
+                self._start_call(pending, path, view, call, deadline_s)
             for task in done:
                 disk = pending.pop(task)
                 reply = self._accept_reply(disk, task.result())
@@ -174,7 +187,7 @@
                     continue
                 if reply.newer_view is not None:
                     return reply.newer_view
-                if call.is_sufficient(reply):
+                if call.suffices(reply):
                     return Success([reply])
                 replies[disk.folder] = reply
                 paths = [path for path in paths if path.disk.folder not in replies]
@@ -210,10 +223,9 @@
                 self._unreachable.add(disk.address)
             return None
         reply = result.unwrap()
-        if reply.newer_view is None and reply.folder != disk.folder:
-            self._suspect([disk], "it has restarted without its data")
-            self._unreachable.add(disk.address)
-            return None
+        if reply.folder != disk.folder:
+            self._mark_erased(disk)
+            return reply if reply.newer_view is not None else None
         self._last_reply_s[disk.address] = time.monotonic()
         self._mark_reachable(disk)
         return reply
@@ -223,6 +235,12 @@
         if self._suspected_until_s.pop(disk.address, None) is not None:
             logs.logger("turns").info("disk_regained", peer=disk.host)
 
+    def _mark_erased(self, disk: Disk) -> None:
+        """Records that a disk has lost its data, so that nothing more is sent to it."""
+        if disk.folder not in self._erased:
+            self._erased.add(disk.folder)
+            logs.logger("turns").warning("disk_erased", peer=disk.host)
+
     def _paths(self, view: View) -> list[Path]:
         """Returns the paths in the order to try: each disk once, then each again via a relay."""
         ranked = self._ranked(view)
@@ -231,6 +249,11 @@
             paths += [Path(disk, self.links.call_via_relay, True) for disk in ranked]
         return paths
 
+    def _path_to_hedge(self, paths: Sequence[Path], late: Collection[Disk]) -> Path | None:
+        """Returns the path on which to repeat a call whose replies are late; None for none."""
+        self._suspect(late, "no reply within the usual time")
+        return next((path for path in paths if self._may_hedge(path)), None)
+
     def _may_hedge(self, path: Path) -> bool:
         """Tells whether a late call may be repeated on a path.
 
@@ -249,7 +272,7 @@
                 disk.failure_domain != self._here.failure_domain,
             )
 
-        return sorted(all_disks(view), key=rank)
+        return sorted(self.present(view), key=rank)
 
     def _hedge_s(self, pending: Collection[Disk]) -> float:
         crosses_regions = any(disk.region != self._here.region for disk in pending)
