Let a joining disk catch up: ask it last, and repeat a lost reply

Cause: entries asked a joining disk first if it was the nearest one, though it lacks most turns and its copies aren't needed for a quorum, and one lost page of turns made it give up and read all lists again, 1 MB over a link that was full.

Change: disks that are joining are ranked last; a page is asked for up to four times.

Result: test_it_is_asked_last and test_one_lost_reply_does_not_start_the_synchronization_anew failed before.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/disks/catch_up.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/disks/catch_up.py
@@ -16,6 +16,8 @@
 LIST_TIMEOUT_S = 1.5  # Ten times the transfer time of a list of turns between regions.
 READ_TIMEOUT_S = 1.5  # Several times the transfer time of one page between regions.
 BATCH_TURNS = 64  # Turns requested per call; the reply may contain fewer.
+# Calls for the same turns; if all fail, the lists that were read are given up.
+MAX_READ_ATTEMPTS = 4
 
 
 async def catch_up(disk_store: DiskStore, view: View, region: str) -> bool:
@@ -43,8 +45,11 @@
         _log_start(disk_store, view, replies)
         for held in replies.values():
             await disk_store.persist(held.ledgers)
-        for folder, held in replies.items():
-            if not await _read_turns(disk_store, clients[folder], held.turns):
+        for disk in others:
+            if disk.folder not in replies:
+                continue
+            turns = replies[disk.folder].turns
+            if not await _read_turns(disk_store, clients[disk.folder], turns):
                 return False
     finally:
         for client in clients.values():
@@ -99,8 +104,9 @@
 
 
 async def _read_turns(disk_store: DiskStore, client: RpcClient, turns: list[str]) -> bool:
-    """Reads the turns missing here, in order; returns whether every call succeeded."""
+    """Reads the turns missing here, in order; returns whether all were read."""
     missing = [turn_id for turn_id in turns if turn_id not in disk_store.state.turns]
+    failures = 0
     while missing:
         batch = missing[:BATCH_TURNS]
         reply = await client.call(
@@ -108,7 +114,11 @@
         )
         if not isinstance(reply, Success):
             _log_failure(reply)
-            return False
+            failures += 1
+            if failures == MAX_READ_ATTEMPTS:
+                return False
+            continue
+        failures = 0
         await disk_store.persist(reply.unwrap().records)
         remaining = [turn_id for turn_id in missing if turn_id not in disk_store.state.turns]
         if len(remaining) == len(missing):
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/quorum.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/quorum.py
@@ -266,10 +266,13 @@
 
     def _ranked(self, view: View) -> list[Disk]:
         now_s = time.monotonic()
+        members = {disk.folder for disk in view.members}
 
-        def rank(disk: Disk) -> tuple[bool, bool, bool]:
+        def rank(disk: Disk) -> tuple[bool, bool, bool, bool]:
             return (
                 self._suspected_until_s.get(disk.address, 0.0) > now_s,
+                # A joining disk lacks most records, and is busy with reading them.
+                disk.folder not in members,
                 disk.region != self._here.region,
                 disk.failure_domain != self._here.failure_domain,
             )
--- a/tests/deployed/test_erased_disks.py
+++ b/tests/deployed/test_erased_disks.py
@@ -7,7 +7,9 @@
 from collections.abc import Iterator
 from pathlib import Path
 
+from endiveworks.turns.records import Turn
 from endiveworks.turns.view import View
+from endiveworks_daemon.disks import catch_up as catch_up_module
 from endiveworks_daemon.disks.catch_up import catch_up
 from endiveworks_daemon.disks.disk_store import DiskStore
 from endiveworks_daemon.gateway.quorum import PROBE_PERIOD_S
@@ -102,3 +104,49 @@
                 assert not deployed.turns.is_reachable()
 
         run(scenario)
+
+
+class TestJoiningDisk:
+    def test_it_is_asked_last(self, tmp_path: Path) -> None:
+        """It lacks most turns, and is busy with reading them."""
+
+        async def scenario() -> None:
+            async with Deployment(tmp_path, {"llm/a": streams("x")}) as deployed:
+                spare = RunningDisk("spare", tmp_path / "spare")
+                await spare.start()
+                members = tuple(disk.disk() for disk in deployed.disks)
+                # Without this rule it would be the nearest one.
+                near = spare.disk()._replace(failure_domain="edin")
+                deployed.apply(View(2, 1, members, (*members[1:], near)))
+                ranked = deployed.turns._quorum._ranked(deployed.turns._quorum.view)
+                assert ranked[-1] == near
+                spare.stop()
+
+        run(scenario)
+
+    def test_one_lost_reply_does_not_start_the_synchronization_anew(self, tmp_path: Path) -> None:
+        async def scenario() -> None:
+            lost: list[str] = []
+            read_turns = DiskStore.read_turns
+
+            async def lose_first(self: DiskStore, message: bytes) -> bytes:
+                if self.folder not in lost:
+                    lost.append(self.folder)
+                    await asyncio.sleep(2 * READ_TIMEOUT_S)
+                return await read_turns(self, message)
+
+            with (
+                unittest.mock.patch.object(DiskStore, "read_turns", lose_first),
+                unittest.mock.patch.object(catch_up_module, "READ_TIMEOUT_S", READ_TIMEOUT_S),
+            ):
+                async with Deployment(tmp_path, {"llm/a": streams("x")}) as deployed:
+                    for number in range(TURNS):
+                        stored = Turn(f"t{number}", "", b"in", b"out", 60.0)
+                        assert (await deployed.turns.commit(stored, None, 2.0)).unwrap() is None
+                    erased = deployed.disks[0]
+                    await erase(erased)
+                    assert await catch_up(erased.disk_store, deployed.view, "east")
+                    assert len(erased.disk_store.state) == TURNS
+            assert lost
+
+        run(scenario)
