Undo a change of the disks in use only if it blocks writes or its host is gone

A disk began to join, and 0.2 to 1.8 s later one host that heard nothing of it for a moment undid the change; the next change began at once.

Cause: two missed pings at any one host undid a change, though the joining disk isn't needed for a quorum, and hosts of another region miss pings whenever the link is full.

Change: a disk that doesn't respond is waited for unless the members could write without the change and can't with it; a host whose registration is gone, or that has another data folder, still ends the change.

--- a/packages/endiveworks/src/endiveworks/turns/tests/test_view_change.py
+++ b/packages/endiveworks/src/endiveworks/turns/tests/test_view_change.py
@@ -201,6 +201,52 @@
         assert next_view(VIEW, statuses(A) | self.unresponsive(B, C), ()) is None
 
 
+class TestUnresponsiveJoiner:
+    """A change was undone each time that one host heard nothing of the joining disk for a second.
+
+    Seen in tl-signdesk-grown, trouble-2: 17 changes in 15 s, none of which ended.
+    """
+
+    E = disk("e")
+    MEMBERS = (A, B, C, D, E)
+    SPARE = disk("s")
+
+    def joint(self, tolerance: int, members: tuple[Disk, ...], *incoming: Disk) -> View:
+        return View(2, tolerance, members, incoming)
+
+    def unresponsive(self, *hosts: Disk) -> dict[str, DiskStatus]:
+        return {d.host: DiskStatus(d, unresponsive=True) for d in hosts}
+
+    def test_it_is_waited_for_while_writes_do_not_need_it(self) -> None:
+        joint = self.joint(2, self.MEMBERS, *self.MEMBERS[1:], self.SPARE)
+        seen = statuses(B, C, D, self.E, absent=(A,)) | self.unresponsive(self.SPARE)
+        assert next_view(joint, seen, ()) is None
+
+    def test_it_is_waited_for_with_just_a_write_quorum_left(self) -> None:
+        """As after a final fault in which as many disks are lost as the view tolerates."""
+        joint = self.joint(2, self.MEMBERS, *self.MEMBERS[1:], self.SPARE)
+        seen = statuses(C, D, self.E, absent=(A, B)) | self.unresponsive(self.SPARE)
+        assert next_view(joint, seen, ()) is None
+
+    def test_the_change_is_undone_if_writes_need_it(self) -> None:
+        joint = self.joint(1, (A, B, C), B, C, D)
+        seen = statuses(A, B) | self.unresponsive(C, D)
+        proposed = next_view(joint, seen, ())
+        assert proposed is not None and proposed.members == (A, B, C) and not proposed.incoming
+
+    def test_the_change_is_undone_if_its_host_has_gone(self) -> None:
+        joint = self.joint(2, self.MEMBERS, *self.MEMBERS[1:], self.SPARE)
+        gone = statuses(B, C, D, self.E, absent=(A, self.SPARE))
+        assert next_view(joint, gone, ()) == View(3, 2, self.MEMBERS)
+        erased = statuses(B, C, D, self.E, disk("s", folder="s2"), absent=(A,))
+        assert next_view(joint, erased, ()) == View(3, 2, self.MEMBERS)
+
+    def test_the_change_is_kept_if_undoing_it_does_not_help(self) -> None:
+        joint = self.joint(1, (A, B, C), B, C, D)
+        seen = statuses(B) | self.unresponsive(A, C, D)
+        assert next_view(joint, seen, ()) is None
+
+
 class TestEmptying:
     def test_a_spare_replaces_a_leaving_disk(self) -> None:
         proposed = next_view(VIEW, statuses(A, B, C, D), {"a"})
--- a/packages/endiveworks/src/endiveworks/turns/view_change.py
+++ b/packages/endiveworks/src/endiveworks/turns/view_change.py
@@ -4,7 +4,15 @@
 from collections.abc import Callable, Collection, Mapping, Sequence
 from typing import NamedTuple
 
-from .view import Disk, View, disks_to_sync, full_size, is_recovery_quorum, is_write_quorum
+from .view import (
+    Disk,
+    View,
+    all_disks,
+    disks_to_sync,
+    full_size,
+    is_recovery_quorum,
+    is_write_quorum,
+)
 
 # A live host registers again within about a second after its registration was lost.
 EVICT_AFTER_S = 1.2
@@ -100,13 +108,29 @@
     unsynced = [disk for disk in disks_to_sync(view) if disk.folder not in view.synced]
     if not unsynced:
         return View(view.epoch + 1, view.tolerance, view.incoming)
-    if any(_is_unavailable(disk, statuses) for disk in unsynced):
-        # The change can be undone, since every write after it began is also on a write quorum of
-        # the members.
-        return View(view.epoch + 1, view.tolerance, view.members)
+    if any(_is_lost(disk, statuses) for disk in unsynced) or _blocks_writes(view, statuses):
+        return undo_change(view)
     return None
 
 
+def undo_change(view: View) -> View:
+    """Returns the view without the change in progress.
+
+    Nothing is lost: every write after the change began is also on a write quorum of the members.
+    """
+    return View(view.epoch + 1, view.tolerance, view.members)
+
+
+def _blocks_writes(view: View, statuses: Mapping[str, DiskStatus]) -> bool:
+    """Returns whether records could be written if the change in progress were undone, but not now.
+
+    A host that only doesn't respond is waited for otherwise: the change would begin anew with it
+    or with a disk that has to read everything from the start.
+    """
+    available = [d.folder for d in all_disks(view) if not _is_unavailable(d, statuses)]
+    return not is_write_quorum(view, available) and is_write_quorum(undo_change(view), available)
+
+
 def _replace_disk(view: View, old: Disk, new: Disk | None) -> View:
     kept = tuple(disk for disk in view.members if disk.folder != old.folder)
     return _begin_change(view, kept if new is None else (*kept, new))
