Let no entry, reply or odd number of another writer stop a process from following

What operators saw elsewhere: one odd entry in the list of replicas (deeply nested, a number too large, a port out of range) ended the processes that read it, or left them with an old list.

Cause: decoders caught the exceptions that came to mind. RecursionError and OverflowError are no ValueErrors; an address with a zero byte raises ValueError when it is connected to; numbers that no message can hold were accepted. The thread that follows the store, those that renew registrations, and the tasks that probe disks were started once, and their end showed nowhere.

Change: decoding.py names what decoders raise, for all decoders of the store's entries and replies, hosts, views, peers, engines and callers, and checks numbers, texts and addresses by range. connect() reports an unusable address as a failed connection. Threads and tasks that must not end go on after an error, which is logged; a failed watch reads everything again. Found beside it: an unreadable view was taken for none, so that a disk process would have written a first view over it, and all turns would have been unknown.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/disks/run.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/disks/run.py
@@ -16,6 +16,7 @@
 from ..platform_adapter import PlatformAdapter, ProcessSettings, own_member
 from ..registrar import Registrar
 from ..state_watcher import StateWatcher
+from ..supervised_task import run_supervised
 from .disk_store import handlers, open_disk_store
 from .origin_holder import OriginHolder
 from .view_manager import DISK_ROLE, ViewManager
@@ -72,13 +73,13 @@
     tasks = [
         asyncio.create_task(coro)
         for coro in (
-            view_manager.run(),
-            disk_store.expire_forever(),
+            run_supervised("view", view_manager.run),
+            run_supervised("expiry", disk_store.expire_forever),
             stop.wait(),
             disk_store.failed.wait(),
         )
     ]
-    # Only a stop request, a disk failure or a bug finishes one of these tasks.
+    # Only a stop request or a disk failure finishes one of these tasks.
     done, pending = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
     for task in pending:
         task.cancel()
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/disks/view_manager.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/disks/view_manager.py
@@ -22,6 +22,7 @@
 from endiveworks.turns.view_change import DiskStatus, first_view, is_emptied, next_view
 from returns.result import Result, Success
 
+from ..supervised_task import run_supervised
 from .catch_up import catch_up
 from .disk_store import DiskStore
 from .failure_detector import FailureDetector
@@ -91,7 +92,7 @@
 
     async def run(self) -> None:
         """Checks periodically whether the view must change."""
-        ping_task = asyncio.create_task(self._failure_detector.run())
+        ping_task = asyncio.create_task(run_supervised("pings", self._failure_detector.run))
         try:
             while True:
                 await asyncio.sleep(POLL_PERIOD_S)
@@ -103,6 +104,8 @@
 
     async def _step(self, state: ClusterState) -> None:
         statuses = self._disk_statuses(state.members, state.view)
+        if state.view is None and state.view_revision:
+            return  # The view is there but unreadable; a first view would forget all turns.
         if state.view is None:
             waited_s = time.monotonic() - self._started_s
             proposed = None
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/disk_links.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/disk_links.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple, TypeVar
 
 import msgspec
+from endiveworks.decoding import DECODE_ERRORS
 from endiveworks.errors import Code, Failure
 from endiveworks.telemetry import logs
 from endiveworks.turns.view import Disk
@@ -119,7 +120,10 @@
         if self._relay_by_disk.get(disk.address) != relay:
             logs.logger("turns").info("disk_relayed", peer=disk.host, address=relay)
         self._relay_by_disk[disk.address] = relay
-        return Success(msgspec.msgpack.decode(reply.disk_reply, type=reply_type))
+        try:
+            return Success(msgspec.msgpack.decode(reply.disk_reply, type=reply_type))
+        except DECODE_ERRORS as exc:
+            return Err(Failure(Code.CORRUPT, method, disk.host, f"via relay {relay}: {exc}"))
 
     def relay_handler(self, is_disk: Callable[[str], bool]) -> Handler:
         """Returns the RPC handler that relays messages for other processes.
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/registration.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/registration.py
@@ -10,6 +10,7 @@
 
 from endiveworks.kvservice.kv import Kv, Swap
 from endiveworks.links.retry import backoff_s
+from endiveworks.links.threads import start_forever
 from endiveworks.members.member import Member
 from endiveworks.members.registry import HOSTS_PREFIX, encode_member
 from endiveworks.telemetry import logs
@@ -66,8 +67,7 @@
 def register_in_background(kv: Kv, member: Member) -> None:
     """Keeps a process registered from a daemon thread."""
     stop = threading.Event()
-    args = (kv, member, stop.wait)
-    threading.Thread(target=register_forever, args=args, name="listing", daemon=True).start()
+    start_forever("listing", lambda: register_forever(kv, member, stop.wait))
 
 
 def _log_failure(reason: str) -> bool:
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/run.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/run.py
@@ -19,6 +19,7 @@
 from ..metrics_page import serve_metrics
 from ..platform_adapter import PlatformAdapter, ProcessSettings, own_member
 from ..state_watcher import StateWatcher
+from ..supervised_task import run_supervised
 from .app import Gateway
 from .callers import READ_BYTES, CallerConnection, RawRequest, RequestHandler, Responder
 from .context import Context
@@ -118,10 +119,10 @@
     close_peers = await _serve_peers(settings.peer_address, handlers, origins)
     register_in_background(kv, own_member(settings, ENTRY_ROLE, 0))
     background = asyncio.gather(
-        _expire_forever(gateway, fleet, pool, latest),
-        turns.probe_forever(),
-        loads.run(),
-        memory.run(),
+        run_supervised("expiry", lambda: _expire_forever(gateway, fleet, pool, latest)),
+        run_supervised("disk-probes", turns.probe_forever),
+        run_supervised("loads", loads.run),
+        run_supervised("memory", memory.run),
     )
     await stop.wait()
     background.cancel()
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/sockets.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/sockets.py
@@ -79,6 +79,9 @@
     """
     ip, _, port = address.rpartition(":")
     async with asyncio.timeout(timeout_s):
-        reader, writer = await asyncio.open_connection(ip, int(port), limit=read_bytes)
+        try:
+            reader, writer = await asyncio.open_connection(ip, int(port), limit=read_bytes)
+        except (ValueError, OverflowError) as exc:
+            raise OSError(f"{address!r} can't be connected to: {exc}") from exc
     enable_keepalive(writer)
     return reader, writer
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/http_app.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/http_app.py
@@ -8,6 +8,7 @@
 
 import msgspec
 from endiveworks.calls.stream import Chunk
+from endiveworks.decoding import DECODE_ERRORS
 from endiveworks.errors import Code, Failure
 from endiveworks.programs.requests import CallRequest, OpenRequest
 from endiveworks.telemetry.logs import logger
@@ -199,7 +200,7 @@
     try:
         body = msgspec.json.decode(req.body, type=OpenBody)
         unknown = msgspec.json.decode(req.body, type=dict).keys() - OpenBody.__annotations__.keys()
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as exc:
+    except DECODE_ERRORS as exc:
         return Err(bad_request(f"the body is malformed: {exc}"))
     if unknown:
         return Err(bad_request(f"the body has unknown fields: {', '.join(sorted(unknown))[:200]}"))
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/http_calls.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/http_calls.py
@@ -6,6 +6,7 @@
 
 import msgspec
 from endiveworks.calls.stream import Chunk, FinalStatus
+from endiveworks.decoding import DECODE_ERRORS
 from endiveworks.engines.chat import EVENT_STREAM
 from endiveworks.engines.chat_format import assemble, parse_request
 from endiveworks.errors import Code, Failure
@@ -47,7 +48,7 @@
         return problem_response(parsed.failure())
     try:
         service = msgspec.json.decode(req.body, type=_Model)["model"]
-    except msgspec.MsgspecError:
+    except DECODE_ERRORS:
         return problem_response(bad_request("the field model is missing or not a string"))
     call = _call_request(req, service, CHAT)
     if not isinstance(call, Success):
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/origin_datagrams.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/origin_datagrams.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 import msgspec
+from endiveworks.decoding import DECODE_ERRORS
 from endiveworks.gateway.stream_origins import StreamStart
 from endiveworks.telemetry import logs
 
@@ -50,7 +51,7 @@
     """Returns the message in a datagram; None if it is none, or one of another release."""
     try:
         return msgspec.msgpack.decode(data, type=Datagram)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+    except DECODE_ERRORS as exc:
         logs.logger("gateway").debug("message_refused", exc_info=exc)
         return None
 
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/registrar.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/registrar.py
@@ -7,6 +7,7 @@
 
 from endiveworks.kvservice.kv import Kv
 from endiveworks.links.retry import backoff_s
+from endiveworks.links.threads import start_forever
 from endiveworks.members.member import Member
 from endiveworks.members.registration import Registration, RegistrationState, deregister, renew
 from endiveworks.telemetry.logs import logger
@@ -49,9 +50,7 @@
         """Writes the entry and renews its lease; retries during an outage."""
         self._registration = Registration(member, int(self._lease_s))
         failed = self._renew()
-        threading.Thread(
-            target=self._renew_forever, args=(failed,), name="presence", daemon=True
-        ).start()
+        start_forever("presence", lambda: self._renew_forever(failed))
 
     def lease(self) -> int:
         """Returns the lease of the entry; 0 while there is none."""
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/rpc.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/rpc.py
@@ -10,6 +10,7 @@
 from typing import Any, NamedTuple, TypeVar
 
 import msgspec
+from endiveworks.decoding import DECODE_ERRORS
 from endiveworks.errors import Code, Failure
 from endiveworks.telemetry import logs
 from returns.result import Failure as Err
@@ -47,7 +48,7 @@
             return Err(reply.failure())
         try:
             return Success(msgspec.msgpack.decode(reply.unwrap(), type=reply_type))
-        except msgspec.DecodeError as exc:
+        except DECODE_ERRORS as exc:
             return Err(Failure(Code.CORRUPT, method, self.address, str(exc)))
 
     async def call_encoded(
@@ -105,7 +106,7 @@
                 fut = self._pending.get(call_id)
                 if fut is not None and not fut.done():
                     fut.set_result(data)
-        except (OSError, EOFError, msgspec.DecodeError) as exc:
+        except (OSError, EOFError, *DECODE_ERRORS) as exc:
             if self._writer is writer:
                 self._drop_connection(exc)
 
@@ -156,7 +157,7 @@
                 task.add_done_callback(tasks.discard)
         except (OSError, EOFError):
             pass  # Expected: peers disconnect when they stop and reconnect when needed.
-        except (msgspec.DecodeError, KeyError) as exc:
+        except DECODE_ERRORS as exc:
             logs.logger("rpc").warning("message_refused", exc_info=exc)
         finally:
             writers.discard(writer)
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/state_watcher.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/state_watcher.py
@@ -16,6 +16,7 @@
 from endiveworks.gateway.cluster_state import ClusterState
 from endiveworks.kvservice.kv import Change, KeyValue, Kv
 from endiveworks.kvservice.watch_loop import WatchedPrefix, run_watch_loop
+from endiveworks.links.threads import start_forever
 from endiveworks.telemetry import logs
 from returns.result import Failure as Err
 from returns.result import Result, Success
@@ -97,16 +98,14 @@
     def start(self) -> None:
         """Starts the watch thread."""
         source = WatchedPrefix(self._load, self._watch)
-        threading.Thread(
-            target=run_watch_loop,
-            args=(source, time.sleep, random.Random()),
-            kwargs={
-                "should_continue": lambda: not self._stopped.is_set(),
-                "max_backoff_s": MAX_BACKOFF_S,
-            },
-            name="feed",
-            daemon=True,
-        ).start()
+        rng = random.Random()
+
+        def follow() -> None:
+            run_watch_loop(
+                source, time.sleep, rng, lambda: not self._stopped.is_set(), MAX_BACKOFF_S
+            )
+
+        start_forever("feed", follow)
 
     def stop(self) -> None:
         """Publishes no more states; must be called before the event loop is closed."""
--- a/packages/endiveworks/src/endiveworks/client/caller.py
+++ b/packages/endiveworks/src/endiveworks/client/caller.py
@@ -10,6 +10,7 @@
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
+from ..decoding import DECODE_ERRORS
 from ..errors import Code, Failure
 from ..programs.queries import ProgramStatus
 from .events import Answer, OnText, read_events
@@ -179,7 +180,7 @@
         return Failed(failure)
     try:
         return Success(msgspec.json.decode(resp.read(), type=ProgramStatus))
-    except msgspec.DecodeError as exc:
+    except DECODE_ERRORS as exc:
         return Failed(Failure(Code.CORRUPT, "client.status", "", str(exc)))
 
 
--- a/packages/endiveworks/src/endiveworks/client/events.py
+++ b/packages/endiveworks/src/endiveworks/client/events.py
@@ -8,6 +8,7 @@
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
+from ..decoding import DECODE_ERRORS
 from ..errors import Code, Failure
 from .transport import connection_lost, problem_failure, status_failure
 
@@ -87,7 +88,7 @@
         if data:
             try:
                 builder.append(msgspec.json.decode(data, type=dict))
-            except msgspec.DecodeError as exc:
+            except DECODE_ERRORS as exc:
                 return Failed(Failure(Code.CORRUPT, "client.events", "", str(exc)))
     return Failed(connection_lost("", "the event stream ended before its final event"))
 
--- a/packages/endiveworks/src/endiveworks/client/transport.py
+++ b/packages/endiveworks/src/endiveworks/client/transport.py
@@ -11,6 +11,7 @@
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
+from ..decoding import DECODE_ERRORS
 from ..errors import Code, Failure
 
 MAX_ATTEMPTS = 8
@@ -129,7 +130,7 @@
     """Returns the failure that JSON problem details describe."""
     try:
         details: dict[str, Any] = msgspec.json.decode(data, type=dict)
-    except msgspec.DecodeError:
+    except DECODE_ERRORS:
         details = {}
     code = details.get("code", "")
     retry_after_s = details.get("retry_after_s")
--- a/packages/endiveworks/src/endiveworks/config/codec.py
+++ b/packages/endiveworks/src/endiveworks/config/codec.py
@@ -12,6 +12,7 @@
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
+from ..decoding import DECODE_ERRORS
 from ..errors import Code, Failure
 from .bundle import Bundle, CostWeights, EngineSettings, Service, TenantSettings
 
@@ -38,7 +39,7 @@
     """
     try:
         bundle = _build_bundle(msgspec.json.decode(_decompress(data), type=dict))
-    except (zlib.error, msgspec.DecodeError, KeyError, TypeError, AttributeError) as exc:
+    except (zlib.error, *DECODE_ERRORS) as exc:
         return Err(Failure(Code.CORRUPT, "config.decode", "", f"{type(exc).__name__}: {exc}"))
     if bundle.digest != digest(bundle.services):
         return Err(Failure(Code.CORRUPT, "config.decode", "", "digest does not match services"))
--- a/packages/endiveworks/src/endiveworks/engines/memory.py
+++ b/packages/endiveworks/src/endiveworks/engines/memory.py
@@ -8,6 +8,7 @@
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
+from ..decoding import DECODE_ERRORS
 from ..errors import Code, Failure
 
 _TIMEOUT_S = 2.0
@@ -74,7 +75,7 @@
             return Failure(Code.UPSTREAM_FAILED, step, base_url, detail)
         try:
             return msgspec.json.decode(response.data, type=result_type)
-        except msgspec.MsgspecError as exc:
+        except DECODE_ERRORS as exc:
             return Failure(Code.UPSTREAM_FAILED, step, base_url, str(exc))
 
     def load() -> Result[Load, Failure]:
--- a/packages/endiveworks/src/endiveworks/engines/orders.py
+++ b/packages/endiveworks/src/endiveworks/engines/orders.py
@@ -11,6 +11,7 @@
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
+from ..decoding import DECODE_ERRORS
 from ..errors import Code, Failure
 from ..orders.state import EngineState, Order
 
@@ -61,7 +62,7 @@
             return Success(EngineState(**msgspec.json.decode(response.data, type=_EngineStateBody)))
         except urllib3.exceptions.HTTPError as exc:
             return Err(Failure(Code.UNREACHABLE, _READ_STEP, base_url, str(exc)))
-        except msgspec.MsgspecError as exc:
+        except DECODE_ERRORS as exc:
             return Err(Failure(Code.UPSTREAM_FAILED, _READ_STEP, base_url, str(exc)))
 
     def send(order: Order, fencing: int, until_s: float) -> Result[None, Failure]:
--- a/packages/endiveworks/src/endiveworks/gateway/events.py
+++ b/packages/endiveworks/src/endiveworks/gateway/events.py
@@ -3,6 +3,7 @@
 import re
 from typing import NamedTuple
 
+MAX_ID_DIGITS = 18  # Larger ids can't be sent to other processes.
 _BLANK_LINES = (b"\r\n\r\n", b"\n\n")
 # A first line may tell a number of the replica, such as the version of its weights.
 _NUMBER_LINE = re.compile(rb"[a-z][a-z0-9-]*: ?[0-9]+")
@@ -61,7 +62,7 @@
         if name == b"data":
             data.append(value)
         elif name == b"id":
-            ids.append(int(value) if value.isdigit() else None)
+            ids.append(int(value) if value.isdigit() and len(value) <= MAX_ID_DIGITS else None)
     number = ids[-1] if ids else None
     is_well_formed = number is not None and len(ids) == 1 and _has_only_fields(lines)
     return Event(raw, number, b"\n".join(data), is_well_formed)
--- a/packages/endiveworks/src/endiveworks/gateway/explanation.py
+++ b/packages/endiveworks/src/endiveworks/gateway/explanation.py
@@ -10,6 +10,7 @@
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
+from ..decoding import DECODE_ERRORS
 from ..errors import Code, Failure
 from .prefixes import PromptPart
 
@@ -103,5 +104,5 @@
     """Decodes an entry's answer; CORRUPT if it is none."""
     try:
         return Success(msgspec.json.decode(body, type=Explanation))
-    except msgspec.DecodeError as exc:
+    except DECODE_ERRORS as exc:
         return Failed(Failure(Code.CORRUPT, _STEP, address, str(exc)))
--- a/packages/endiveworks/src/endiveworks/journal/identity.py
+++ b/packages/endiveworks/src/endiveworks/journal/identity.py
@@ -10,6 +10,7 @@
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
+from ..decoding import DECODE_ERRORS
 from ..errors import Code, Failure
 
 _STEP = "journal.open"
@@ -61,7 +62,7 @@
     try:
         data = (data_dir / _IDENTITY_FILE).read_bytes()
         return msgspec.json.decode(data, type=_Fields)["deployment"]
-    except (OSError, msgspec.DecodeError):
+    except (OSError, *DECODE_ERRORS):
         return ""
 
 
@@ -104,7 +105,7 @@
     except BlockingIOError:
         detail = "the folder is in use by another process"
         return Err(Failure(Code.STORAGE, _STEP, str(data_dir), detail, not_run=True))
-    except (OSError, msgspec.DecodeError) as exc:
+    except (OSError, *DECODE_ERRORS) as exc:
         return Err(Failure(Code.STORAGE, _STEP, str(data_dir), str(exc), not_run=True))
 
 
--- a/packages/endiveworks/src/endiveworks/kvservice/etcd.py
+++ b/packages/endiveworks/src/endiveworks/kvservice/etcd.py
@@ -4,13 +4,14 @@
 import json
 import time
 from collections.abc import Callable, Iterator, Mapping
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, TypeVar
 
 import msgspec
 import urllib3
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
+from ..decoding import DECODE_ERRORS
 from ..errors import Code, Failure
 from . import etcd_messages as messages
 from .kv import Change, KeyValue, Kv, Snapshot, Swap, SwapResult
@@ -21,6 +22,8 @@
 _READ_BYTES = 65536
 _MAX_ERROR_CHARS = 200
 
+_T = TypeVar("_T")
+
 
 class _Connections:
     """Connection pool, replaced after a failure since its idle connections may be dead."""
@@ -64,25 +67,32 @@
 
     def read(key: str) -> Result[KeyValue | None, Failure]:
         reply = _call(client, "range", "/v3/kv/range", {"key": messages.encode(key.encode())})
-        return reply.map(lambda body: next(iter(messages.entries(body)), None))
+        return _decoded(
+            client, "range", reply, lambda body: next(iter(messages.entries(body)), None)
+        )
 
     def read_prefix(prefix: str) -> Result[Snapshot, Failure]:
         reply = _call(client, "range", "/v3/kv/range", messages.prefix_range(prefix))
-        return reply.map(
-            lambda body: Snapshot(messages.revision(body), tuple(messages.entries(body)))
+        return _decoded(
+            client,
+            "range",
+            reply,
+            lambda body: Snapshot(messages.revision(body), tuple(messages.entries(body))),
         )
 
     def swap(write: Swap) -> Result[SwapResult, Failure]:
         reply = _call(client, "txn", "/v3/kv/txn", messages.transaction(write))
-        return reply.map(lambda body: messages.swapped(write, body))
+        return _decoded(client, "txn", reply, lambda body: messages.swapped(write, body))
 
     def grant_lease(ttl_s: int) -> Result[int, Failure]:
         reply = _call(client, "lease_grant", "/v3/lease/grant", {"TTL": str(ttl_s)})
-        return reply.map(lambda body: int(body.get("ID", 0)))
+        return _decoded(client, "lease_grant", reply, lambda body: int(body.get("ID", 0)))
 
     def keep_alive(lease: int) -> Result[int, Failure]:
         reply = _call(client, "lease_keepalive", "/v3/lease/keepalive", {"ID": str(lease)})
-        return reply.map(lambda body: int(body.get("result", {}).get("TTL", 0)))
+        return _decoded(
+            client, "lease_keepalive", reply, lambda body: int(body.get("result", {}).get("TTL", 0))
+        )
 
     def watch(
         prefix: str, after_revision: int, on_changes: Callable[[tuple[Change, ...]], bool]
@@ -92,6 +102,21 @@
     return Kv(read, read_prefix, swap, grant_lease, keep_alive, watch)
 
 
+def _decoded(
+    client: _Client,
+    step: str,
+    reply: Result[Mapping[str, Any], Failure],
+    decode: Callable[[Mapping[str, Any]], _T],
+) -> Result[_T, Failure]:
+    """Returns what a reply holds; CORRUPT if it has other fields, types or numbers."""
+    if not isinstance(reply, Success):
+        return Err(reply.failure())
+    try:
+        return Success(decode(reply.unwrap()))
+    except DECODE_ERRORS as exc:
+        return Err(_failure(client, step, Code.CORRUPT, f"{type(exc).__name__}: {exc}"))
+
+
 def _call(
     client: _Client, step: str, path: str, body: Mapping[str, Any]
 ) -> Result[Mapping[str, Any], Failure]:
@@ -108,7 +133,7 @@
     except (urllib3.exceptions.HTTPError, OSError) as exc:
         client.connections.reset(pool)
         return Err(_transport_failure(client, step, exc))
-    except msgspec.DecodeError as exc:
+    except DECODE_ERRORS as exc:
         return Err(_failure(client, step, Code.CORRUPT, str(exc)))
     return Success(reply)
 
@@ -160,8 +185,6 @@
     except (urllib3.exceptions.HTTPError, OSError) as exc:
         client.connections.reset(pool)
         return Err(_transport_failure(client, "watch", exc))
-    except msgspec.DecodeError as exc:
-        return Err(_failure(client, "watch", Code.CORRUPT, str(exc)))
 
 
 def _read_changes(
@@ -171,16 +194,16 @@
     on_changes: Callable[[tuple[Change, ...]], bool],
 ) -> Result[None, Failure]:
     for line in _lines(resp):
-        message = msgspec.json.decode(line)
-        result = message.get("result", {})
-        if "error" in message or result.get("canceled"):
-            reason = str(message.get("error") or result.get("cancel_reason", "compacted"))
-            return Err(_failure(client, "watch", Code.CONFLICT, reason))
-        if result.get("created") and messages.revision(result) < after_revision:
+        try:
+            message = messages.watch_message(msgspec.json.decode(line))
+        except DECODE_ERRORS as exc:
+            return Err(_failure(client, "watch", Code.CORRUPT, f"{type(exc).__name__}: {exc}"))
+        if message.error:
+            return Err(_failure(client, "watch", Code.CONFLICT, message.error))
+        if message.created_at is not None and message.created_at < after_revision:
             detail = "the service's revision is below the last one received"
             return Err(_failure(client, "watch", Code.CONFLICT, detail))
-        changes = tuple(messages.change(event) for event in result.get("events", ()))
-        if not on_changes(changes):
+        if not on_changes(message.changes):
             return Success(None)
     return Err(_failure(client, "watch", Code.UNREACHABLE, "the service ended the watch"))
 
--- a/packages/endiveworks/src/endiveworks/kvservice/etcd_messages.py
+++ b/packages/endiveworks/src/endiveworks/kvservice/etcd_messages.py
@@ -2,11 +2,25 @@
 
 import base64
 from collections.abc import Iterator, Mapping
-from typing import Any
+from typing import Any, NamedTuple
 
 from .kv import Change, KeyValue, Swap, SwapResult
 
 
+class WatchMessage(NamedTuple):
+    """One message of a watch.
+
+    Attributes:
+        error: Why the service ended the watch; empty if it goes on.
+        created_at: Revision at which the watch was created; None in all other messages.
+        changes: The changes that the message reports.
+    """
+
+    error: str
+    created_at: int | None
+    changes: tuple[Change, ...]
+
+
 def transaction(write: Swap) -> Mapping[str, Any]:
     """Returns a compare-and-swap transaction that reads the key if the comparison fails."""
     key = encode(write.key.encode())
@@ -49,6 +63,16 @@
     return Change(decode(kv["key"]).decode(), value, int(kv["mod_revision"]))
 
 
+def watch_message(body: Mapping[str, Any]) -> WatchMessage:
+    """Converts one message of a watch."""
+    result = body.get("result", {})
+    if "error" in body or result.get("canceled"):
+        error = str(body.get("error") or result.get("cancel_reason", "compacted"))
+        return WatchMessage(error, None, ())
+    created_at = revision(result) if result.get("created") else None
+    return WatchMessage("", created_at, tuple(change(e) for e in result.get("events", ())))
+
+
 def prefix_range(prefix: str) -> dict[str, Any]:
     """Returns the key and range end that select all keys with a prefix."""
     start = prefix.encode()
@@ -68,4 +92,4 @@
 
 def decode(text: str) -> bytes:
     """Returns the bytes of a base64 key or value."""
-    return base64.b64decode(text)
+    return base64.b64decode(text, validate=True)
--- a/packages/endiveworks/src/endiveworks/kvservice/host_list.py
+++ b/packages/endiveworks/src/endiveworks/kvservice/host_list.py
@@ -7,6 +7,7 @@
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
+from ..decoding import DECODE_ERRORS
 from ..errors import Code, Failure
 
 LIVE, LEAVING = "live", "leaving"
@@ -37,5 +38,5 @@
         return Success(tuple(ListedHost(row["host"], row["state"]) for row in rows))
     except (urllib3.exceptions.HTTPError, OSError) as exc:
         return Err(Failure(Code.UNREACHABLE, step, address, f"{type(exc).__name__}: {exc}"))
-    except (msgspec.DecodeError, KeyError) as exc:
+    except DECODE_ERRORS as exc:
         return Err(Failure(Code.CORRUPT, step, address, f"{type(exc).__name__}: {exc}"))
--- a/packages/endiveworks/src/endiveworks/kvservice/watch_loop.py
+++ b/packages/endiveworks/src/endiveworks/kvservice/watch_loop.py
@@ -8,6 +8,7 @@
 
 from ..errors import Code, Failure
 from ..links.retry import backoff_s
+from ..telemetry import logs
 
 _BASE_BACKOFF_S = 0.2
 _MAX_BACKOFF_S = 5.0
@@ -44,13 +45,19 @@
     failures = 0
     loaded = False
     while should_continue():
-        if not loaded:
-            loaded = source.load()
-            failures = 0 if loaded else failures + 1
-        else:
-            ended = source.watch()
-            loaded = not _may_have_missed_changes(ended)
-            failures = failures + 1 if _is_connection_lost(ended) else 0
+        try:
+            if not loaded:
+                loaded = source.load()
+                failures = 0 if loaded else failures + 1
+            else:
+                ended = source.watch()
+                loaded = not _may_have_missed_changes(ended)
+                failures = failures + 1 if _is_connection_lost(ended) else 0
+        except Exception as exc:
+            # Whatever an entry or a reply does to its readers, they go on following the service.
+            logs.logger("feed").error("watch_failed", exc_info=exc)
+            loaded = False
+            failures += 1
         if failures:
             sleep(backoff_s(failures, _BASE_BACKOFF_S, max_backoff_s, rng.random()))
 
--- a/packages/endiveworks/src/endiveworks/members/registry.py
+++ b/packages/endiveworks/src/endiveworks/members/registry.py
@@ -3,6 +3,7 @@
 import msgspec
 from returns.result import Result
 
+from ..decoding import DECODE_ERRORS, checked_address, checked_integer
 from ..errors import Failure
 from ..kvservice.kv import Kv
 from .member import Member
@@ -27,6 +28,9 @@
 def decode_member(data: bytes) -> Member | None:
     """Decodes a member from JSON; returns None if the data is invalid."""
     try:
-        return msgspec.json.decode(data, type=Member)
-    except msgspec.DecodeError:
+        member = msgspec.json.decode(data, type=Member)
+        checked_address(member.address)
+        checked_integer(member.incarnation, 0)
+        return member
+    except DECODE_ERRORS:
         return None
--- a/packages/endiveworks/src/endiveworks/orders/slots.py
+++ b/packages/endiveworks/src/endiveworks/orders/slots.py
@@ -9,6 +9,7 @@
 import msgspec
 from returns.result import Result
 
+from ..decoding import DECODE_ERRORS
 from ..errors import Failure
 from ..kvservice.kv import KeyValue, Kv, Swap
 
@@ -113,6 +114,6 @@
 def _decode_slot(entry: KeyValue) -> Slot:
     try:
         holder = msgspec.json.decode(entry.value, type=Holder)
-    except msgspec.DecodeError:
+    except DECODE_ERRORS:
         holder = Holder("", 0)
     return Slot(entry.key, holder, entry.mod_revision)
--- a/packages/endiveworks/src/endiveworks/ownership/deployment_info.py
+++ b/packages/endiveworks/src/endiveworks/ownership/deployment_info.py
@@ -7,6 +7,7 @@
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
+from ..decoding import DECODE_ERRORS
 from ..errors import Code, Failure
 from ..kvservice.kv import Kv, Swap
 
@@ -62,7 +63,7 @@
 def _decode(data: bytes) -> Result[DeploymentInfo, Failure]:
     try:
         fields = msgspec.json.decode(data, type=_Fields)
-    except msgspec.DecodeError as exc:
+    except DECODE_ERRORS as exc:
         return Err(Failure(Code.CORRUPT, "ownership.terms", DEPLOYMENT_KEY, str(exc)))
     if not 0 < fields["partitions"] <= MAX_PARTITIONS:
         detail = f"number of partitions {fields['partitions']} is not in 1..{MAX_PARTITIONS}"
--- a/packages/endiveworks/src/endiveworks/ownership/record.py
+++ b/packages/endiveworks/src/endiveworks/ownership/record.py
@@ -6,6 +6,7 @@
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
+from ..decoding import DECODE_ERRORS
 from ..errors import Code, Failure
 from ..journal.peer import CopyId
 
@@ -52,5 +53,5 @@
     """Decodes a record from JSON; fails with CORRUPT if the data is invalid."""
     try:
         return Success(msgspec.json.decode(data, type=PartitionRecord))
-    except msgspec.DecodeError as exc:
+    except DECODE_ERRORS as exc:
         return Err(Failure(Code.CORRUPT, "ownership.decode", key, str(exc)))
--- a/packages/endiveworks/src/endiveworks/programs/records.py
+++ b/packages/endiveworks/src/endiveworks/programs/records.py
@@ -7,6 +7,7 @@
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
+from ..decoding import DECODE_ERRORS
 from ..errors import Code, Failure
 
 # Operation of a call that a model engine runs.
@@ -209,5 +210,5 @@
     try:
         tag, body = _ENVELOPE.decode(data)
         return Success(_DECODERS[tag].decode(body))
-    except (msgspec.DecodeError, IndexError) as exc:
+    except DECODE_ERRORS as exc:
         return Err(Failure(Code.CORRUPT, "programs.decode", "", str(exc)))
--- a/packages/endiveworks/src/endiveworks/telemetry/fields.py
+++ b/packages/endiveworks/src/endiveworks/telemetry/fields.py
@@ -76,7 +76,7 @@
     "thrift": "IP number and port of the Thrift server.",
     "time": "UTC time in ISO 8601.",
     "tokens": "Number of tokens.",
-    "took_ms": "Time from the arrival of a request, or from the start of a step, to its end, in milliseconds.",
+    "took_ms": "Time from the start of a request or step to its end, in milliseconds.",
     "version": "Version of the project or of a bundle.",
     "waited_ms": "Time that a request has waited at its entry, in milliseconds.",
     "wait_ms": "Time waited, or the expected wait of a refused request, in milliseconds.",
--- a/packages/endiveworks/src/endiveworks/telemetry/status.py
+++ b/packages/endiveworks/src/endiveworks/telemetry/status.py
@@ -7,6 +7,7 @@
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
+from ..decoding import DECODE_ERRORS
 from ..errors import Code, Failure
 from .metrics import MetricsSnapshot
 
@@ -183,5 +184,5 @@
 def _decode(data: bytes, body_type: type[_T], peer: str) -> Result[_T, Failure]:
     try:
         return Success(msgspec.json.decode(data, type=body_type))
-    except msgspec.DecodeError as exc:
+    except DECODE_ERRORS as exc:
         return Err(Failure(Code.CORRUPT, "status.decode", peer, str(exc)))
--- a/packages/endiveworks/src/endiveworks/turns/view.py
+++ b/packages/endiveworks/src/endiveworks/turns/view.py
@@ -12,6 +12,9 @@
 
 import msgspec
 
+from ..decoding import checked_address, checked_integer
+
+MAX_TOLERANCE = 1_000  # Disks that may be lost at once; far above any deployment.
 VIEW_KEY = "/endiveworks/turns/view"  # Key of the key-value service that holds the view.
 
 
@@ -64,7 +67,20 @@
     Raises:
         ValueError: The bytes are not a valid view.
     """
-    return msgspec.json.decode(data, type=View)
+    try:
+        view = msgspec.json.decode(data, type=View)
+    except RecursionError as exc:
+        raise ValueError(f"the view is nested too deeply: {exc}") from exc
+    checked_integer(view.epoch, 1)
+    checked_integer(view.tolerance, 0, MAX_TOLERANCE)
+    if not view.members:
+        raise ValueError("the view has no members")
+    for disks in (view.members, view.incoming):
+        if len({disk.folder for disk in disks}) != len(disks):
+            raise ValueError("the view has the same disk twice")
+        for disk in disks:
+            checked_address(disk.address)
+    return view
 
 
 def full_size(tolerance: int) -> int:
