Let a joining disk that can read nothing give its place up after 5 s

Cause: since the other hosts wait for a joining disk that doesn't respond, one that is cut off from the disks but reaches the key-value service would hold its place for as long as that lasts.

Change: the joining disk itself undoes the change if the number of its turns hasn't grown for SYNC_STALLED_S; it knows whether it is slow or cut off, the others don't.

Result: test_the_change_is_undone_so_that_another_disk_can_join fails without the rule.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/disks/view_manager.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/disks/view_manager.py
@@ -4,6 +4,7 @@
 import random
 import time
 from collections.abc import Callable, Mapping
+from typing import NamedTuple
 
 from endiveworks.errors import Failure
 from endiveworks.gateway.cluster_state import ClusterState
@@ -19,7 +20,7 @@
     encode,
     full_size,
 )
-from endiveworks.turns.view_change import DiskStatus, first_view, is_emptied, next_view
+from endiveworks.turns.view_change import DiskStatus, first_view, is_emptied, next_view, undo_change
 from returns.result import Result, Success
 
 from ..supervised_task import run_supervised
@@ -44,6 +45,23 @@
 # proposals and lets other hosts propose first.
 ISOLATED_AFTER_S = 0.5
 ISOLATED_DELAY_S = 1.0  # Additional delay before a proposal of such a host.
+# A joining disk that has read nothing for this long gives its place up. The others wait for it
+# meanwhile, since they can't tell whether it is cut off or slow.
+SYNC_STALLED_S = 5.0
+
+
+class _SyncProgress(NamedTuple):
+    """How far this disk had come in a view.
+
+    Attributes:
+        epoch: Epoch of the view.
+        turns: Number of turns that it held.
+        since_s: Monotonic time since which it has held so many.
+    """
+
+    epoch: int
+    turns: int
+    since_s: float
 
 
 class ViewManager:
@@ -79,6 +97,7 @@
         self._absent_since_s: dict[str, float] = {}
         self._known_disks: dict[str, Disk] = {}
         self._synced_epoch = 0
+        self._sync = _SyncProgress(0, 0, 0.0)
         self._reported_hosts: set[str] = set()
         self._proposed_revision = -1
         self._proposed_at_s = 0.0
@@ -114,7 +133,7 @@
                 proposed = first_view(self._tolerance, statuses, accept_fewer)
         else:
             await self._sync_if_needed(state.view)
-            proposed = self._mark_own_sync(state.view) or next_view(
+            proposed = self._end_own_sync(state.view) or next_view(
                 state.view, statuses, state.leaving
             )
         if proposed is not None:
@@ -168,12 +187,18 @@
         since_s = self._absent_since_s.get(name)
         return max(0.001, now_s - since_s) if since_s is not None else 0.0
 
-    def _mark_own_sync(self, view: View) -> View | None:
+    def _end_own_sync(self, view: View) -> View | None:
+        """Returns the view in which this disk is synced, or has given up; None before that."""
         folder = self._disk_store.folder
         needed = any(disk.folder == folder for disk in disks_to_sync(view))
-        if not needed or folder in view.synced or self._synced_epoch != view.epoch:
+        if not needed or folder in view.synced:
             return None
-        return view._replace(synced=(*view.synced, folder))
+        if self._synced_epoch == view.epoch:
+            return view._replace(synced=(*view.synced, folder))
+        if time.monotonic() - self._sync.since_s > SYNC_STALLED_S:
+            logs.logger("turns").warning("sync_given_up", epoch=view.epoch)
+            return undo_change(view)
+        return None
 
     async def _propose(self, state: ClusterState, proposed: View, reason: str) -> None:
         is_own_sync = self._disk_store.folder in proposed.synced
@@ -209,8 +234,12 @@
         folder = self._disk_store.folder
         if self._synced_epoch == view.epoch or all(d.folder != folder for d in disks_to_sync(view)):
             return
+        if self._sync.epoch != view.epoch:
+            self._sync = _SyncProgress(view.epoch, len(self._disk_store.state), time.monotonic())
         if await catch_up(self._disk_store, view, self._region):
             self._synced_epoch = view.epoch
+        if len(self._disk_store.state) != self._sync.turns:
+            self._sync = _SyncProgress(view.epoch, len(self._disk_store.state), time.monotonic())
 
     async def _report_emptied_hosts(self, view: View, leaving: frozenset[str]) -> None:
         for name in leaving - self._reported_hosts:
