Pass no request on that can't end before a stopping entry does, and answer the rest in time

What operators saw elsewhere: in a planned stop of one entry, in calm, requests that came late in the grace were taken and passed on, and cut at its end with no answer, among them requests that may not be repeated.

Cause: nothing weighed how much time was left. A request was taken when its last byte came, whenever that was, waited for a place, was sent and sent once more, until the connections were closed at the end.

Change: from the start of a stop on, a request is passed on only if its time, or five times the mean of its service and half of the stop, fits into what is left; else it is refused at once with 503 and 0.1 s, as its caller can send it elsewhere. That holds on arrival, after a wait for a place, and for each repetition or resumption. Replicas are told the end of the stop as their deadline, waits end with it, and what is still unanswered gets 504, or 408 if its body has not come, 0.2 s before connections are closed.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/app.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/app.py
@@ -189,7 +189,7 @@
         serve = serve_stream if ex.route.type is RouteType.STREAMING else serve_buffered
         try:
             async with (
-                asyncio.timeout(max(0.0, ex.remaining_s())),
+                self._context.stop.limited(max(0.0, ex.remaining_s())),
                 self._context.quarantine.admitted(ex),
             ):
                 await self._context.quotas.admit(ex)
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/callers.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/callers.py
@@ -104,6 +104,13 @@
         if not self.busy:
             self._writer.close()
 
+    def stop_receiving(self) -> None:
+        """Answers a request that is still being received, so that it may be sent elsewhere."""
+        if self.busy and self._requests.waiting_since_s is not None and not self._cut.is_set():
+            self._cut.set()
+            self._requests.refused = True
+            self._reader.set_exception(_CutError())
+
     def _cut_off(self) -> str:
         """Ends the connection, so that what is held for it is released; returns what it was."""
         if self._cut.is_set():
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/context.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/context.py
@@ -8,6 +8,7 @@
 from .origin_exchange import OriginExchange
 from .quarantine import Quarantine
 from .quotas import Quotas
+from .stop_time import StopTime
 from .transcripts import Transcripts
 from .turn_store import TurnStore
 from .upstreams import ConnectionPool
@@ -24,3 +25,4 @@
     origins: OriginExchange
     transcripts: Transcripts
     quotas: Quotas
+    stop: StopTime
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/retries.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/retries.py
@@ -13,6 +13,7 @@
 from .refusals import RefusedError
 from .replica_state import InFlightRequest
 from .replica_table import ReplicaGroup
+from .stop_time import stopping_error
 from .upstreams import ResponseError, UpstreamConnection
 
 STATUS_BAD_GATEWAY = 502
@@ -74,6 +75,8 @@
         HttpError: No replica responded, and a retry is useless or not allowed.
     """
     while True:
+        mean_response_s = context.fleet.table.mean_response_s(ex.service)
+        context.stop.check(ex, mean_response_s)
         if ex.may_have_run:
             context.quarantine.check_repeat(ex)
         group = ReplicaGroup(ex.service, ex.version)
@@ -85,6 +88,7 @@
             context.fleet.limits.charge(replica)
         else:
             replica = await _choose(context, ex, group)
+            context.stop.check(ex, mean_response_s)
         preferred = ""
         address = context.fleet.table.address(replica)
         if not address:
@@ -131,14 +135,18 @@
 
 async def _choose(context: Context, ex: Exchange, group: ReplicaGroup) -> str:
     started_s = time.monotonic()
+    reserve_s = context.stop.expected_s(ex, context.fleet.table.mean_response_s(ex.service))
     try:
-        choice = await context.fleet.acquire(
-            group,
-            ex.request,
-            ex.queued_request(),
-            ex.excluded,
-            context.quarantine.spread_key(ex),
-        )
+        async with context.stop.limited(reserve_s=reserve_s):
+            choice = await context.fleet.acquire(
+                group,
+                ex.request,
+                ex.queued_request(),
+                ex.excluded,
+                context.quarantine.spread_key(ex),
+            )
+    except TimeoutError as exc:
+        raise stopping_error(ex) from exc
     except RefusedError as refused:
         if ex.may_have_run:
             raise HttpError(STATUS_BAD_GATEWAY, refused.reason) from refused
@@ -172,7 +180,7 @@
     resume_after: int | None,
 ) -> None:
     headers = context.dialect.write_request(
-        ex.request, Dispatch(replica, ex.remaining_s(), resume_after)
+        ex.request, Dispatch(replica, context.stop.remaining_s(ex), resume_after)
     )
     ex.send_count += 1
     ex.sent_to.add(replica)
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/run.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/run.py
@@ -33,6 +33,7 @@
 from .quotas import Quotas
 from .registration import register_in_background
 from .sockets import LISTEN_BACKLOG
+from .stop_time import ANSWER_MARGIN_S, StopTime
 from .transcripts import Transcripts
 from .turn_store import TurnStore
 from .upstreams import ConnectionPool
@@ -98,6 +99,7 @@
         origins,
         Transcripts(settings.host),
         quotas,
+        StopTime(),
     )
     gateway = Gateway(context, metrics, _freshness(watcher, settings.max_key_age_s))
     loads = _exchange_loads(settings, context, watcher.sources, latest, metrics)
@@ -126,7 +128,7 @@
     )
     await stop.wait()
     background.cancel()
-    await _shut_down(settings, gateway, callers, server)
+    await _shut_down(settings, gateway, callers, server, context.stop)
     try:
         async with asyncio.timeout(SETTLE_TIMEOUT_S):
             await turns.wait_settled()
@@ -258,14 +260,23 @@
 
 
 async def _shut_down(
-    settings: ProcessSettings, gateway: Gateway, callers: CallerConnections, server: asyncio.Server
+    settings: ProcessSettings,
+    gateway: Gateway,
+    callers: CallerConnections,
+    server: asyncio.Server,
+    stop_time: StopTime,
 ) -> None:
     """Accepts connections until the platform sends no more, then finishes requests in flight."""
     callers.closing = True
-    end_s = time.monotonic() + settings.stop_timeout_s - STOP_MARGIN_S
+    left_s = settings.stop_timeout_s - STOP_MARGIN_S
+    end_s = time.monotonic() + left_s
+    stop_time.begin(left_s)
     await asyncio.sleep(SHUTDOWN_DELAY_S)
     server.close()
     while time.monotonic() < end_s:
+        if time.monotonic() >= end_s - ANSWER_MARGIN_S:
+            for conn in list(callers.open):
+                conn.stop_receiving()
         for conn in list(callers.open):
             conn.close_if_idle()
         if not gateway.in_flight and not callers.open:
--- a/tests/deployed/harness.py
+++ b/tests/deployed/harness.py
@@ -28,6 +28,7 @@
 from endiveworks_daemon.gateway.quarantine import Quarantine
 from endiveworks_daemon.gateway.quotas import Quotas
 from endiveworks_daemon.gateway.run import CallerConnections, listen
+from endiveworks_daemon.gateway.stop_time import StopTime
 from endiveworks_daemon.gateway.transcripts import Transcripts
 from endiveworks_daemon.gateway.turn_store import TurnStore
 from endiveworks_daemon.gateway.upstreams import ConnectionPool
@@ -110,6 +111,7 @@
         self.origins = OriginExchange(host)
         self.transcripts = Transcripts(host)
         self.quotas = Quotas()
+        self.stop_time = StopTime()
         self.peer_address = ""
         self.kv_reachable = True
         self.config_age_s: float | None = None
@@ -133,6 +135,7 @@
             self.origins,
             self.transcripts,
             self.quotas,
+            self.stop_time,
         )
         return Gateway(context, self.metrics, self.freshness)
 
--- a/tests/deployed/test_stopping_entry.py
+++ b/tests/deployed/test_stopping_entry.py
@@ -9,6 +9,7 @@
 from endiveworks_daemon.gateway.callers import RawRequest, Responder
 from endiveworks_daemon.gateway.run import SHUTDOWN_DELAY_S, CallerConnections, listen
 from endiveworks_daemon.gateway.run import _shut_down as shut_down
+from endiveworks_daemon.gateway.stop_time import StopTime
 from endiveworks_standins.site_caller import read_response, write_request
 
 from tests.deployed.harness import run
@@ -43,7 +44,9 @@
                 if transport.get_write_buffer_size() and not stopping:
                     transports.append(transport)
                     stopping.append(
-                        asyncio.create_task(shut_down(settings, gateway, callers, server))
+                        asyncio.create_task(
+                            shut_down(settings, gateway, callers, server, StopTime())
+                        )
                     )
                     await asyncio.sleep(0)  # The stop begins.
 
