Answer what was sent ahead before a stopping connection closes, and calls under way at a stopping disk

A stopping entry closed a connection after the current response although further requests had arrived on it, and a stopping disk or entry aborted the connections of other processes while their calls, already synced, were not yet answered.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/disks/run.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/disks/run.py
@@ -22,6 +22,7 @@
 from .view_manager import DISK_ROLE, ViewManager
 
 COALESCE_S = 0.2  # Replacing a host changes the view several times in quick succession.
+FINISH_TIMEOUT_S = 0.5  # A record is synced within milliseconds, or some tenths on a busy disk.
 LEASE_S = 2.0  # The replacement of a lost host must be in sync within a few seconds.
 
 
@@ -84,6 +85,8 @@
     for task in pending:
         task.cancel()
     watcher.stop()
+    await server.finish(FINISH_TIMEOUT_S)
+    await asyncio.sleep(0)  # Lets the last replies be sent.
     server.close()
     origins.close()
     disk_store.close()
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/callers.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/callers.py
@@ -168,7 +168,7 @@
         responder = Responder(
             self._conn,
             self._writer,
-            lambda: self._requests.refused or self._closing(),
+            lambda: self._requests.refused or self._closes_next(),
             self._account,
             self._unread,
         )
@@ -191,7 +191,15 @@
             self._account.end_request()
         self._requests.busy = False
         complete = responder.ended and self._conn.our_state is h11.DONE
-        return complete and self._conn.their_state is h11.DONE and not self._closing()
+        return complete and self._conn.their_state is h11.DONE and not self._closes_next()
+
+    def _closes_next(self) -> bool:
+        """Returns whether the connection closes after the current response.
+
+        A request that has arrived behind it is answered first: its caller can't tell whether it
+        was read.
+        """
+        return self._closing() and not self._requests.has_next()
 
     async def _wait_for_disconnect(self) -> None:
         """Returns when the caller has disconnected; buffers pipelined requests until then."""
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/request_reader.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/request_reader.py
@@ -63,6 +63,10 @@
         unparsed = len(getattr(self._reader, "_buffer", b""))
         self._account.set(Item.INPUT, self._pipelined_bytes + unparsed)
 
+    def has_next(self) -> bool:
+        """Returns whether bytes of the next request have arrived while one is being served."""
+        return bool(self._conn.trailing_data[0])
+
     async def read_ahead(self) -> bool:
         """Reads pipelined requests; returns False if the caller disconnects, True if it must stop.
 
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/run.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/run.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 
 from endiveworks.gateway.authentication import Freshness
 from endiveworks.gateway.cluster_state import ClusterState
@@ -135,7 +135,7 @@
     except TimeoutError:
         logs.logger("turns").warning("settlements_left")
     watcher.stop()
-    close_peers()
+    await close_peers()
 
 
 def _freshness(watcher: StateWatcher, max_key_age_s: float | None) -> Callable[[], Freshness]:
@@ -195,12 +195,14 @@
 
 async def _serve_peers(
     address: str, handlers: Mapping[str, rpc.Handler], origins: OriginExchange
-) -> Callable[[], None]:
+) -> Callable[[], Awaitable[None]]:
     """Receives calls and datagrams of other processes, and returns a function that ends this."""
     rpc_server = await rpc.serve(address, handlers)
     await origins.start(address)
 
-    def close() -> None:
+    async def close() -> None:
+        # Calls to disks that this process relays for others are among them.
+        await rpc_server.finish(SETTLE_TIMEOUT_S)
         origins.close()
         rpc_server.close()
 
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/rpc.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/rpc.py
@@ -125,54 +125,89 @@
     Attributes:
         address: Address it listens on, as "ip:port".
         close: Stops listening and closes all connections.
+        finish: Takes no more calls, and waits for up to some seconds until those under way have
+            been answered.
     """
 
     address: str
     close: Callable[[], None]
+    finish: Callable[[float], Awaitable[None]]
 
 
-async def serve(address: str, handlers: Mapping[str, Handler]) -> RpcServer:
-    """Serves RPCs at "ip:port".
-
-    Args:
-        address: Address to listen on; port 0 selects a free port.
-        handlers: Handlers by method name.
+class _CallServer:
+    """Connections of a server, and the calls under way on them."""
 
-    Raises:
-        OSError: The address can't be bound.
-    """
-    writers: set[asyncio.StreamWriter] = set()
+    def __init__(self, handlers: Mapping[str, Handler]) -> None:
+        self._handlers = handlers
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._running: set[asyncio.Task[None]] = set()
+        self._finishing = False
 
-    async def on_connection(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def serve_connection(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serves the calls on one connection until it ends."""
         enable_keepalive(writer)
-        writers.add(writer)
-        tasks: set[asyncio.Task[None]] = set()
+        self._writers.add(writer)
         try:
             while True:
-                call_id, method, message = msgspec.msgpack.decode(
-                    await _read_frame(reader), type=tuple[int, str, bytes]
-                )
-                task = asyncio.create_task(_handle(writer, call_id, handlers[method], message))
-                tasks.add(task)
-                task.add_done_callback(tasks.discard)
+                self._start(writer, await _read_frame(reader))
         except (OSError, EOFError):
             pass  # Expected: peers disconnect when they stop and reconnect when needed.
         except DECODE_ERRORS as exc:
             logs.logger("rpc").warning("message_refused", exc_info=exc)
         finally:
-            writers.discard(writer)
+            self._writers.discard(writer)
+            writer.transport.abort()
+
+    async def finish(self, timeout_s: float) -> None:
+        """Takes no more calls, and sends the replies of those that end within some seconds."""
+        self._finishing = True
+        if self._running:
+            await asyncio.wait(set(self._running), timeout=timeout_s)
+        for writer in self._writers:
+            writer.close()
+
+    def close(self) -> None:
+        """Closes all connections."""
+        for writer in self._writers:
             writer.transport.abort()
 
+    def _start(self, writer: asyncio.StreamWriter, frame: bytes) -> None:
+        call_id, method, message = msgspec.msgpack.decode(frame, type=tuple[int, str, bytes])
+        if self._finishing:
+            return  # The caller learns from the end of the connection that it was not handled.
+        task = asyncio.create_task(_handle(writer, call_id, self._handlers[method], message))
+        self._running.add(task)
+        task.add_done_callback(self._running.discard)
+
+
+async def serve(address: str, handlers: Mapping[str, Handler]) -> RpcServer:
+    """Serves RPCs at "ip:port".
+
+    Args:
+        address: Address to listen on; port 0 selects a free port.
+        handlers: Handlers by method name.
+
+    Raises:
+        OSError: The address can't be bound.
+    """
+    calls = _CallServer(handlers)
     ip, _, port = address.rpartition(":")
-    server = await asyncio.start_server(on_connection, ip, int(port), backlog=LISTEN_BACKLOG)
+    server = await asyncio.start_server(
+        calls.serve_connection, ip, int(port), backlog=LISTEN_BACKLOG
+    )
     ip, port = server.sockets[0].getsockname()
 
     def close() -> None:
         server.close()
-        for writer in writers:
-            writer.transport.abort()
+        calls.close()
+
+    async def finish(timeout_s: float) -> None:
+        server.close()
+        await calls.finish(timeout_s)
 
-    return RpcServer(f"{ip}:{port}", close)
+    return RpcServer(f"{ip}:{port}", close, finish)
 
 
 async def _handle(
--- a/tests/deployed/test_late_requests.py
+++ b/tests/deployed/test_late_requests.py
@@ -8,6 +8,8 @@
 from typing import Any
 
 import pytest
+from endiveworks.errors import Failure
+from endiveworks_daemon import rpc
 from endiveworks_daemon.gateway import run as run_module
 from endiveworks_daemon.gateway.run import STOP_MARGIN_S, CallerConnections, listen
 from endiveworks_daemon.gateway.run import _shut_down as shut_down
@@ -177,6 +179,62 @@
 
         run(scenario)
 
+    def test_one_that_was_sent_ahead_is_answered(self, tmp_path: Path) -> None:
+        """Its caller can't tell whether it was read when the connection just closes."""
+
+        async def scenario() -> None:
+            async with (
+                Deployment(tmp_path, {"shop/a": works_for(0.4)}, timeout_ms=1_000) as deployed,
+                stoppable(deployed) as entry,
+            ):
+                reader, writer = await entry.open()
+                for _ in range(3):
+                    writer.write(_request(ORDER, b"order"))
+                await asyncio.sleep(0.1)
+                entry.begin()
+                replies = [await read_response(reader) for _ in range(3)]
+                assert [reply.status for reply in replies] == [200, 200, 200]
+                assert replies[-1].headers["connection"] == "close"
+                assert await reader.read() == b""
+                await entry.end()
+                writer.close()
+
+        run(scenario)
+
+
+class TestCallsOfOtherProcesses:
+    def test_a_call_under_way_is_answered_and_a_later_one_is_not_run(self) -> None:
+        """A stopping disk had synced records and cut their writers off."""
+
+        async def scenario() -> None:
+            handled: list[bytes] = []
+
+            async def handle(message: bytes) -> bytes:
+                handled.append(message)
+                await asyncio.sleep(0.3)
+                return message
+
+            server = await rpc.serve("127.0.0.1:0", {"echo": handle})
+            client = rpc.RpcClient(server.address)
+            first = asyncio.create_task(client.call_encoded("echo", b"first", 2.0))
+            await asyncio.sleep(0.1)
+            finish = asyncio.create_task(_finish(server))
+            await asyncio.sleep(0.05)
+            later = asyncio.create_task(client.call_encoded("echo", b"later", 2.0))
+            assert (await first).unwrap() == b"first"
+            await finish
+            assert isinstance((await later).failure(), Failure)
+            assert handled == [b"first"]
+            client.close()
+
+        run(scenario)
+
+
+async def _finish(server: rpc.RpcServer) -> None:
+    await server.finish(1.0)
+    await asyncio.sleep(0)
+    server.close()
+
 
 def _request(target: str, body: bytes) -> bytes:
     """Returns the bytes of a request whose deadline is after the stop."""
