--- a/packages/endiveworks-daemon/src/endiveworks_daemon/deployment.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/deployment.py
@@ -1,9 +1,8 @@
 """Membership of this process in its deployment, and the configuration in force."""
 
 import random
-import threading
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 
 from endiveworks.config.active_config import ActiveConfig
 from endiveworks.config.bundle import Bundle
@@ -15,6 +14,7 @@
 from endiveworks.kvservice.kv import Kv
 from endiveworks.links.client import Peers
 from endiveworks.links.retry import backoff_s
+from endiveworks.links.threads import start_forever
 from endiveworks.members.member import Member
 from endiveworks.members.membership import Membership
 from endiveworks.settings.flags import Values
@@ -110,11 +110,11 @@
         self._membership.load(self._kv)
         self._load_config()
         follow = self._membership.follow
-        _start("members", lambda: follow(self._kv, time.sleep, self._rng))
-        _start("config-pull", self._pull_forever)
-        _start("config-watch", self._watch_forever)
+        start_forever("members", lambda: follow(self._kv, time.sleep, self._rng))
+        start_forever("config-pull", self._pull_forever)
+        start_forever("config-watch", self._watch_forever)
         if self._host_list:
-            _start("host-list", self._read_host_list_forever)
+            start_forever("host-list", self._read_host_list_forever)
 
     def lease(self) -> int:
         """Returns the lease of this process's registration; 0 while there is none."""
@@ -179,9 +179,5 @@
     return Deployment(cfg)
 
 
-def _start(name: str, run: Callable[[], None]) -> None:
-    threading.Thread(target=run, name=name, daemon=True).start()
-
-
 def _parse_addresses(text: str) -> tuple[str, ...]:
     return tuple(part.strip() for part in text.split(",") if part.strip())
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/engine_orders.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/engine_orders.py
@@ -1,7 +1,6 @@
 """Sends this process's engine the orders that bring it to the configured state."""
 
 import random
-import threading
 import time
 from collections.abc import Callable
 from typing import NamedTuple
@@ -11,6 +10,7 @@
 from endiveworks.errors import Code, Failure
 from endiveworks.kvservice.kv import Kv
 from endiveworks.links.retry import backoff_s
+from endiveworks.links.threads import start_forever
 from endiveworks.orders.authority import (
     PREDECESSOR_WAIT_S,
     Authority,
@@ -112,7 +112,7 @@
     def start(self) -> None:
         """Runs the first round, then continues in a daemon thread."""
         self.run_round()
-        threading.Thread(target=self._run, name="engine-orders", daemon=True).start()
+        start_forever("engine-orders", self._run)
 
     def status(self) -> EngineStatus:
         """Returns the engine's status for operators."""
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/idle_expiry.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/idle_expiry.py
@@ -2,6 +2,7 @@
 
 import threading
 
+from endiveworks.links.threads import start_forever
 from endiveworks.programs.owner import Owner
 
 _CHECKS_PER_IDLE_TIME = 10
@@ -17,4 +18,4 @@
         while not timer.wait(interval_s):
             owner.close_idle(idle_s)
 
-    threading.Thread(target=close_idle_programs, name="idle-sweep", daemon=True).start()
+    start_forever("idle-sweep", close_idle_programs)
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/load_poller.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/load_poller.py
@@ -1,10 +1,10 @@
 """Polls the upstream processes for their load, a few per second, round robin."""
 
-import threading
 import time
 from collections.abc import Callable, Mapping
 
 from endiveworks.links.client import Peers
+from endiveworks.links.threads import start_forever
 from endiveworks.members.member import Member
 from endiveworks.wire.gen import ttypes
 from returns.result import Success
@@ -41,7 +41,7 @@
 
     def start(self) -> None:
         """Starts polling in a daemon thread."""
-        threading.Thread(target=self._run, name="load-reports", daemon=True).start()
+        start_forever("load-reports", self._run)
 
     def poll_next(self) -> None:
         """Polls the next few processes."""
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/partitions.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/partitions.py
@@ -12,6 +12,7 @@
 from endiveworks.journal.peer import CopyId
 from endiveworks.journal.store import Store
 from endiveworks.kvservice.kv import Kv
+from endiveworks.links.threads import start_forever
 from endiveworks.members.member import Member
 from endiveworks.ownership import planner
 from endiveworks.ownership.deployment_info import DeploymentInfo, ensure_deployment_info
@@ -96,12 +97,8 @@
         self.table.load(self._deps.kv)
         self._deployment_info = ensure_deployment_info(self._deps.kv).value_or(None)
         rng = random.Random(member.incarnation)
-        threading.Thread(
-            target=lambda: self.table.follow(self._deps.kv, time.sleep, rng),
-            name="table-view",
-            daemon=True,
-        ).start()
-        threading.Thread(target=self._run, name="keeper", daemon=True).start()
+        start_forever("table-view", lambda: self.table.follow(self._deps.kv, time.sleep, rng))
+        start_forever("keeper", self._run)
 
     def count(self) -> int:
         """Returns the number of partitions of the deployment; 0 while it is not known."""
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/prefix_lease_manager.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/prefix_lease_manager.py
@@ -13,6 +13,7 @@
     renew,
 )
 from endiveworks.engines.memory import EngineMemory
+from endiveworks.links.threads import start_forever
 from endiveworks.telemetry.logs import logger
 from returns.result import Success
 
@@ -42,7 +43,7 @@
 
     def start(self) -> None:
         """Starts a daemon thread that releases prefixes without a lease."""
-        threading.Thread(target=self._run, name="engine-keeper", daemon=True).start()
+        start_forever("engine-keeper", self._run)
 
     def memory_tokens(self) -> int:
         """Returns the size of the engine's memory in tokens; 0 while it is unknown."""
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/prefix_lease_renewer.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/prefix_lease_renewer.py
@@ -1,12 +1,12 @@
 """Renews the prefix leases of the programs that this host owns; ends those of closed programs."""
 
-import threading
 import time
 from collections import defaultdict
 from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
 from endiveworks.links.client import Peers
+from endiveworks.links.threads import start_forever
 from endiveworks.members.member import Member
 from endiveworks.programs.owner import Owner
 from endiveworks.programs.state import Partition
@@ -60,7 +60,7 @@
 
     def start(self) -> None:
         """Starts a daemon thread that sends the renewals."""
-        threading.Thread(target=self._run, name="hold-renewal", daemon=True).start()
+        start_forever("hold-renewal", self._run)
 
     def renew(self) -> None:
         """Sends one round of renewals and releases."""
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/upstream.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/upstream.py
@@ -2,7 +2,6 @@
 
 import math
 import random
-import threading
 import time
 from collections.abc import Callable
 
@@ -13,6 +12,7 @@
 from endiveworks.engines.memory import engine_memory
 from endiveworks.engines.orders import engine_orders
 from endiveworks.links import server
+from endiveworks.links.threads import start_forever
 from endiveworks.members.member import Member
 from endiveworks.orders.slots import Holder
 from endiveworks.settings.flags import Values
@@ -81,7 +81,7 @@
         identity, executor, deployment.record_sender, deployment.encoded_bundle, lease_manager
     )
     lease_manager.start()
-    threading.Thread(target=_expire, args=(executor,), name="expire", daemon=True).start()
+    start_forever("expire", lambda: _expire(executor))
     thrift_server = server.serve(
         with_async_pull(ExecutorThrift.Processor(service), service),
         cfg.text("listen"),
--- a/tests/deployed/test_foreign_entries.py
+++ b/tests/deployed/test_foreign_entries.py
@@ -24,7 +24,7 @@
 from endiveworks_daemon.gateway.sockets import connect
 from endiveworks_daemon.state_watcher import StateWatcher
 from endiveworks_daemon.supervised_task import run_supervised
-from endiveworks_site import cluster_state, config, store
+from endiveworks_site import cluster_state, config, headers, store
 from endiveworks_standins.site_store import SiteStore, running_store
 from returns.result import Failure as Err
 from returns.result import Result, Success
@@ -400,6 +400,44 @@
         assert not event.is_well_formed
 
 
+class TestCallers:
+    HEAD = ((b"host", b"x"), (b"request-id", b"r"), (b"program-id", b"p"))
+    SOUND = (
+        (b"deadline-ms", b"4000"),
+        (b"program-deadline-ms", b"5200.5"),
+        (b"token-usage", b"1840, 589"),
+        (b"token-budget", b"4712"),
+        (b"last-event-id", b"17"),
+        (b"prompt-prefix", b"5c1e07a2:800, 91bd3f06:410"),
+    )
+
+    def test_sound_numbers(self) -> None:
+        request = headers.read_request("GET", "/", [*self.HEAD, *self.SOUND])
+        assert not isinstance(request, str)
+        assert (request.remaining_s, request.max_tokens, request.resume_after) == (4.0, 589, 17)
+        assert [part.tokens for part in request.parts] == [800, 410]
+
+    @pytest.mark.parametrize(
+        ("name", "value"),
+        [
+            (b"deadline-ms", b"nan"),
+            (b"deadline-ms", b"inf"),
+            (b"program-deadline-ms", b"1e400"),
+            (b"token-usage", b"1," + b"9" * 400),
+            (b"token-usage", b"9" * 400 + b",1"),
+            (b"token-usage", b"1,-4"),
+            (b"token-budget", b"9" * 400),
+            (b"last-event-id", b"9" * 5000),
+            (b"prompt-prefix", b"a:" + b"9" * 400),
+        ],
+    )
+    def test_a_number_that_no_message_can_hold_is_refused(self, name: bytes, value: bytes) -> None:
+        """Such a request got 500, after its number had been counted."""
+        sound = [pair for pair in self.SOUND if pair[0] != name]
+        request = headers.read_request("GET", "/", [*self.HEAD, *sound, (name, value)])
+        assert isinstance(request, str)
+
+
 class _DiskStore:
     """What the manager of the view needs of a disk."""
 
