Take an engine's event that can't become part of a response for a broken stream

The class of the odd entries in the product's own interface: the upstream process passed an engine's events on unread, and the owner assembled the response from them later. Each event is decoded by type where it arrives now, and what can't be read counts as a broken stream, which is resumed or fails like any other.

Result: 15 tests of odd events, new; read_usage did not exist before.

--- a/packages/endiveworks/src/endiveworks/engines/chat.py
+++ b/packages/endiveworks/src/endiveworks/engines/chat.py
@@ -3,14 +3,13 @@
 from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
-import msgspec
 import urllib3
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
 from ..calls.stream import FinalStatus
 from ..errors import Code, Failure
-from .chat_format import EVENT_END, Usage, event_data
+from .chat_format import EVENT_END, Usage, event_data, read_usage
 
 EVENT_STREAM = "text/event-stream"
 _MAX_RESUMES = 3
@@ -118,7 +117,11 @@
     http: urllib3.PoolManager, job: ChatJob, response: urllib3.BaseHTTPResponse, progress: _Progress
 ) -> Result[FinalStatus, Failure]:
     for event in _events(response):
-        _record_event(event, progress)
+        try:
+            _record_event(event, progress)
+        except ValueError as exc:
+            detail = f"the engine sent an event that can't be read: {exc}"
+            return Err(Failure(Code.UPSTREAM_FAILED, _STEP, job.base_url, detail))
         if progress.done:
             response.drain_conn()
             return Success(_completed(progress))
@@ -165,19 +168,16 @@
     if data == b"[DONE]":
         progress.done = True
         return
+    progress.usage = read_usage(data) or progress.usage
     progress.events += 1
     for line in event.split(b"\n"):
         if line.startswith(_ID_PREFIX):
             progress.last_id = line[len(_ID_PREFIX) :].strip()
-    # Only the last events carry usage; the search is cheaper than decoding each event.
-    if b'"usage"' in data:
-        chunk = msgspec.json.decode(data)
-        progress.usage = chunk.get("usage") or progress.usage
 
 
 def _completed(progress: _Progress) -> FinalStatus:
     usage = progress.usage
-    cached = (usage.get("prompt_tokens_details") or {}).get("cached_tokens", 0)
+    cached = (usage.get("prompt_tokens_details") or {}).get("cached_tokens") or 0
     return FinalStatus(
         status=200,
         content_type=EVENT_STREAM,
--- a/packages/endiveworks/src/endiveworks/engines/chat_format.py
+++ b/packages/endiveworks/src/endiveworks/engines/chat_format.py
@@ -2,7 +2,7 @@
 
 import time
 from collections.abc import Iterator, Sequence
-from typing import Any, NamedTuple, TypedDict
+from typing import Annotated, Any, NamedTuple, TypedDict
 
 import msgspec
 from returns.result import Failure as Err
@@ -11,6 +11,7 @@
 from ..errors import Code, Failure
 
 MAX_RESPONSE_TOKENS = 2**31 - 1
+MAX_TOOL_CALLS = 1_024  # Tool calls in one response of an engine.
 DONE_EVENT = b"data: [DONE]\n\n"
 EVENT_END = b"\n\n"
 _DATA_PREFIX = b"data: "
@@ -26,12 +27,49 @@
 _RAW_LIST = msgspec.json.Decoder(list[msgspec.Raw])
 
 
+Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_RESPONSE_TOKENS)]
+
+
+class _CachedTokens(TypedDict, total=False):
+    cached_tokens: Count | None
+
+
 class Usage(TypedDict, total=False):
     """Token counts as an engine reports them."""
 
-    prompt_tokens: int
-    completion_tokens: int
-    prompt_tokens_details: dict[str, int]
+    prompt_tokens: Count
+    completion_tokens: Count
+    prompt_tokens_details: _CachedTokens | None
+
+
+class _Function(TypedDict, total=False):
+    name: str | None
+    arguments: str | None
+
+
+class _ToolCall(TypedDict, total=False):
+    # Each index up to the largest one becomes an entry of the assembled message.
+    index: Annotated[int, msgspec.Meta(ge=0, lt=MAX_TOOL_CALLS)]
+    id: str | None
+    function: _Function | None
+
+
+class _Delta(TypedDict, total=False):
+    content: str | None
+    tool_calls: list[_ToolCall] | None
+
+
+class _Choice(TypedDict, total=False):
+    delta: _Delta
+    finish_reason: str | None
+
+
+class _Chunk(TypedDict, total=False):
+    choices: list[_Choice]
+    usage: Usage | None
+
+
+_CHUNK = msgspec.json.Decoder(_Chunk)
 
 
 class Message(TypedDict, total=False):
@@ -157,6 +195,18 @@
     return b""
 
 
+def read_usage(data: bytes) -> Usage:
+    """Returns the token counts in the data of an engine's event; empty if it has none.
+
+    Raises:
+        ValueError: The data can't become part of a response.
+    """
+    try:
+        return _CHUNK.decode(data).get("usage") or {}
+    except RecursionError as exc:
+        raise ValueError(str(exc)) from exc
+
+
 def assemble(events: bytes) -> bytes:
     """Assembles a stream of events into a complete chat completion, as JSON."""
     merged: dict[str, Any] = {"object": "chat.completion"}
--- a/packages/endiveworks/src/endiveworks/engines/tests/test_chat.py
+++ b/packages/endiveworks/src/endiveworks/engines/tests/test_chat.py
@@ -8,6 +8,7 @@
 from endiveworks.engines.chat import ChatJob, run_chat
 
 FIRST_EVENT = b'id: 1\ndata: {"choices":[{"delta":{"content":"hi "}}]}\n\n'
+ODD = 299  # Stands for a stream with an event that can't be read.
 Run = Callable[[list[int]], tuple[FinalStatus, bytes]]
 
 
@@ -20,9 +21,10 @@
         def do_POST(self) -> None:  # noqa: N802 (name set by the library)
             self.rfile.read(int(self.headers["Content-Length"]))
             status = statuses.pop(0) if len(statuses) > 1 else statuses[0]
-            self.send_response(status)
+            self.send_response(200 if status == ODD else status)
             self.end_headers()
-            self.wfile.write(FIRST_EVENT if status == 200 else b'{"error":{}}')
+            odd = {ODD: b"data: " + b"[" * 100_000 + b"\n\n", 200: FIRST_EVENT}
+            self.wfile.write(odd.get(status, b'{"error":{}}'))
 
         def log_message(self, *args: object) -> None:
             """Suppresses the request log."""
@@ -52,3 +54,11 @@
         assert run([404])[0].status == 404
         failure = run([503])[0].failure
         assert failure is not None and failure.not_run
+
+
+class TestOddEvents:
+    def test_an_event_that_can_not_be_read_counts_as_a_broken_stream(self, run: Run) -> None:
+        final_status, data = run([200, ODD])
+        assert data == FIRST_EVENT
+        assert final_status.failure is not None and not final_status.failure.not_run
+        assert "can't be read" in final_status.failure.detail
--- a/packages/endiveworks/src/endiveworks/engines/tests/test_chat_format.py
+++ b/packages/endiveworks/src/endiveworks/engines/tests/test_chat_format.py
@@ -4,6 +4,7 @@
     assemble,
     engine_request,
     parse_request,
+    read_usage,
     render_events,
     token_counts,
 )
@@ -83,3 +84,35 @@
         whole = msgspec.json.decode(assemble(EVENTS))
         again = msgspec.json.decode(assemble(render_events(assemble(EVENTS))))
         assert again["choices"] == whole["choices"] and again["usage"] == whole["usage"]
+
+
+class TestEventsOfEngines:
+    """No response can be assembled from odd ones, which raised RecursionError and others there."""
+
+    @pytest.mark.parametrize("event", EVENTS.split(b"\n\n")[:-1])
+    def test_sound_events_become_a_response(self, event: bytes) -> None:
+        data = event.partition(b"data: ")[2]
+        assert read_usage(data) == msgspec.json.decode(data).get("usage", {})
+
+    @pytest.mark.parametrize(
+        "data",
+        [
+            b"[" * 100_000,
+            b'{"x":' * 100_000,
+            b"hello",
+            b"null",
+            b"[]",
+            b'{"choices":7}',
+            b'{"choices":[{"delta":7}]}',
+            b'{"choices":[{"delta":{"content":7}}]}',
+            b'{"choices":[{"delta":{"tool_calls":[{"index":1000000000}]}}]}',
+            b'{"choices":[{"delta":{"tool_calls":[{"index":-1}]}}]}',
+            b'{"usage":[1]}',
+            b'{"usage":{"prompt_tokens":"x"}}',
+            b'{"usage":{"prompt_tokens":-1}}',
+            b'{"usage":{"prompt_tokens":1' + b"0" * 400 + b"}}",
+        ],
+    )
+    def test_odd_events_are_refused(self, data: bytes) -> None:
+        with pytest.raises(ValueError):
+            read_usage(data)
