Take no plain service's response for whole if it is cut within a line

Change: the response's file raises IncompleteRead at the end of the connection within a line; that holds for heads as well.

--- a/packages/endiveworks/src/endiveworks/engines/plain.py
+++ b/packages/endiveworks/src/endiveworks/engines/plain.py
@@ -1,10 +1,12 @@
 """Runs a call on a service without a model; a failure tells whether the call may have run."""
 
+import http.client
 import time
 from http import HTTPStatus
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import urllib3
+from urllib3.connection import HTTPConnection
 
 from ..calls.stream import FinalStatus
 from ..errors import Code, Failure
@@ -42,6 +44,40 @@
     final_status: FinalStatus
 
 
+class _WholeLines:
+    """A response's file that raises an error at the end of the connection within a line.
+
+    The HTTP parser would take the first digits of a chunk's size, or of a header, for all of it.
+    """
+
+    def __init__(self, file: Any) -> None:
+        self._file = file
+
+    def readline(self, limit: int = -1) -> bytes:
+        """Returns the next line; raises IncompleteRead if the connection ends within it."""
+        line: bytes = self._file.readline(limit)
+        if line and not line.endswith(b"\n") and (limit < 0 or len(line) < limit):
+            raise http.client.IncompleteRead(line)
+        return line
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._file, name)
+
+
+class _Response(http.client.HTTPResponse):
+    def __init__(self, *args: Any, **named: Any) -> None:
+        super().__init__(*args, **named)
+        self.fp: Any = _WholeLines(self.fp)
+
+
+class _Connection(HTTPConnection):
+    response_class = _Response
+
+
+class _ConnectionPool(urllib3.HTTPConnectionPool):
+    ConnectionCls = _Connection
+
+
 def run_plain(job: PlainJob) -> PlainResponse:
     """Runs a call once on a fresh connection, without retries or redirects.
 
@@ -49,9 +85,10 @@
     the request was received.
     """
     deadline = time.monotonic() + job.timeout_s
-    with urllib3.PoolManager(num_pools=1, maxsize=1) as http:
+    with urllib3.PoolManager(num_pools=1, maxsize=1) as pools:
+        pools.pool_classes_by_scheme = {**pools.pool_classes_by_scheme, "http": _ConnectionPool}
         try:
-            response = http.request(
+            response = pools.request(
                 "POST",
                 f"{job.base_url}/{job.operation}",
                 body=job.body,
