--- a/packages/endiveworks-daemon/src/endiveworks_daemon/disks/view_manager.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/disks/view_manager.py
@@ -98,6 +98,7 @@
         self._known_disks: dict[str, Disk] = {}
         self._synced_epoch = 0
         self._sync = _SyncProgress(0, 0, 0.0)
+        self._given_up_epoch = 0
         self._reported_hosts: set[str] = set()
         self._proposed_revision = -1
         self._proposed_at_s = 0.0
@@ -196,7 +197,9 @@
         if self._synced_epoch == view.epoch:
             return view._replace(synced=(*view.synced, folder))
         if time.monotonic() - self._sync.since_s > SYNC_STALLED_S:
-            logs.logger("turns").warning("sync_given_up", epoch=view.epoch)
+            if self._given_up_epoch != view.epoch:
+                self._given_up_epoch = view.epoch
+                logs.logger("turns").warning("sync_given_up", epoch=view.epoch)
             return undo_change(view)
         return None
 
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/stop_time.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/stop_time.py
@@ -4,11 +4,10 @@
 import contextlib
 import time
 from collections.abc import AsyncIterator
+from http import HTTPStatus
 
 from .exchange import Exchange, HttpError
 
-STATUS_BAD_GATEWAY = 502
-STATUS_UNAVAILABLE = 503
 # Time reserved at the end for responses to reach their callers.
 ANSWER_MARGIN_S = 0.2
 # A request is expected to take up to this multiple of its service's mean response time.
@@ -95,5 +94,5 @@
 
 def stopping_error(ex: Exchange) -> HttpError:
     """Returns the response to a request that can't end before this process does."""
-    status = STATUS_BAD_GATEWAY if ex.may_have_run else STATUS_UNAVAILABLE
+    status = HTTPStatus.BAD_GATEWAY if ex.may_have_run else HTTPStatus.SERVICE_UNAVAILABLE
     return HttpError(status, "this process stops before the request could end", STOPPING_RETRY_S)
