Give the hosts and disks of two tests addresses that can be connected to

Hosts and views with an address that no process could connect to are refused since the change of the decoders, as the field is documented as ip:port.

The tests ask for the same as before, with addresses as processes write them.

--- a/packages/endiveworks/src/endiveworks/orders/tests/test_slots.py
+++ b/packages/endiveworks/src/endiveworks/orders/tests/test_slots.py
@@ -80,7 +80,8 @@
 class TestAuthority:
     def register(self, store: SlotStore, me: Holder) -> None:
         key = HOSTS_PREFIX + me.host
-        member = Member(me.host, "", "upstream", "assistant", "east", "east-1", me.incarnation)
+        address = "10.0.0.1:7000"
+        member = Member(me.host, address, "upstream", "assistant", "east", "east-1", me.incarnation)
         found = store.kv.read(key).unwrap()
         expected = found.mod_revision if found else 0
         store.kv.swap(Swap(key, encode_member(member), expected))
--- a/packages/endiveworks/src/endiveworks/turns/tests/test_view_change.py
+++ b/packages/endiveworks/src/endiveworks/turns/tests/test_view_change.py
@@ -88,7 +88,8 @@
         assert not is_read_quorum(view, names[smallest:])
 
     def test_a_view_survives_encoding(self) -> None:
-        view = View(2, 1, (A, B, C), (B, C, D), ("d",))
+        a, b, c, d = (x._replace(address=f"10.0.0.1:{n}") for n, x in enumerate((A, B, C, D), 1))
+        view = View(2, 1, (a, b, c), (b, c, d), ("d",))
         assert decode(encode(view)) == view
 
     def test_each_disk_is_listed_once(self) -> None:
