Repeat no late record over a relay to another region

When the link between regions is full, their replies are late for a quarter of a second, and each record was repeated over a relay of the same region, which shares that link.

Change: a late call to a disk of another region isn't repeated over a relay; one that failed still is.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/quorum.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/quorum.py
@@ -259,10 +259,14 @@
     def _may_hedge(self, path: Path) -> bool:
         """Tells whether a late call may be repeated on a path.
 
-        A disk that replied recently is slow, or its link is saturated; a relay would not help.
+        A disk that replied recently is slow, or its link is saturated; a relay would not help. A
+        relay of this region shares the link to other regions, which may be full.
         """
+        if not path.via_relay:
+            return True
         last_reply_s = self._last_reply_s.get(path.disk.address, 0.0)
-        return not path.via_relay or time.monotonic() - last_reply_s > LINK_LOST_AFTER_S
+        is_near = path.disk.region == self._here.region
+        return is_near and time.monotonic() - last_reply_s > LINK_LOST_AFTER_S
 
     def _ranked(self, view: View) -> list[Disk]:
         now_s = time.monotonic()
--- a/tests/deployed/test_erased_disks.py
+++ b/tests/deployed/test_erased_disks.py
@@ -7,14 +7,17 @@
 from collections.abc import Iterator
 from pathlib import Path
 
+from endiveworks.members.member import Member
 from endiveworks.turns.records import Turn
 from endiveworks.turns.view import View
+from endiveworks_daemon import rpc
 from endiveworks_daemon.disks import catch_up as catch_up_module
 from endiveworks_daemon.disks.catch_up import catch_up
 from endiveworks_daemon.disks.disk_store import DiskStore
 from endiveworks_daemon.gateway.quorum import PROBE_PERIOD_S
+from endiveworks_daemon.gateway.turn_store import TurnStore
 
-from tests.deployed.harness import Deployment, RunningDisk, run, streams
+from tests.deployed.harness import LOCATION, Deployment, RunningDisk, run, streams
 from tests.deployed.test_streams import PROGRAM, TURN, turn
 
 TURNS = 12
@@ -106,6 +109,30 @@
         run(scenario)
 
 
+class TestFullLinkBetweenRegions:
+    def test_a_late_record_is_not_sent_over_it_once_more(self, tmp_path: Path) -> None:
+        """Relays of the same region share the link, so that repetitions filled it further."""
+
+        async def scenario() -> None:
+            with counted_messages(delay_s=2 * HEDGE_S) as folders:
+                async with Deployment(tmp_path, {"llm/a": streams("x")}) as deployed:
+                    far = [disk.disk()._replace(region="west") for disk in deployed.disks]
+                    view = View(2, 1, tuple(far))
+                    relay = TurnStore(LOCATION)
+                    for store in (relay, deployed.turns):
+                        store.adopt(view)
+                    server = await rpc.serve("127.0.0.1:0", relay.handlers())
+                    member = Member("entry-1", server.address, "entry", "", "east", "edin", 1)
+                    deployed.turns.update_relays([member], "entry-0")
+                    stored = Turn("t1", "", b"in", b"out", 60.0)
+                    assert (await deployed.turns.commit(stored, None, 2.0)).unwrap() is None
+                    await asyncio.sleep(HEDGE_S)
+                    assert len(folders) <= len(far)
+                    server.close()
+
+        run(scenario)
+
+
 class TestJoiningDisk:
     def test_it_is_asked_last(self, tmp_path: Path) -> None:
         """It lacks most turns, and is busy with reading them."""
