--- a/review/lab/store.py
+++ b/review/lab/store.py
@@ -42,9 +42,11 @@
         items: The items by key.
         revision: Revision of the last change.
         address: Where it listens, as "ip:port".
+        is_down: Whether calls get no answer and are not executed.
     """
 
     def __init__(self) -> None:
+        self.is_down = False
         self.items: dict[str, Item] = {}
         self.revision = 1
         self.address = ""
@@ -103,7 +105,9 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
             while (message := await read_message(reader)) is not None:
+                await self._wait_until_up()
                 status, fields = await self._handle(message)
+                await self._wait_until_up()
                 body = json.dumps(fields).encode() if fields is not None else b""
                 headers = {"Content-Type": "application/json"}
                 writer.write(response(f"{status} {_TEXT[status]}", body, headers))
@@ -113,6 +117,10 @@
         finally:
             writer.close()
 
+    async def _wait_until_up(self) -> None:
+        while self.is_down:
+            await asyncio.sleep(SWEEP_S)
+
     async def _handle(self, message: Message) -> tuple[int, Any]:
         _, target, _ = message.start.split()
         parts = urlsplit(target)
