--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,4 +1,4 @@
-"""An entry forgets, while the platform's store is away, that a replica said that it leaves."""
+"""Streams that a leaving replica breaks off go on at the same replica, after drain_ms."""
 
 import asyncio
 import random
@@ -20,137 +20,126 @@
     route,
     service,
 )
-from review.lab.wire import SIGNATURE, Message, call, request, response  # noqa: E402
+from review.lab.wire import (  # noqa: E402
+    Message,
+    call,
+    chunk,
+    event,
+    request,
+    reset,
+    stream_head,
+)
 
-REPLICAS, LEAVING = 3, "i-0"
 DRAIN_S = 2.5  # drain_ms
-DOWN_S = 4.5  # for_s of `platform_down` in the site file
-LAPSE_S = 3.6  # Three heartbeat intervals.
-BACK_S = {"i-0": 0.1, "i-1": 1.6, "i-2": 1.8}  # "within about two seconds of its return"
-WORK_S = 0.02
-RATE_PER_S = 40.0
-DEADLINE_MS = 1500
+LINGER_S = 1.5  # "a little longer (at times many seconds)"
+EVENTS, PAUSE_S = 13, 0.28  # Within gap_aim_ms = 300.
+STREAMS = 40  # Streams that run when the replica begins to leave.
+BROKEN_OFF = 1  # x 0.03 of them at most
+ROUNDS = 4
+DEADLINE_MS = 4000
 
 
-class Replacement:
-    """The replicas of a service, one of which leaves."""
+class Release:
+    """Replicas of a model; one after the other leaves, and another is added before."""
 
     def __init__(self, site: Site) -> None:
         self.site = site
         self.site.record.line("settings", trouble=TROUBLE)
-        self.replicas = {
-            name: PlatformReplica(name, self.run)
-            for name in (f"i-{number}" for number in range(REPLICAS))
-        }
-        self.is_leaving = False
-        self.told_s = 0.0  # When a client first had an answer with Server-Leaving.
-        self.sent_s: dict[str, float] = {}
+        self.replicas: dict[str, PlatformReplica] = {}
+        self.drained_s: dict[str, float] = {}
         self.late: list[str] = []
+        self.to_break = 0
 
     async def run(
         self, replica: PlatformReplica, message: Message, writer: asyncio.StreamWriter
     ) -> bool:
-        """Answers an order; the replica that leaves says so."""
-        self.site.record.line("ran", id=message.id, at=replica.name)
-        is_told = replica.name == LEAVING and self.told_s
-        if is_told and self.sent_s[message.id] - self.told_s > DRAIN_S:
+        """Streams events from the one after Last-Event-Id."""
+        now_s = asyncio.get_running_loop().time()
+        after = int(message.headers.get("last-event-id", 0))
+        drained_s = self.drained_s.get(replica.name)
+        since_s = round(now_s - drained_s, 3) if drained_s else "-"
+        self.site.record.line(
+            "ran", id=message.id, at=replica.name, after=after, s_after_ack=since_s
+        )
+        if drained_s and now_s - drained_s > DRAIN_S:
             self.late.append(message.id)
-            after_s = round(self.sent_s[message.id] - self.told_s, 3)
-            self.site.record.line("late", id=message.id, s_after_told=after_s)
-        await asyncio.sleep(WORK_S)
-        headers = {"Request-Id": message.id, "Server-Signature": SIGNATURE}
-        if self.is_leaving and replica.name == LEAVING:
-            headers["Server-Leaving"] = "1"
-        writer.write(response("200 OK", b"x" * 800, headers))
+        writer.write(stream_head(message.id))
+        for number in range(after + 1, EVENTS + 1):
+            await asyncio.sleep(PAUSE_S)
+            if not after and self._breaks_off(replica):
+                self.site.record.line("broken_off", id=message.id, at=replica.name, after=number)
+                reset(writer)
+                return False
+            writer.write(chunk(event(number, f"{message.id}.{number}")))
+            await writer.drain()
+        writer.write(chunk(b""))
         return True
 
-    def register(self, name: str) -> None:
-        """Writes what a replica says of itself; one that leaves is draining."""
-        state = "draining" if self.is_leaving and name == LEAVING else "ready"
-        fields = entry_of("shop-apps", self.replicas[name].address, state, slots=6)
+    def _breaks_off(self, replica: PlatformReplica) -> bool:
+        drained_s = self.drained_s.get(replica.name)
+        now_s = asyncio.get_running_loop().time()
+        if not drained_s or not self.to_break or now_s - drained_s < DRAIN_S + 0.2:
+            return False
+        self.to_break -= 1
+        return TROUBLE
+
+    async def add(self, name: str) -> None:
+        """Starts a replica, which registers."""
+        replica = self.replicas[name] = PlatformReplica(name, self.run)
+        await replica.start()
+        self.site.store.put_json(f"servers/{name}", entry_of("llm", replica.address, slots=64))
+
+    async def leave(self, name: str) -> None:
+        """Lets a replica report that it drains, and end once it has served its last streams."""
+        replica = self.replicas[name]
+        fields = entry_of("llm", replica.address, "draining", slots=64)
         self.site.store.put_json(f"servers/{name}", fields)
-        self.site.record.line("registered", replica=name, state=state)
-
-    async def play(self) -> None:
-        """Lets a replica leave, with the platform's store down as it begins to."""
-        store = self.site.store
-        if not TROUBLE:
-            self.is_leaving = True
-            self.register(LEAVING)
-            return
-        store.is_down = True
-        self.site.record.line("store_down")
-        await asyncio.sleep(0.2)
-        self.is_leaving = True
-        await asyncio.sleep(LAPSE_S - 0.2)
-        for name in self.replicas:
-            store.delete(f"servers/{name}")
-        await asyncio.sleep(DOWN_S - LAPSE_S)
-        store.is_down = False
-        self.site.record.line("store_back")
-        back = [self._come_back(name, after_s) for name, after_s in BACK_S.items()]
-        await asyncio.gather(*back)
-
-    async def _come_back(self, name: str, after_s: float) -> None:
-        await asyncio.sleep(after_s)
-        self.register(name)
-
-
-async def order(replacement: Replacement, request_id: str) -> None:
-    """Sends one order."""
-    site = replacement.site
+        self.drained_s[name] = asyncio.get_running_loop().time()
+        self.site.record.line("draining", replica=name)
+        await asyncio.sleep(DRAIN_S + LINGER_S)
+        replica.stop()
+        self.site.store.delete(f"servers/{name}")
+        self.site.record.line("left", replica=name)
+
+
+async def stream(site: Site, request_id: str) -> None:
+    """Asks for a stream."""
     headers = {"Host": HOST, "Request-Id": request_id, "Deadline-Ms": str(DEADLINE_MS)}
-    data = request("POST", f"/puxa403/{random.randrange(4000)}", headers, b"o" * 600)
-    loop = asyncio.get_running_loop()
-    replacement.sent_s[request_id] = loop.time()
-    found, took_s = await call(site.entries[0].front, data, DEADLINE_MS / 1000)
-    leaving = found.headers.get("server-leaving", "-")
-    site.record.line("answered", id=request_id, status=found.status, leaving=leaving)
-    if leaving == "1" and not replacement.told_s:
-        replacement.told_s = loop.time()
-
-
-async def load(replacement: Replacement) -> None:
-    """Sends orders at random times."""
-    sent: set[asyncio.Task[None]] = set()
-    while True:
-        task = asyncio.create_task(order(replacement, f"{random.getrandbits(64):016x}"))
-        sent.add(task)
-        task.add_done_callback(sent.discard)
-        await asyncio.sleep(random.expovariate(RATE_PER_S))
+    headers |= {"Model": "m", "Token-Usage": "1000,598"}
+    data = request("POST", "/pufi791/2f", headers, b"p" * 17000)
+    found, took_s = await call(site.entries[0].front, data, DEADLINE_MS / 1000 + 0.5)
+    site.record.line(
+        "answered", id=request_id, status=found.status, complete=found.complete, s=round(took_s, 3)
+    )
 
 
 async def case() -> int:
     """Runs the case."""
     site = Site(FOLDER)
-    replacement = Replacement(site)
-    loading: asyncio.Task[None] | None = None
+    release = Release(site)
     try:
         routes = [
-            route(
-                "order-place",
-                "/puxa403/",
-                "non_idempotent",
-                "shop-apps",
-                timeout_ms=DEADLINE_MS,
-                target_latency_ms=242,
-            )
+            route("layout-proof", "/pufi791/", "streaming", "llm", sticky=True, resumable=True)
         ]
-        starting = asyncio.create_task(site.start(routes, [service("shop-apps")]))
-        for name, replica in replacement.replicas.items():
-            await replica.start()
-            replacement.register(name)
+        starting = asyncio.create_task(site.start(routes, [service("llm", 46)]))
+        await release.add("i-0")
         await starting
-        loading = asyncio.create_task(load(replacement))
-        await asyncio.sleep(2.0)
-        await replacement.play()
-        await asyncio.sleep(5.0)
-        print(f"{len(replacement.late)} orders sent later than drain_ms reached {LEAVING}")
-        return BROKEN if replacement.late else HELD
+        await asyncio.sleep(1.0)
+        for number in range(ROUNDS):
+            streams = [
+                asyncio.create_task(stream(site, f"{random.getrandbits(64):016x}"))
+                for _ in range(STREAMS)
+            ]
+            await asyncio.sleep(0.4)
+            await release.add(f"i-{number + 1}")  # The new one starts first.
+            release.to_break = BROKEN_OFF
+            leaving = asyncio.create_task(release.leave(f"i-{number}"))
+            await asyncio.gather(leaving, *streams)
+            await asyncio.sleep(2.0)
+        print(f"{len(release.late)} requests reached a replica later than drain_ms")
+        return BROKEN if release.late else HELD
     finally:
-        if loading is not None:
-            loading.cancel()
-        for replica in replacement.replicas.values():
+        for replica in release.replicas.values():
             replica.stop()
         site.stop()
 
