--- a/review/3/case.py
+++ b/review/3/case.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 
 FOLDER = Path(__file__).parent
+RECORD = FOLDER / "record.txt"  # What was sent, answered and run.
 sys.path.insert(0, str(FOLDER.parents[1]))
 
 from review.lab.replica import PlatformReplica  # noqa: E402
@@ -154,7 +155,7 @@
 
 async def case() -> int:
     """Runs the case."""
-    site = Site(FOLDER, ENTRIES)
+    site = Site(RECORD, ENTRIES)
     orders = Orders(site)
     replicas = [PlatformReplica(name, orders.run) for name in orders.counts]
     running: list[asyncio.Task[None]] = []
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 
 FOLDER = Path(__file__).parent
+RECORD = FOLDER / "record.txt"  # What was sent, answered and run.
 sys.path.insert(0, str(FOLDER.parents[1]))
 
 from review.lab.replica import PlatformReplica  # noqa: E402
@@ -107,6 +108,7 @@
     headers = {"Host": HOST, "Request-Id": request_id, "Deadline-Ms": str(DEADLINE_MS)}
     headers |= {"Model": "m", "Token-Usage": "1000,598"}
     data = request("POST", "/pufi791/2f", headers, b"p" * 17000)
+    site.record.line("sent", id=request_id)
     found, took_s = await call(site.entries[0].front, data, DEADLINE_MS / 1000 + 0.5)
     site.record.line(
         "answered", id=request_id, status=found.status, complete=found.complete, s=round(took_s, 3)
@@ -115,7 +117,7 @@
 
 async def case() -> int:
     """Runs the case."""
-    site = Site(FOLDER)
+    site = Site(RECORD)
     release = Release(site)
     try:
         routes = [
--- a/review/lab/site.py
+++ b/review/lab/site.py
@@ -71,11 +71,11 @@
 
 
 class Record:
-    """The file record.txt in the folder of a case: what was sent, answered and run, and when."""
+    """The file in which a case writes what was sent, answered and run, and when."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, path: Path) -> None:
         self._started_s = time.monotonic()
-        self._file = (folder / "record.txt").open("w")
+        self._file = path.open("w")
 
     def line(self, what: str, **fields: Any) -> None:
         """Writes a line."""
@@ -177,13 +177,13 @@
     """The store and the processes of a deployment.
 
     Args:
-        folder: Folder of the case, for the record.
+        record: Path of the file for the record.
         entries: Number of entries.
         disks: Number of disks.
     """
 
-    def __init__(self, folder: Path, entries: int = 1, disks: int = 3) -> None:
-        self.record = Record(folder)
+    def __init__(self, record: Path, entries: int = 1, disks: int = 3) -> None:
+        self.record = Record(record)
         self.store = PlatformStore()
         self.tmp = Path(tempfile.mkdtemp(prefix="endiveworks-review-"))
         self._counts = (entries, disks)
