Bound what is held of replicas' responses in every deployment

Cause: the bound on held memory was in force only under the terms on slow readers. memory_mb ends a process in every deployment, and responses grow without a slow reader.

Change: memory_mb bounds bodies, prompts, outputs of turns and incomplete events always; the terms on slow readers add what callers make a process hold, as before. On related paths: interim responses, bodies of refusals and of errors that are repeated elsewhere are read for a bounded time; a refusal whose body is cut or endless is still one that has not run.

test_the_memory_of_a_process asserted that the limit is 0 without the terms on slow readers, which was the cause; it now asserts the limit and the terms.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/buffered.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/buffered.py
@@ -67,10 +67,11 @@
         if response.head.status in _OK and not response.head.signed:
             raise ResponseError("a successful response lacks the replica's signature")
         if responder is None:
-            await response.conn.skip_body()
-        elif not await _hold(response, responder, body):
-            await _pass_on(response, responder, body)
-        complete = True
+            complete = await response.conn.discard_body()
+        else:
+            if not await _hold(response, responder, body):
+                await _pass_on(response, responder, body)
+            complete = True
         if ex.route.type is not RouteType.STREAMING:
             response.in_flight_request.record_response()
     except (OSError, ResponseError) as exc:
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/held_memory.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/held_memory.py
@@ -1,4 +1,8 @@
-"""Counts the bytes that this process holds for its callers, and keeps them within a bound."""
+"""Counts the bytes that this process holds for its callers, and keeps them within a bound.
+
+What is held of replicas' responses is always bounded, since a faulty replica may send without end.
+What callers make the process hold is bounded only where callers may read or send slowly.
+"""
 
 import asyncio
 import enum
@@ -37,10 +41,12 @@
     REQUEST = "request"  # Objects of a request and its body.
     INPUT = "input"  # Bytes received beyond what has been parsed.
     RESPONSE = "response"  # Prompt with its history, response or transcript.
+    EVENT = "event"  # Event of a stream that isn't complete.
     OUTPUT = "output"  # Bytes written that the caller has not read.
 
 
-_OF_REQUEST = (Item.REQUEST, Item.RESPONSE)
+_OF_REQUEST = (Item.REQUEST, Item.RESPONSE, Item.EVENT)
+_OF_REPLICAS = (Item.RESPONSE, Item.EVENT)
 _COUNTERS = {"reader": "readers_cut", "sender": "senders_cut", "idle": "idle_connections_cut"}
 
 
@@ -57,7 +63,7 @@
 
     Attributes:
         id: Number of the connection.
-        is_limited: Whether the process has a bound.
+        is_limited: Whether what the caller itself makes the process hold is bounded.
         is_admitted: Whether there was memory for the connection itself.
     """
 
@@ -76,35 +82,54 @@
         self.is_admitted = True
 
     def held(self) -> int:
-        """Returns the bytes held."""
+        """Returns the bytes held, as far as they are bounded."""
         return self._items.total()
 
     def set(self, item: Item, size: int) -> None:
         """Sets the bytes held for an item, whether there is room or not."""
-        self._memory.add(size - self._items[item])
-        self._items[item] = size
+        if self._is_bounded(item):
+            self._memory.add(size - self._items[item])
+            self._items[item] = size
+
+    def resize(self, item: Item, size: int) -> bool:
+        """Sets the bytes held for an item if there is room and it takes only its part of it."""
+        extra = size - self._items[item]
+        if extra <= 0:
+            self.set(item, size)
+            return True
+        if not self.is_fair(self.held() + extra):
+            return False
+        return self.claim(item, extra, Claim.BEHIND)
 
     def claim_response(self, size: int) -> bool:
         """Adds bytes of a response if there is room and it takes only its part of the memory."""
-        if not is_fair(self.held() + size, self._memory.bound):
-            return False
-        return self.claim(Item.RESPONSE, size, Claim.BEHIND)
+        return self.resize(Item.RESPONSE, self._items[Item.RESPONSE] + size)
 
     def claim(self, item: Item, size: int, claim: Claim) -> bool:
         """Adds bytes to an item if there is room; returns whether there was."""
+        if not self._is_bounded(item):
+            return True
         if not self._memory.claim(size, claim):
             return False
         self._items[item] += size
         return True
 
     def has_room(self, claim: Claim) -> bool:
-        """Returns whether there is room for anything of a kind."""
-        return has_room(claim, 0, self._memory.held, self._memory.bound)
+        """Returns whether there is room for anything of a kind from the caller."""
+        return not self.is_limited or has_room(claim, 0, self._memory.held, self._memory.bound)
+
+    def is_fair(self, size: int) -> bool:
+        """Returns whether bytes are no more than one connection's part of the memory."""
+        return is_fair(size, self._memory.bound)
 
     async def wait_for_room(self, item: Item, size: int, claim: Claim) -> None:
         """Adds bytes to an item as soon as there is room."""
-        await self._memory.wait_for_room(size, claim)
-        self._items[item] += size
+        if self._is_bounded(item):
+            await self._memory.wait_for_room(size, claim)
+            self._items[item] += size
+
+    def _is_bounded(self, item: Item) -> bool:
+        return self.is_limited or item in _OF_REPLICAS
 
     def retry_wait_s(self, size: int) -> float:
         """Counts a refusal and returns the expected time until a request has room."""
@@ -137,16 +162,25 @@
     Args:
         memory_mb: Memory of the process in megabytes; 0 for no limit.
         metrics: Receives gauges and counters; None for none.
+        limits_callers: Whether what callers make the process hold is bounded as well.
 
     Attributes:
         bound: The most bytes that may be held; infinite without a limit.
+        is_bounded: Whether there is a limit.
+        is_limited: Whether it applies to what callers make the process hold.
         held: Bytes that are held.
         peak: The most bytes that were held at once.
     """
 
-    def __init__(self, memory_mb: float = 0.0, metrics: Metrics | None = None) -> None:
+    def __init__(
+        self,
+        memory_mb: float = 0.0,
+        metrics: Metrics | None = None,
+        limits_callers: bool = True,
+    ) -> None:
         self.bound = bound_bytes(memory_mb)
-        self.is_limited = math.isfinite(self.bound)
+        self.is_bounded = math.isfinite(self.bound)
+        self.is_limited = self.is_bounded and limits_callers
         self.held = 0
         self.peak = 0
         self._metrics = metrics
@@ -220,8 +254,11 @@
         return expected_room_wait_s(size, self.held, self.bound, self._freed_per_s)
 
     async def run(self) -> None:
-        """Cuts off callers that are behind while memory is short; does nothing without a bound."""
-        while self.is_limited:
+        """Cuts off callers that are behind while memory is short; does nothing without a bound.
+
+        Only callers whose memory is limited have accounts that can be cut.
+        """
+        while self.is_bounded:
             await asyncio.sleep(SWEEP_PERIOD_S)
             self.sweep(time.monotonic())
 
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/responder.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/responder.py
@@ -11,7 +11,7 @@
 
 from .held_memory import Account, Item
 
-# Size of the pieces in which a body is written if the process has a memory bound.
+# Size of the pieces in which a body is written.
 PIECE_BYTES = 32 * 1024
 
 
@@ -90,13 +90,10 @@
 
     async def send(self, data: bytes | bytearray) -> None:
         """Writes a part of the body."""
-        if not self.account.is_limited:
-            self._write_event(h11.Data(data=bytes(data)))
-            await self._drain()
-            return
         for piece in _pieces(data):
-            claim = Claim.FLOWING if self._unread.since_s is None else Claim.BEHIND
-            await self.account.wait_for_room(Item.OUTPUT, len(piece), claim)
+            if self.account.is_limited:
+                claim = Claim.FLOWING if self._unread.since_s is None else Claim.BEHIND
+                await self.account.wait_for_room(Item.OUTPUT, len(piece), claim)
             self._write_event(h11.Data(data=piece))
             await self._drain()
 
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/retries.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/retries.py
@@ -127,6 +127,31 @@
         ex.excluded.add(replica)
 
 
+async def _handle_refusal(
+    context: Context, ex: Exchange, replica: str, conn: UpstreamConnection, is_first: bool
+) -> bool:
+    """Records that a replica has not run a request, as the head of its response says.
+
+    Returns:
+        Whether the connection was given back, as its response is complete.
+    """
+    ex.send_count -= 1
+    ex.excluded.add(replica)
+    if is_first:
+        ex.sent_to.discard(replica)
+    reason = "its body does not end"
+    try:
+        if await conn.discard_body():
+            context.pool.release(replica, conn)
+            return True
+    except (OSError, ResponseError) as exc:
+        reason = f"{type(exc).__name__}: {exc}"
+    logs.logger("gateway").info(
+        "refusal_incomplete", request=ex.request.id, peer=replica, reason=reason
+    )
+    return False
+
+
 def _drop_replica(ex: Exchange, replica: str) -> None:
     """Excludes a replica that is gone and frees its attempt for another one."""
     ex.excluded.add(replica)
@@ -217,13 +242,7 @@
         if head.encoded:
             raise ResponseError("the body has an encoding that was not requested")
         if head.not_run:
-            await conn.skip_body()
-            ex.send_count -= 1
-            ex.excluded.add(replica)
-            if is_first:
-                ex.sent_to.discard(replica)
-            context.pool.release(replica, conn)
-            handed_over = True
+            handed_over = await _handle_refusal(context, ex, replica, conn, is_first)
             return None
         handed_over = True
         return Response(context, replica, conn, head, in_flight_request)
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/run.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/run.py
@@ -67,10 +67,10 @@
     """Serves callers until stop is set, then finishes the requests in flight."""
     location = Location(settings.failure_domain, settings.region)
     metrics = Metrics("", settings.host)
-    memory = HeldMemory(settings.memory_mb, metrics)
+    memory = HeldMemory(settings.memory_mb, metrics, settings.slow_readers)
     fleet, pool, turns = (
         Fleet(location, memory.is_limited),
-        ConnectionPool(memory.is_limited),
+        ConnectionPool(memory.is_bounded),
         TurnStore(location),
     )
     latest: list[ClusterState] = []
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/stream.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/stream.py
@@ -270,9 +270,8 @@
     splitter = EventSplitter()
     while (data := await response.conn.read_data()) is not None:
         events = splitter.feed(data)
-        if len(splitter.pending_bytes()) > READ_BYTES and not responder.account.claim(
-            Item.RESPONSE, len(data), Claim.BEHIND
-        ):
+        pending = splitter.pending_size
+        if not responder.account.resize(Item.EVENT, pending if pending > READ_BYTES else 0):
             raise ResponseError("there is too little memory for an event")
         response.in_flight_request.record_events(len(events))
         for event in events:
@@ -285,11 +284,13 @@
                 await responder.start(STATUS_OK, without_content_length(response.head.headers))
             record_event_sent(context, ex, response)
             if ex.route.retains_turns:
+                if not responder.account.is_fair(len(stream.transcript.output) + len(event.data)):
+                    raise ResponseError("there is too little memory for the output of the turn")
                 await responder.account.wait_for_room(Item.RESPONSE, len(event.data), Claim.FLOWING)
             stream.record_event(event)
             await responder.send(event.raw)
         response.in_flight_request.start_event_wait()
-    if splitter.pending_bytes():
+    if splitter.pending_size:
         raise ResponseError("the stream ended in the middle of an event")
 
 
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/upstreams.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/upstreams.py
@@ -1,6 +1,7 @@
 """HTTP connections to replicas, one request at a time on each, and a pool for their reuse."""
 
 import asyncio
+import contextlib
 import time
 from collections import deque
 from collections.abc import Callable, Sequence
@@ -24,6 +25,12 @@
 MAX_LATE_RESPONSES = 4
 # Number of earlier requests on a connection whose ids are remembered.
 MAX_EARLIER_IDS = 32
+# Interim responses (1xx) after which a response is given up.
+MAX_INTERIM_RESPONSES = 32
+# Bytes that are read of a body that isn't needed, so that its connection can be reused.
+DISCARD_BYTES = 64 * 1024
+# Time for which such a body is read. A sound replica sends it with the head.
+DISCARD_TIMEOUT_S = 0.1
 # Size of the pieces in which a body is sent if the process has a memory bound.
 PIECE_BYTES = 64 * 1024
 # Bytes that are taken in of a response in one go, and while nothing is read, in such a process.
@@ -74,6 +81,7 @@
         self._conn = h11.Connection(h11.CLIENT)
         self._request: tuple[h11.Request, bytes] | None = None
         self._request_id = ""
+        self._interim_responses = 0
         self._earlier_ids: deque[int] = deque(maxlen=MAX_EARLIER_IDS)
         # Whether nothing can precede the response, which may then lack the request's id.
         self._is_first = True
@@ -95,6 +103,7 @@
             framed = [*headers, (b"content-length", str(len(body)).encode())]
         request = h11.Request(method=method, target=target, headers=framed)
         self._request = (request, body)
+        self._interim_responses = 0
         parts = self._encode(request, body)
         if self._in_pieces and len(body) > PIECE_BYTES:
             self._sending = asyncio.create_task(self._send_pieces(parts))
@@ -148,6 +157,23 @@
             if size > MAX_RESPONSE_BYTES:
                 raise ResponseError("the response body is too long")
 
+    async def discard_body(self) -> bool:
+        """Drops a body that isn't needed; returns whether it ended soon.
+
+        Raises:
+            OSError: The connection was lost.
+            ResponseError: The body is truncated.
+        """
+        size = 0
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(DISCARD_TIMEOUT_S):
+                while size <= DISCARD_BYTES:
+                    chunk = await self.read_data()
+                    if chunk is None:
+                        return True
+                    size += len(chunk)
+        return False
+
     def is_reusable(self) -> bool:
         """Tells whether the exchange is complete on both sides, so that another one may follow."""
         conn = self._conn
@@ -250,6 +276,11 @@
             raise ResponseError("the connection was closed by this process")
         return data
 
+    def _count_interim_response(self) -> None:
+        self._interim_responses += 1
+        if self._interim_responses > MAX_INTERIM_RESPONSES:
+            raise ResponseError("too many interim responses were received")
+
     async def _next_event(self) -> object:
         try:
             while True:
@@ -258,6 +289,8 @@
                     self._conn.receive_data(await self._receive())
                 elif not isinstance(event, h11.InformationalResponse):
                     return event
+                else:
+                    self._count_interim_response()
         except h11.RemoteProtocolError as exc:
             raise ResponseError(unquoted(exc)) from exc
 
--- a/packages/endiveworks/src/endiveworks/gateway/events.py
+++ b/packages/endiveworks/src/endiveworks/gateway/events.py
@@ -5,6 +5,7 @@
 
 MAX_ID_DIGITS = 18  # Larger ids can't be sent to other processes.
 _BLANK_LINES = (b"\r\n\r\n", b"\n\n")
+_MAX_BLANK_BYTES = max(map(len, _BLANK_LINES))
 # A first line may tell a number of the replica, such as the version of its weights.
 _NUMBER_LINE = re.compile(rb"[a-z][a-z0-9-]*: ?[0-9]+")
 _FIELDS = frozenset((b"data", b"id", b"event", b"retry"))
@@ -30,24 +31,32 @@
     """Buffers the bytes of a stream and returns events as they become complete."""
 
     def __init__(self) -> None:
-        self._buffer = b""
+        self._buffer = bytearray()
+        self._searched = 0  # Bytes of the buffer in which no event can end.
 
     def feed(self, data: bytes) -> list[Event]:
         """Appends bytes and returns the events that are now complete."""
         self._buffer += data
         events = []
-        while (end := _end_of_event(self._buffer)) > 0:
-            events.append(_parse(self._buffer[:end]))
-            self._buffer = self._buffer[end:]
+        while (end := _end_of_event(self._buffer, self._searched)) > 0:
+            events.append(_parse(bytes(self._buffer[:end])))
+            del self._buffer[:end]
+            self._searched = 0
+        self._searched = max(0, len(self._buffer) - _MAX_BLANK_BYTES + 1)
         return events
 
     def pending_bytes(self) -> bytes:
         """Returns the buffered bytes of the incomplete event at the end."""
-        return self._buffer
+        return bytes(self._buffer)
 
+    @property
+    def pending_size(self) -> int:
+        """Number of the buffered bytes of the incomplete event at the end."""
+        return len(self._buffer)
 
-def _end_of_event(data: bytes) -> int:
-    ends = [pos + len(blank) for blank in _BLANK_LINES if (pos := data.find(blank)) >= 0]
+
+def _end_of_event(data: bytearray, start: int) -> int:
+    ends = [pos + len(blank) for blank in _BLANK_LINES if (pos := data.find(blank, start)) >= 0]
     return min(ends, default=0)
 
 
--- a/tests/deployed/harness.py
+++ b/tests/deployed/harness.py
@@ -98,14 +98,15 @@
     Args:
         host: Its name.
         memory_mb: Its memory in megabytes; 0 for no limit.
+        slow_readers: Whether the limit applies to what callers make it hold as well.
     """
 
-    def __init__(self, host: str, memory_mb: float = 0.0) -> None:
+    def __init__(self, host: str, memory_mb: float = 0.0, slow_readers: bool = True) -> None:
         self.host = host
         self.metrics = Metrics("", "test")
-        self.memory = HeldMemory(memory_mb, self.metrics)
+        self.memory = HeldMemory(memory_mb, self.metrics, slow_readers)
         self.turns = TurnStore(LOCATION)
-        self.pool = ConnectionPool(self.memory.is_limited)
+        self.pool = ConnectionPool(self.memory.is_bounded)
         self.fleet = Fleet(LOCATION, self.memory.is_limited)
         self.quarantine = Quarantine()
         self.origins = OriginExchange(host)
@@ -182,6 +183,7 @@
         replicas: Scripts of the replicas by service and name, such as "llm/a".
         versions: Software versions of replicas by name; "v1" for the others.
         memory_mb: Memory of the entry in megabytes; 0 for no limit.
+        slow_readers: Whether the limit applies to what callers make the entry hold as well.
         route: Settings that replace those of the default routes.
 
     Attributes:
@@ -196,9 +198,10 @@
         replicas: dict[str, Script],
         versions: Mapping[str, str] | None = None,
         memory_mb: float = 0.0,
+        slow_readers: bool = True,
         **route: Any,
     ) -> None:
-        super().__init__("entry-0", memory_mb)
+        super().__init__("entry-0", memory_mb, slow_readers)
         self._folder = folder
         self.replicas = {name: SiteReplica(script) for name, script in replicas.items()}
         self.versions = dict(versions or {})
--- a/tests/deployed/test_decoding.py
+++ b/tests/deployed/test_decoding.py
@@ -84,8 +84,11 @@
     def test_the_memory_of_a_process(self) -> None:
         limited = SETTINGS | {"limits": {"memory_mb": 150}}
         slow = {"contracts": ["base", "pressure"]}
-        assert settings.decode(limited | slow).memory_mb == 150.0
-        assert settings.decode(limited).memory_mb == 0  # No terms on slow readers are in force.
+        found = settings.decode(limited | slow)
+        assert (found.memory_mb, found.slow_readers) == (150.0, True)
+        # A process is killed above its limit whether or not there are terms on slow readers.
+        found = settings.decode(limited)
+        assert (found.memory_mb, found.slow_readers) == (150.0, False)
         assert settings.decode(SETTINGS | slow).memory_mb == 0
         assert settings.decode(SETTINGS | slow | {"limits": {"max_fds": 4100}}).memory_mb == 0
         with pytest.raises(ValueError, match="memory_mb"):
