Repeat no request at a replica that has been leaving for long

Cause: the replica that broke off a stream, and any replica that had a request once its attempts were used up, were chosen without a look at the list of replicas that take requests.

A replica that had it gets it again only if it takes requests or has been leaving for less than a second; a further one only while attempts are left. Replicas that have ended free their attempts. Otherwise the request ends at once with 502, or its stream is cut, so that the caller resumes it.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/quarantine.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/quarantine.py
@@ -11,7 +11,7 @@
 from endiveworks.telemetry import logs
 
 from .exchange import Exchange, HttpError
-from .sockets import connect
+from .sockets import accepts_connections
 
 STATUS_UNAVAILABLE = 503
 STATUS_BAD_GATEWAY = 502
@@ -150,7 +150,7 @@
         at_s = time.monotonic()
         try:
             await asyncio.sleep(COLLECT_S)
-            has_ended = not address or not await _accepts_connections(address)
+            has_ended = not await accepts_connections(address)
         finally:  # Repetitions that wait must go on in any case.
             lost = self._lost.pop(replica)
             lost.verified.set()
@@ -171,12 +171,3 @@
         logs.logger("gateway").warning(
             "request_stopped", digest=digest, amount=HOLD_CRASHES, reason=reason
         )
-
-
-async def _accepts_connections(address: str) -> bool:
-    try:
-        _, writer = await connect(address)
-    except OSError:
-        return False
-    writer.close()
-    return True
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/replica_table.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/replica_table.py
@@ -18,6 +18,9 @@
 FAILURE_HALF_LIFE_S = 2.0
 # Replicas keep serving for some seconds after they have left service discovery.
 DELISTED_GRACE_S = 2.0
+# A request that a leaving replica had goes there again within this time. It is shorter, as the
+# request can be ended or sent elsewhere.
+REPEAT_GRACE_S = 1.0
 # Weight of the newest sample in a service's mean response time.
 RESPONSE_TIME_WEIGHT = 0.1
 # Mean response time that is assumed until the first response of a service.
@@ -118,10 +121,13 @@
         eligible = self.eligible(ReplicaGroup(service))
         return any(state.replica.id not in excluded for state in eligible)
 
-    def includes(self, group: ReplicaGroup, replica: str) -> bool:
-        """Returns whether a replica that is known belongs to a group."""
+    def may_repeat(self, group: ReplicaGroup, replica: str) -> bool:
+        """Returns whether a replica may get a request again that it had before."""
         state = self._states.get(replica)
-        return state is not None and group.includes(state.replica)
+        if state is None or not group.includes(state.replica):
+            return False
+        left_s = time.monotonic() - state.delisted_s if state.delisted_s is not None else 0.0
+        return left_s < REPEAT_GRACE_S
 
     def record_failure(self, replica: str) -> None:
         """Records a failure of a replica, so that others are preferred for some time."""
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/retries.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/retries.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 
+from endiveworks.gateway.attempts import NextAttempt, Tried, next_attempt
 from endiveworks.gateway.messages import Dispatch, ResponseHead
 from endiveworks.gateway.routes import RouteType
 from endiveworks.telemetry import logs
@@ -13,6 +14,7 @@
 from .refusals import RefusedError
 from .replica_state import InFlightRequest
 from .replica_table import ReplicaGroup
+from .sockets import accepts_connections
 from .stop_time import stopping_error
 from .upstreams import ResponseError, UpstreamConnection
 
@@ -80,11 +82,8 @@
         if ex.may_have_run:
             context.quarantine.check_repeat(ex)
         group = ReplicaGroup(ex.service, ex.version)
-        if not preferred and len(ex.sent_to) >= ex.route.max_attempts:
-            preferred = next(iter(ex.sent_to))
-        is_usable = ex.version is None or context.fleet.table.includes(group, preferred)
-        if preferred and preferred not in ex.excluded and is_usable:
-            replica = preferred
+        replica = await _replica_to_repeat_at(context, ex, group, preferred)
+        if replica:
             context.fleet.limits.charge(replica)
         else:
             replica = await _choose(context, ex, group)
@@ -158,6 +157,48 @@
     ex.sent_to.discard(replica)
 
 
+async def _replica_to_repeat_at(
+    context: Context, ex: Exchange, group: ReplicaGroup, preferred: str
+) -> str:
+    """Returns the replica that gets a request again; empty if one is to be chosen.
+
+    Raises:
+        HttpError: The request may neither be repeated nor sent to a further replica.
+    """
+    attempt = _next_attempt(context, ex, group, preferred)
+    if not attempt.replica and not attempt.may_choose:
+        await _drop_ended_replicas(context, ex)
+        attempt = _next_attempt(context, ex, group, preferred)
+    if not attempt.replica and not attempt.may_choose:
+        logs.logger("gateway").info(
+            "attempts_spent",
+            request=ex.request.id,
+            service=ex.service,
+            amount=len(ex.sent_to),
+            reason="no replica that had the request may get it again",
+        )
+        raise HttpError(STATUS_BAD_GATEWAY, "no replica that had the request may get it again")
+    return attempt.replica
+
+
+def _next_attempt(
+    context: Context, ex: Exchange, group: ReplicaGroup, preferred: str
+) -> NextAttempt:
+    tried = Tried(ex.sent_to, ex.excluded, ex.route.max_attempts)
+    repeatable = {r for r in ex.sent_to if context.fleet.table.may_repeat(group, r)}
+    return next_attempt(tried, preferred, repeatable)
+
+
+async def _drop_ended_replicas(context: Context, ex: Exchange) -> None:
+    """Frees the attempts of replicas that have ended, as these work on nothing any more."""
+    replicas = list(ex.sent_to)
+    addresses = [context.fleet.table.address(replica) for replica in replicas]
+    accepts = await asyncio.gather(*(accepts_connections(address) for address in addresses))
+    for replica, is_running in zip(replicas, accepts, strict=True):
+        if not is_running:
+            _drop_replica(ex, replica)
+
+
 async def _choose(context: Context, ex: Exchange, group: ReplicaGroup) -> str:
     started_s = time.monotonic()
     reserve_s = context.stop.expected_s(ex, context.fleet.table.mean_response_s(ex.service))
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/sockets.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/sockets.py
@@ -85,3 +85,15 @@
             raise OSError(f"{address!r} can't be connected to: {exc}") from exc
     enable_keepalive(writer)
     return reader, writer
+
+
+async def accepts_connections(address: str) -> bool:
+    """Returns whether a peer accepts connections at "ip:port"; not if the address is empty."""
+    if not address:
+        return False
+    try:
+        _, writer = await connect(address)
+    except OSError:
+        return False
+    writer.close()
+    return True
