Remember that a replica is leaving while its entry has lapsed

Cause: the announcement was kept with the state of the replica, which is dropped two seconds after its entry is missing.

Change: the announcement outlives the state, for the replica's id and start, until it starts again; at most 1,000 are kept.

Evidence: three tests of test_leaving_replicas.py fail before and pass after.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/replica_table.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/replica_table.py
@@ -2,6 +2,7 @@
 
 import math
 import time
+from collections import OrderedDict
 from collections.abc import Collection, Mapping
 from typing import NamedTuple
 
@@ -21,6 +22,8 @@
 # A request that a leaving replica had goes there again within this time. It is shorter, as the
 # request can be ended or sent elsewhere.
 REPEAT_GRACE_S = 1.0
+# Replicas that have announced that they leave, and are no longer listed, that are remembered.
+MAX_LEFT_REPLICAS = 1_000
 # Weight of the newest sample in a service's mean response time.
 RESPONSE_TIME_WEIGHT = 0.1
 # Mean response time that is assumed until the first response of a service.
@@ -43,6 +46,13 @@
         return replica.service == self.service and self.version in (None, replica.version)
 
 
+class _LeftReplica(NamedTuple):
+    """A replica that announced that it leaves, and the time since which it has been leaving."""
+
+    replica: Replica
+    delisted_s: float | None
+
+
 class ReplicaTable:
     """The replicas of all services.
 
@@ -53,6 +63,7 @@
 
     def __init__(self) -> None:
         self._states: dict[str, ReplicaState] = {}
+        self._left: OrderedDict[str, _LeftReplica] = OrderedDict()
         self._mean_responses_s: dict[str, float] = {}
         self.limits = RateLimits()
         self.engine_services: frozenset[str] = frozenset()
@@ -71,7 +82,7 @@
             is_leaving = name not in listed or listed[name].draining or state.is_leaving
             state.delisted_s = (state.delisted_s or now_s) if is_leaving else None
             if name not in listed and now_s - (state.delisted_s or now_s) > DELISTED_GRACE_S:
-                del self._states[name]
+                self._forget(name)
         self.limits.retain(self._states)
         for name, replica in listed.items():
             if name in self._states:
@@ -81,8 +92,22 @@
             engine = service.engine if service else None
             added = ReplicaState(replica, engine.memory_tokens if engine else 0)
             added.delisted_s = now_s if replica.draining else None
+            left = self._left.pop(name, None)
+            if left is not None and not _is_restarted(replica, left.replica):
+                added.is_leaving, added.delisted_s = True, left.delisted_s
             self._states[name] = added
 
+    def _forget(self, replica: str) -> None:
+        """Drops the state of a replica that is no longer listed, but not that it is leaving.
+
+        Its entry may only have lapsed.
+        """
+        state = self._states.pop(replica)
+        if state.is_leaving:
+            self._left[replica] = _LeftReplica(state.replica, state.delisted_s)
+        while len(self._left) > MAX_LEFT_REPLICAS:
+            self._left.popitem(last=False)
+
     def adopt_limits(self, sightings: Mapping[str, LimitSighting]) -> None:
         """Takes over limits of replicas that other entries have seen."""
         self.limits.adopt(sightings, self._states)
--- a/tests/deployed/test_leaving_replicas.py
+++ b/tests/deployed/test_leaving_replicas.py
@@ -7,7 +7,12 @@
 import pytest
 from endiveworks.gateway.messages import Replica
 from endiveworks_daemon.gateway.fleet import Fleet
-from endiveworks_daemon.gateway.replica_table import DELISTED_GRACE_S, REPEAT_GRACE_S
+from endiveworks_daemon.gateway.replica_table import (
+    DELISTED_GRACE_S,
+    MAX_LEFT_REPLICAS,
+    REPEAT_GRACE_S,
+    ReplicaGroup,
+)
 from endiveworks_standins.site_caller import Response
 from endiveworks_standins.site_replica import Arrival, Script, chunk, event, stream_head
 from endiveworks_standins.site_replica import reset as reset_connection
@@ -56,6 +61,59 @@
 
         run(scenario)
 
+    @pytest.mark.parametrize("again", [False, True], ids=["lapsed", "lapsed twice"])
+    def test_it_stays_excluded_after_its_entry_lapsed(
+        self, monkeypatch: pytest.MonkeyPatch, again: bool
+    ) -> None:
+        # Guards against requests to a replica whose entry came back after an outage of the
+        # key-value service, with the announcement that it leaves forgotten.
+        now_s = [time.monotonic()]
+        monkeypatch.setattr("time.monotonic", lambda: now_s[0])
+        fleet = Fleet(LOCATION)
+        replica = Replica("a", "shop", "127.0.0.1:1", "edin", "east", 4, False, started_ms=1)
+        fleet.update({"a": replica}, {})
+        fleet.table.record_leaving("a")
+        for _ in range(1 + again):
+            for listed in ({}, {}, {"a": replica}):
+                now_s[0] += DELISTED_GRACE_S
+                fleet.update(listed, {})
+        now_s[0] += DELISTED_GRACE_S
+        assert not fleet.table.has_other("shop", ())
+        fleet.update({"a": replica._replace(started_ms=2)}, {})
+        assert fleet.table.has_other("shop", ())
+
+    def test_another_replica_at_its_address_takes_requests(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        now_s = [time.monotonic()]
+        monkeypatch.setattr("time.monotonic", lambda: now_s[0])
+        fleet = Fleet(LOCATION)
+        replica = Replica("a", "shop", "127.0.0.1:1", "edin", "east", 4, False, started_ms=1)
+        fleet.update({"a": replica}, {})
+        fleet.table.record_leaving("a")
+        for listed in ({}, {}, {"b": replica._replace(id="b")}):
+            now_s[0] += DELISTED_GRACE_S
+            fleet.update(listed, {})
+        assert fleet.table.has_other("shop", ())
+
+    def test_the_replicas_that_are_remembered_are_bounded(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        now_s = [time.monotonic()]
+        monkeypatch.setattr("time.monotonic", lambda: now_s[0])
+        fleet = Fleet(LOCATION)
+        replica = Replica("a", "shop", "127.0.0.1:1", "edin", "east", 4, False, started_ms=1)
+        names = [f"r{number}" for number in range(MAX_LEFT_REPLICAS + 10)]
+        listed = {name: replica._replace(id=name) for name in names}
+        fleet.update(listed, {})
+        for name in names:
+            fleet.table.record_leaving(name)
+        for state in ({}, {}, listed):
+            now_s[0] += DELISTED_GRACE_S
+            fleet.update(state, {})
+        now_s[0] += DELISTED_GRACE_S
+        assert len(fleet.table.eligible(ReplicaGroup("shop"))) == 10
+
     def test_an_incarnation_that_starts_under_its_id_takes_requests_again(self) -> None:
         fleet = Fleet(LOCATION)
         replica = Replica("a", "shop", "127.0.0.1:1", "edin", "east", 4, False, started_ms=1)
