Let an entry that is out of step send no first event that nobody knows of

What callers saw: operators of a system like ours report streams joined from two versions after one entry was out of step during a release. Here it can happen when that entry begins the stream: a turn failed at the new version, was sent again from its start to an entry that knew the old one only and reached no disk, broke off, and went on at the new version.

Cause: the first event waits for the disks only if the service has had two versions lately, judged by the entry's own list, however old that is.

Change: it waits unless that list is known to have been complete since the request arrived and shows one version. Then each older stream of the request began at that version too.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/origin_exchange.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/origin_exchange.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import time
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 from endiveworks.gateway.cluster_state import ClusterState
 from endiveworks.gateway.service_versions import ServiceVersions
@@ -72,13 +72,16 @@
 
     Args:
         host: Name of this process.
+        list_age_s: Returns the time since the list of replicas was known to be complete; None if it
+            never was.
 
     Attributes:
         host: The same.
     """
 
-    def __init__(self, host: str) -> None:
+    def __init__(self, host: str, list_age_s: Callable[[], float | None] = lambda: 0.0) -> None:
         self.host = host
+        self._list_age_s = list_age_s
         self._view: View | None = None
         self._members: Mapping[str, Member] = {}
         self._versions = ServiceVersions(time.monotonic())
@@ -126,13 +129,30 @@
         """Returns whether a stream of the service may be taken for one of another version."""
         return self._versions.may_differ(service, window_s, time.monotonic())
 
+    def is_only_version(self, service: str, window_s: float, since_arrival_s: float) -> bool:
+        """Returns whether a service is known to have had one version up to a request's arrival.
+
+        Args:
+            service: The service.
+            window_s: Time before, within which another version matters.
+            since_arrival_s: Time since the request arrived.
+        """
+        age_s = self._list_age_s()
+        if age_s is None or age_s > since_arrival_s:
+            return False
+        return not self.may_be_mistaken(service, window_s)
+
     def may_serve(self, origin: StreamOrigin) -> bool:
         """Returns whether the software of an origin serves, or may soon."""
         return self._versions.may_serve(origin.service, origin.version, time.monotonic())
 
-    async def wait_until_held(self, attempt: str) -> None:
-        """Waits until a write quorum of the disks knows what was told last of an attempt."""
-        await self._telling.wait_until_held(attempt)
+    async def wait_until_held(self, attempt: str, timeout_s: float | None = None) -> bool:
+        """Waits until a write quorum of the disks knows what was told last of an attempt.
+
+        Returns:
+            Whether it does within the time.
+        """
+        return await self._telling.wait_until_held(attempt, timeout_s)
 
     async def find(self, attempt: str, digest: str, window_s: float) -> StreamOrigin | None:
         """Returns where a stream began; None if it is not known for certain.
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/origin_telling.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/origin_telling.py
@@ -91,10 +91,16 @@
         self._drop_old(telling.told_s)
         telling.task = asyncio.create_task(self._send_until_held(telling))
 
-    async def wait_until_held(self, attempt: str) -> None:
-        """Waits until a write quorum of the disks knows what was told last of an attempt."""
-        if attempt in self._by_attempt:
-            await self._by_attempt[attempt].held.wait()
+    async def wait_until_held(self, attempt: str, timeout_s: float | None = None) -> bool:
+        """Waits until a write quorum of the disks knows what was told last of an attempt.
+
+        Returns:
+            Whether it does within the time, or nothing is told of the attempt.
+        """
+        telling = self._by_attempt.get(attempt)
+        if telling is None or telling.held.is_set():
+            return True
+        return await wait_for_event(telling.held, timeout_s)
 
     def accept(self, datagram: Datagram) -> None:
         """Handles the confirmation of a disk process."""
@@ -150,8 +156,8 @@
             self._forget(attempt)
 
 
-async def wait_for_event(event: asyncio.Event, timeout_s: float) -> bool:
-    """Waits until an event is set and returns whether it was in time."""
+async def wait_for_event(event: asyncio.Event, timeout_s: float | None) -> bool:
+    """Waits until an event is set and returns whether it was in time; None is no limit."""
     try:
         async with asyncio.timeout(timeout_s):
             await event.wait()
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/resumption.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/resumption.py
@@ -5,6 +5,7 @@
 
 import contextlib
 import random
+import time
 from collections.abc import Iterator
 
 from endiveworks.gateway.request_queue import retry_after_s
@@ -22,6 +23,10 @@
 from .retries import Response
 from .upstreams import ResponseError
 
+# Period of the looks at whether the list of replicas has become recent enough, while disks don't
+# confirm where a stream begins.
+LIST_CHECK_PERIOD_S = 0.05
+
 
 async def adopt_origin(context: Context, ex: Exchange) -> bytes:
     """Binds a stream that its caller resumes to the service and version that began it.
@@ -89,13 +94,18 @@
     """Waits before the first event until the disks know where it comes from.
 
     Without that, an older stream of the same request at another version could be taken for this
-    one. If the service has had only one version lately, there is none.
+    one. There is none if the service has had only one version up to the request's arrival, which a
+    process that is out of step can't tell.
     """
     if not ex.route.resumable:
         return
     _tell(context, ex, response.replica, response.in_flight_request.version)
-    if context.origins.may_be_mistaken(ex.service, resumable_s(ex.route.timeout_s)):
-        await context.origins.wait_until_held(attempt_name(ex.scoped(ex.request.id)))
+    attempt, window_s = attempt_name(ex.scoped(ex.request.id)), resumable_s(ex.route.timeout_s)
+    while not context.origins.is_only_version(
+        ex.service, window_s, time.monotonic() - ex.arrived_s
+    ):
+        if await context.origins.wait_until_held(attempt, LIST_CHECK_PERIOD_S):
+            return
 
 
 def record_event_sent(context: Context, ex: Exchange, response: Response) -> None:
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/run.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/run.py
@@ -88,7 +88,7 @@
         return sources_of_entry(settings.host, settings.region, state.members.values())
 
     watcher = StateWatcher(kv, "", platform.decode_state, on_state, COALESCE_S, find_sources)
-    origins = OriginExchange(settings.host)
+    origins = OriginExchange(settings.host, watcher.age_s)
     quotas = Quotas(settings.quota_terms, metrics)
     context = Context(
         platform.dialect,
--- a/tests/deployed/harness.py
+++ b/tests/deployed/harness.py
@@ -1,6 +1,7 @@
 """Runs a gateway, disks and scripted replicas in one event loop, on loopback addresses."""
 
 import asyncio
+import gc
 import json
 from collections.abc import Awaitable, Callable, Collection, Mapping, Sequence
 from contextlib import AsyncExitStack
@@ -99,6 +100,10 @@
         host: Its name.
         memory_mb: Its memory in megabytes; 0 for no limit.
         slow_readers: Whether the limit applies to what callers make it hold as well.
+
+    Attributes:
+        is_out_of_step: Whether it hears of no changes.
+        list_age_s: Time since its list of replicas was known to be complete; None if it never was.
     """
 
     def __init__(self, host: str, memory_mb: float = 0.0, slow_readers: bool = True) -> None:
@@ -109,12 +114,14 @@
         self.pool = ConnectionPool(self.memory.is_bounded)
         self.fleet = Fleet(LOCATION, self.memory.is_limited)
         self.quarantine = Quarantine()
-        self.origins = OriginExchange(host)
+        self.list_age_s: float | None = 0.0
+        self.origins = OriginExchange(host, lambda: self.list_age_s)
         self.transcripts = Transcripts(host)
         self.quotas = Quotas()
         self.stop_time = StopTime()
         self.peer_address = ""
         self.kv_reachable = True
+        self.is_out_of_step = False
         self.config_age_s: float | None = None
         self.max_key_age_s: float | None = None
         self.gateway = self.new_gateway()
@@ -260,6 +267,7 @@
         for entry in ended:
             entry.stop_calls()
             entry.origins.close()
+            entry.pool.close_expired(frozenset())
         for entry in ended:
             replacement = Entry(entry.host)
             self._entries.append(replacement)
@@ -282,6 +290,8 @@
         members = {entry.host: entry.member() for entry in self._entries}
         state = ClusterState(version, table, replicas, members, view, 1, frozenset())
         for entry in self._entries:
+            if entry.is_out_of_step:
+                continue
             entry.gateway.apply_state(state)
             entry.origins.apply_state(state)
         for disk in self.disks:
@@ -315,7 +325,11 @@
 
 def run(scenario: Callable[[], Awaitable[None]]) -> None:
     """Runs a scenario in a new event loop, with a timeout of a minute."""
-    asyncio.run(asyncio.wait_for(scenario(), 60))
+    try:
+        asyncio.run(asyncio.wait_for(scenario(), 60))
+    finally:
+        # What a test left open would be collected, with an error, while a later one parses sources.
+        gc.collect()
 
 
 def routing_table(
--- a/tests/deployed/test_rejoined_streams.py
+++ b/tests/deployed/test_rejoined_streams.py
@@ -8,6 +8,7 @@
 from endiveworks.gateway.stream_origins import RETENTION_S, resumable_s
 from endiveworks.turns.view import View
 from endiveworks_daemon.gateway.origin_telling import RESEND_S
+from endiveworks_daemon.gateway.replica_table import DELISTED_GRACE_S
 from endiveworks_standins.site_caller import Response
 
 from tests.deployed.harness import DRAFT, TURN, Deployment, Entry, run, write_request
@@ -323,3 +324,90 @@
     def test_starts_are_kept_for_as_long_as_callers_resume(self) -> None:
         assert resumable_s(1.0) == 3.0
         assert resumable_s(300.0) == RETENTION_S
+
+
+class TestEntryOutOfStep:
+    """Guards against streams joined at or after an entry that missed a new version."""
+
+    TIMEOUT_MS = 600
+
+    async def miss_the_new_version(self, deployed: Deployment, is_cut: bool) -> Entry:
+        """Returns an entry that knows one version only, as a second one comes into service.
+
+        Args:
+            deployed: The deployment.
+            is_cut: Whether it reaches no disk either.
+        """
+        missing = await deployed.add_entry()
+        deployed.list_all_except(*NEW)
+        # What was listed before the start of the entry might have been another version.
+        await asyncio.sleep(max(resumable_s(self.TIMEOUT_MS / 1000), DELISTED_GRACE_S) + 0.1)
+        deployed.apply(deployed.view)
+        assert not missing.origins.may_be_mistaken("llm", resumable_s(self.TIMEOUT_MS / 1000))
+        missing.is_out_of_step, missing.list_age_s = True, 2.0
+        if is_cut:
+            cut(missing, *folders(deployed))
+        return missing
+
+    def deployment(self, tmp_path: Path) -> Deployment:
+        """Returns a deployment of two versions whose routes time out soon."""
+        scripts = two_versions(hangs_after(AFTER), hangs_after(AFTER, "v2"))
+        return Deployment(tmp_path, scripts, VERSIONS, timeout_ms=self.TIMEOUT_MS)
+
+    def test_a_stream_that_it_begins_is_not_taken_for_one_of_the_new_version(
+        self, tmp_path: Path
+    ) -> None:
+        async def scenario() -> None:
+            async with self.deployment(tmp_path) as deployed:
+                missing = await self.miss_the_new_version(deployed, is_cut=True)
+                await begin_at(deployed, deployed, "s0", "v2")
+                try:
+                    await begin(missing, "s1", "v1")
+                except (TimeoutError, asyncio.IncompleteReadError):
+                    return  # Its caller has no event that another stream could follow.
+                await assert_refused(deployed, deployed)
+
+        run(scenario)
+
+    def test_a_stream_that_it_begins_is_served_if_it_reaches_the_disks(
+        self, tmp_path: Path
+    ) -> None:
+        async def scenario() -> None:
+            async with self.deployment(tmp_path) as deployed:
+                missing = await self.miss_the_new_version(deployed, is_cut=False)
+                await begin(missing, "s1", "v1")
+
+        run(scenario)
+
+    def test_a_stream_is_served_if_only_the_disks_are_cut_off(self, tmp_path: Path) -> None:
+        async def scenario() -> None:
+            async with self.deployment(tmp_path) as deployed:
+                missing = await self.miss_the_new_version(deployed, is_cut=True)
+                missing.list_age_s = 0.0
+                await begin(missing, "s1", "v1")
+
+        run(scenario)
+
+    def test_an_entry_whose_list_was_never_complete_begins_no_stream(self, tmp_path: Path) -> None:
+        async def scenario() -> None:
+            async with self.deployment(tmp_path) as deployed:
+                missing = await self.miss_the_new_version(deployed, is_cut=True)
+                missing.list_age_s = None
+                with pytest.raises((TimeoutError, asyncio.IncompleteReadError)):
+                    await begin(missing, "s1", "v1")
+
+        run(scenario)
+
+    @pytest.mark.parametrize("is_cut", [False, True], ids=["from entries", "from disks as well"])
+    def test_it_takes_up_no_stream_of_a_version_that_it_does_not_know(
+        self, tmp_path: Path, is_cut: bool
+    ) -> None:
+        async def scenario() -> None:
+            async with self.deployment(tmp_path) as deployed:
+                missing = await self.miss_the_new_version(deployed, is_cut=is_cut)
+                await begin_at(deployed, deployed, "s0", "v2")
+                ran = len(arrivals(deployed, OLD + NEW))
+                assert (await take_up(missing)).status == 503
+                assert len(arrivals(deployed, OLD + NEW)) == ran
+
+        run(scenario)
