--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/replica_table.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/replica_table.py
@@ -19,8 +19,8 @@
 FAILURE_HALF_LIFE_S = 2.0
 # Replicas keep serving for some seconds after they have left service discovery.
 DELISTED_GRACE_S = 2.0
-# A request that a leaving replica had goes there again within this time. It is shorter, as the
-# request can be ended or sent elsewhere.
+# A leaving replica gets a request again that it had before within this time. Less than
+# DELISTED_GRACE_S, since such a request can also be ended, or be sent elsewhere.
 REPEAT_GRACE_S = 1.0
 # Replicas that have announced that they leave, and are no longer listed, that are remembered.
 MAX_LEFT_REPLICAS = 1_000
