--- a/packages/endiveworks-standins/src/endiveworks_standins/fleet.py
+++ b/packages/endiveworks-standins/src/endiveworks_standins/fleet.py
@@ -169,10 +169,11 @@
         return self.folder / f"{name}.jsonl"
 
     def executed(self, name: str) -> list[dict[str, Any]]:
-        """Returns the lines that a stand-in has logged so far."""
+        """Returns the whole lines that a stand-in has logged so far."""
         path = self.log_file(name)
-        lines = path.read_text().splitlines() if path.exists() else []
-        return [json.loads(line) for line in lines]
+        lines = path.read_text().splitlines(keepends=True) if path.exists() else []
+        # The stand-in may be writing the last one.
+        return [json.loads(line) for line in lines if line.endswith("\n")]
 
     def close(self) -> None:
         """Kills all running processes, and writes the events that each has logged to a file."""
--- a/packages/endiveworks-standins/src/endiveworks_standins/tests/test_fleet.py
+++ b/packages/endiveworks-standins/src/endiveworks_standins/tests/test_fleet.py
@@ -13,3 +13,14 @@
             first.freeze()
             second = fleet.start("up-1", SLEEP)
         assert first.popen.poll() is not None and second.popen.poll() is not None
+
+
+class TestExecuted:
+    def test_a_line_that_is_being_written_is_left_for_later(self, tmp_path: Path) -> None:
+        # Guards against tests that failed as they read a log while a line was written.
+        with Fleet(tmp_path) as fleet:
+            path = fleet.log_file("up-1")
+            path.write_text('{"event": "ran"}\n{"event": "as')
+            assert fleet.executed("up-1") == [{"event": "ran"}]
+            path.write_text('{"event": "ran"}\n{"event": "asked"}\n')
+            assert fleet.executed("up-1") == [{"event": "ran"}, {"event": "asked"}]
