Bound the idle connections to replicas by the descriptors of the process

What callers saw: with 30 connections that send small requests ahead, all with one id, an entry opened 6,172 to 6,573 descriptors (4,186 to 5,625 with the terms on slow readers) where it has 600, and would have failed to accept or to connect at the limit.

Cause: a connection to a replica isn't used again for a request whose id went over it before, since the response could not be told from a late one. With one id, each request opens a connection and leaves an idle one behind, and nothing bounds the idle ones until they expire.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/run.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/run.py
@@ -32,6 +32,7 @@
 from .quarantine import Quarantine
 from .quotas import Quotas
 from .registration import register_in_background
+from .socket_limit import IDLE_UPSTREAM_SHARE, max_sockets
 from .sockets import LISTEN_BACKLOG
 from .stop_time import ANSWER_MARGIN_S, StopTime
 from .transcripts import Transcripts
@@ -70,7 +71,7 @@
     memory = HeldMemory(settings.memory_mb, metrics, settings.slow_readers)
     fleet, pool, turns = (
         Fleet(location, memory.is_limited),
-        ConnectionPool(memory.is_bounded),
+        ConnectionPool(memory.is_bounded, _max_idle_upstreams(settings)),
         TurnStore(location),
     )
     latest: list[ClusterState] = []
@@ -138,6 +139,10 @@
     await close_peers()
 
 
+def _max_idle_upstreams(settings: ProcessSettings) -> int:
+    return int(max_sockets(settings.max_fds) * IDLE_UPSTREAM_SHARE)
+
+
 def _freshness(watcher: StateWatcher, max_key_age_s: float | None) -> Callable[[], Freshness]:
     return lambda: Freshness(watcher.is_connected(), watcher.age_s(), max_key_age_s)
 
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/upstreams.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/upstreams.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 import time
 from collections import deque
 from collections.abc import Callable, Sequence
@@ -300,10 +301,12 @@
 
     Args:
         in_pieces: Whether long bodies are sent in pieces, as the replicas take them in.
+        max_idle: Most idle connections that are kept.
     """
 
-    def __init__(self, in_pieces: bool = False) -> None:
+    def __init__(self, in_pieces: bool = False, max_idle: float = math.inf) -> None:
         self._in_pieces = in_pieces
+        self._max_idle = max_idle
         self._idle: dict[str, list[UpstreamConnection]] = {}
         self._skipped = SkippedResponses()
         self.opened = 0
@@ -345,11 +348,14 @@
 
     def release(self, replica: str, conn: UpstreamConnection) -> None:
         """Returns a connection to the pool after an exchange; closes it if it isn't reusable."""
-        if conn.is_reusable():
-            conn.mark_idle()
-            self._idle.setdefault(replica, []).append(conn)
-        else:
+        if not conn.is_reusable():
             conn.close()
+            return
+        conn.mark_idle()
+        idle = self._idle.setdefault(replica, [])
+        idle.append(conn)
+        if sum(map(len, self._idle.values())) > self._max_idle:
+            idle.pop(0).close()
 
     def close_expired(self, replicas: frozenset[str]) -> None:
         """Closes idle connections that have expired or whose replica is gone."""
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/platform_adapter.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/platform_adapter.py
@@ -32,6 +32,7 @@
         max_key_age_s: Age of the configuration from which no API key is accepted; None if keys are
             accepted until a newer configuration is read.
         memory_mb: Memory in megabytes above which a process is killed; 0 if it is not limited.
+        max_fds: Most file descriptors of a process; 0 if they are not limited.
         slow_readers: Whether callers and replicas may read slowly, so that what they make a process
             hold is bounded by memory_mb too.
         load_shedding: Whether requests are ordered and refused by what a delay costs their callers
@@ -52,6 +53,7 @@
     quota_terms: QuotaTerms = QuotaTerms()
     max_key_age_s: float | None = None
     memory_mb: float = 0.0
+    max_fds: int = 0
     slow_readers: bool = False
     load_shedding: bool = False
 
