Keep places for new callers when others hold all connections open

On the platform a process that has no descriptor left can neither accept nor reach replicas, disks and the store.

Cause: nothing read max_fds, and connections of callers were accepted without a limit, up to 1,024 of them before any other work.

Change: callers may hold half of the sockets, or as many connections as fit into 0.4 of the memory bound. At that limit the connections whose callers have owed progress longest are closed for the new one: first those in the middle of a request that have sent nothing for half a second, then idle ones. One whose request is being served is never closed. 16 connections are accepted at once; the queue of the kernel is as long as before.

The limit is 1,950 at 4,100 descriptors, and 453 at 150 MB.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/callers.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/callers.py
@@ -2,11 +2,12 @@
 
 import asyncio
 import contextlib
+import math
 import time
 from collections.abc import Awaitable, Callable
 
 import h11
-from endiveworks.gateway.memory_budget import UnreadBytes
+from endiveworks.gateway.memory_budget import CUT_AFTER_S, STALLED_S, UnreadBytes
 from endiveworks.gateway.routes import Limits
 from endiveworks.telemetry import logs
 
@@ -64,6 +65,7 @@
         )
         self._unread = UnreadBytes()
         self._cut = asyncio.Event()
+        self._is_closing = False
         self._responder: Responder | None = None
         self._account = (memory or HeldMemory()).open(self._cut_off, self._measure)
         self._requests = RequestReader(reader, writer, self._conn, limits, self._account)
@@ -73,6 +75,23 @@
         """Returns whether a request is being received or served."""
         return self._requests.busy
 
+    @property
+    def waiting_since_s(self) -> float | None:
+        """Returns since when the caller has owed progress; None while its request is served."""
+        if self._is_closing:
+            return -math.inf  # Gives way to any other connection.
+        since_s = self._unread.since_s
+        return since_s if since_s is not None else self._requests.waiting_since_s
+
+    def may_be_evicted(self, now_s: float) -> bool:
+        """Returns whether the connection may be closed for a new one."""
+        since_s = self.waiting_since_s
+        if since_s is None:
+            return False
+        if self._unread.since_s is not None:
+            return now_s - since_s >= CUT_AFTER_S
+        return not self.busy or now_s - since_s >= STALLED_S
+
     async def run(self) -> None:
         """Serves requests until the connection ends."""
         if not self._account.is_admitted:
@@ -96,9 +115,20 @@
         finally:
             self._requests.busy = False
             self._requests.waiting_since_s = None
+            self._is_closing = True
             await self._close()
             self._account.close()
 
+    def refuse(self) -> None:
+        """Closes a connection for which there is no place."""
+        self._account.close()
+        self._writer.transport.abort()
+
+    def evict(self) -> None:
+        """Closes the connection at once."""
+        self._cut.set()
+        self._writer.transport.abort()
+
     def close_if_idle(self) -> None:
         """Closes the connection unless a request is being received or served on it."""
         if not self.busy:
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/run.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/run.py
@@ -7,6 +7,7 @@
 from endiveworks.gateway.authentication import Freshness
 from endiveworks.gateway.cluster_state import ClusterState
 from endiveworks.gateway.explanation import EXPLAIN_PATH
+from endiveworks.gateway.memory_budget import max_connections
 from endiveworks.gateway.messages import Dialect
 from endiveworks.gateway.placement import Location
 from endiveworks.gateway.routes import Limits
@@ -21,19 +22,20 @@
 from ..state_watcher import StateWatcher
 from ..supervised_task import run_supervised
 from .app import Gateway
+from .caller_connections import CallerConnections
 from .callers import READ_BYTES, CallerConnection, RawRequest, RequestHandler, Responder
 from .context import Context
 from .explain import explain_page
 from .fleet import Fleet
-from .held_memory import HeldMemory
+from .held_memory import CONNECTION_BYTES, HeldMemory
 from .load_exchange import BeliefBook, Beliefs, LoadExchange, SharedLoad
 from .origin_exchange import OriginExchange
 from .overload_report import OverloadReport
 from .quarantine import Quarantine
 from .quotas import Quotas
 from .registration import register_in_background
-from .socket_limit import IDLE_UPSTREAM_SHARE, max_sockets
-from .sockets import LISTEN_BACKLOG
+from .socket_limit import CALLERS_SHARE, IDLE_UPSTREAM_SHARE, max_sockets
+from .sockets import LISTEN_BACKLOG, listening_socket
 from .stop_time import ANSWER_MARGIN_S, StopTime
 from .transcripts import Transcripts
 from .turn_store import TurnStore
@@ -47,19 +49,8 @@
 SETTLE_TIMEOUT_S = 0.5  # Settlements take a few milliseconds unless disks are unavailable.
 # Few processes of a region watch the key-value service; the others wait for what they pass on.
 COALESCE_S = 0.2
-
-
-class CallerConnections:
-    """The open connections to one listener, and whether they close after their current response.
-
-    Attributes:
-        open: The open connections.
-        closing: Whether the process is shutting down.
-    """
-
-    def __init__(self) -> None:
-        self.open: set[CallerConnection] = set()
-        self.closing = False
+# Connections that are accepted before those that are open go on.
+ACCEPTED_AT_ONCE = 16
 
 
 async def serve_callers(
@@ -105,7 +96,7 @@
     gateway = Gateway(context, metrics, _freshness(watcher, settings.max_key_age_s))
     loads = _exchange_loads(settings, context, watcher.sources, latest, metrics)
     watcher.start()
-    callers = CallerConnections()
+    callers = _caller_connections(settings, memory)
     server = await listen(settings.callers_address, gateway.handle, gateway.limits, callers, memory)
     readiness = _readiness_handler(platform.dialect, gateway, callers)
     await listen(settings.readiness_address, readiness, gateway.limits, CallerConnections())
@@ -139,6 +130,11 @@
     await close_peers()
 
 
+def _caller_connections(settings: ProcessSettings, memory: HeldMemory) -> CallerConnections:
+    by_memory = max_connections(memory.bound, CONNECTION_BYTES)
+    return CallerConnections(min(max_sockets(settings.max_fds) * CALLERS_SHARE, by_memory))
+
+
 def _max_idle_upstreams(settings: ProcessSettings) -> int:
     return int(max_sockets(settings.max_fds) * IDLE_UPSTREAM_SHARE)
 
@@ -225,18 +221,23 @@
 
     async def on_connection(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         conn = CallerConnection(reader, writer, handle, limits, lambda: callers.closing, memory)
-        callers.open.add(conn)
+        if not callers.admit(conn):
+            conn.refuse()
+            return
         try:
             await conn.run()
         finally:
-            callers.open.discard(conn)
+            callers.remove(conn)
 
-    ip, _, port = address.rpartition(":")
     # Twice this is buffered of a caller while nothing is read.
     limit = READ_BYTES // 4 if memory is not None and memory.is_limited else READ_BYTES
-    return await asyncio.start_server(
-        on_connection, ip, int(port), backlog=LISTEN_BACKLOG, limit=limit
+    sock = listening_socket(address)
+    # asyncio accepts as many connections at once as its backlog has.
+    server = await asyncio.start_server(
+        on_connection, sock=sock, backlog=ACCEPTED_AT_ONCE, limit=limit
     )
+    sock.listen(LISTEN_BACKLOG)
+    return server
 
 
 def _readiness_handler(
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/socket_limit.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/socket_limit.py
@@ -4,6 +4,9 @@
 
 # Descriptors that are left to files.
 RESERVED_FILES = 200
+# Share of the sockets for callers. As many are left for the replicas that serve their requests, for
+# disks, other hosts and the key-value service.
+CALLERS_SHARE = 0.5
 # Share of the sockets that idle connections to replicas may take.
 IDLE_UPSTREAM_SHARE = 0.25
 
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/sockets.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/sockets.py
@@ -28,6 +28,19 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
 
 
+def listening_socket(address: str) -> socket.socket:
+    """Returns a bound socket for a server; raises OSError when the address can't be bound."""
+    ip, _, port = address.rpartition(":")
+    sock = socket.socket()
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind((ip, int(port)))
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
 def limit_buffers(writer: asyncio.StreamWriter, read_bytes: int) -> None:
     """Bounds what the kernel and one read take in before the process asks for more.
 
--- a/packages/endiveworks/src/endiveworks/gateway/memory_budget.py
+++ b/packages/endiveworks/src/endiveworks/gateway/memory_budget.py
@@ -27,6 +27,8 @@
 BEHIND_SHARE = 0.9
 # Share of the bound up to which the next piece is held for peers that are not behind.
 FLOWING_SHARE = 0.95
+# Share of the bound that open connections may take by themselves.
+CONNECTIONS_SHARE = 0.4
 # Largest share of the bound that one response takes before the rest is passed on as it is read.
 PEER_SHARE = 0.25
 # Share of the bound below which memory counts as regained.
@@ -36,6 +38,9 @@
 CUT_AFTER_S = 3.0
 # A peer that sends a body counts as moving if it sends this many bytes within CUT_AFTER_S.
 PROGRESS_BYTES = 64 * 1024
+# A peer that has sent nothing or too little for this long is cut off if a new request, or a new
+# connection, would be refused otherwise.
+STALLED_S = 0.5
 # Bounds of the wait that a refused caller is told.
 MIN_RETRY_S = 0.2
 MAX_RETRY_S = CUT_AFTER_S
@@ -149,6 +154,11 @@
     return cut
 
 
+def max_connections(bound: float, connection_bytes: int) -> float:
+    """Returns the most connections that callers may keep open; infinite without a bound."""
+    return max(1.0, bound * CONNECTIONS_SHARE / connection_bytes)
+
+
 def expected_room_wait_s(size: int, held: int, bound: float, freed_per_s: float) -> float:
     """Returns the time after which a refused request probably has room, in seconds.
 
--- a/tests/deployed/harness.py
+++ b/tests/deployed/harness.py
@@ -22,13 +22,14 @@
 from endiveworks_daemon.disks.disk_store import DiskStore, handlers, open_disk_store
 from endiveworks_daemon.disks.origin_holder import OriginHolder
 from endiveworks_daemon.gateway.app import Gateway
+from endiveworks_daemon.gateway.caller_connections import CallerConnections
 from endiveworks_daemon.gateway.context import Context
 from endiveworks_daemon.gateway.fleet import Fleet
 from endiveworks_daemon.gateway.held_memory import HeldMemory
 from endiveworks_daemon.gateway.origin_exchange import OriginExchange
 from endiveworks_daemon.gateway.quarantine import Quarantine
 from endiveworks_daemon.gateway.quotas import Quotas
-from endiveworks_daemon.gateway.run import CallerConnections, listen
+from endiveworks_daemon.gateway.run import listen
 from endiveworks_daemon.gateway.stop_time import StopTime
 from endiveworks_daemon.gateway.transcripts import Transcripts
 from endiveworks_daemon.gateway.turn_store import TurnStore
