Bound what callers make an entry hold wherever its memory is limited

What callers saw: a crowd of 60 bodies of 4 MiB, one byte short and left open, took 293 to 320 MB of an entry that has 100 MB, with a length, in pieces, in chunks or in small chunks; 30 connections with whole bodies sent ahead 224 to 236 MB. On the platform such a process is killed with all requests in flight.

Cause: what callers make a process hold was counted only under the terms on slow readers, though memory_mb ends a process in every deployment. Besides, what the kernel takes in before it is read was bounded by the kernel's own size, up to megabytes a connection, and a head was read in pieces of 64 KiB.

Change: with memory_mb, everything held for callers is bounded. The listening socket has a buffer of 8 KiB, which accepted connections and those that wait inherit; while a long body arrives, for which room has been claimed, it is 64 KiB. Heads and what is sent ahead are read 4 KiB at a time, up to 16 KiB ahead. The terms on slow readers still bound what is sent to replicas. A stream that breaks off is reset only if it was cut for its caller, so that what a caller has received and not read yet isn't lost in the other deployments, as before.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/callers.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/callers.py
@@ -12,13 +12,13 @@
 from endiveworks.telemetry import logs
 
 from .held_memory import Account, HeldMemory
+from .request_reader import BOUNDED_READ_BYTES, RequestReader
 from .request_reader import READ_BYTES as READ_BYTES
-from .request_reader import RequestReader
 from .responder import PIECE_BYTES, record_unread
 from .responder import CallerDisconnectedError as CallerDisconnectedError
 from .responder import RawRequest as RawRequest
 from .responder import Responder as Responder
-from .sockets import enable_keepalive, limit_buffers, limit_output, reset_on_close
+from .sockets import enable_keepalive, limit_output, reset_on_close
 
 # Time for which the body of a refused request is read and dropped, so that its caller gets to read
 # the refusal: a connection that closes with unread bytes is reset.
@@ -99,7 +99,7 @@
             return
         enable_keepalive(self._writer)
         if self._account.is_limited:
-            limit_buffers(self._writer, READ_BYTES // 2)
+            self._writer.transport.max_size = BOUNDED_READ_BYTES  # type: ignore[attr-defined]
             limit_output(self._writer, PIECE_BYTES)
         try:
             while await self._serve_request():
@@ -166,7 +166,7 @@
     async def _close(self) -> None:
         if self._ended_early():
             # Without chunks, the end of the connection would be that of a complete body.
-            if self._account.is_limited or self._conn.their_http_version == b"1.0":
+            if self._cut.is_set() or self._conn.their_http_version == b"1.0":
                 reset_on_close(self._writer)
             self._writer.transport.abort()
             return
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/held_memory.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/held_memory.py
@@ -1,8 +1,4 @@
-"""Counts the bytes that this process holds for its callers, and keeps them within a bound.
-
-What is held of replicas' responses is always bounded, since a faulty replica may send without end.
-What callers make the process hold is bounded only where callers may read or send slowly.
-"""
+"""Counts the bytes that this process holds for its callers, and keeps them within a bound."""
 
 import asyncio
 import enum
@@ -46,7 +42,6 @@
 
 
 _OF_REQUEST = (Item.REQUEST, Item.RESPONSE, Item.EVENT)
-_OF_REPLICAS = (Item.RESPONSE, Item.EVENT)
 _COUNTERS = {"reader": "readers_cut", "sender": "senders_cut", "idle": "idle_connections_cut"}
 
 
@@ -63,7 +58,7 @@
 
     Attributes:
         id: Number of the connection.
-        is_limited: Whether what the caller itself makes the process hold is bounded.
+        is_limited: Whether what is held for the connection is bounded.
         is_admitted: Whether there was memory for the connection itself.
     """
 
@@ -78,7 +73,7 @@
         self._items: Counter[Item] = Counter()
         self.cut = cut
         self.measure = measure
-        self.is_limited = memory.is_limited
+        self.is_limited = memory.is_bounded
         self.is_admitted = True
 
     def held(self) -> int:
@@ -87,7 +82,7 @@
 
     def set(self, item: Item, size: int) -> None:
         """Sets the bytes held for an item, whether there is room or not."""
-        if self._is_bounded(item):
+        if self.is_limited:
             self._memory.add(size - self._items[item])
             self._items[item] = size
 
@@ -107,7 +102,7 @@
 
     def claim(self, item: Item, size: int, claim: Claim) -> bool:
         """Adds bytes to an item if there is room; returns whether there was."""
-        if not self._is_bounded(item):
+        if not self.is_limited:
             return True
         if not self._memory.claim(size, claim):
             return False
@@ -124,13 +119,10 @@
 
     async def wait_for_room(self, item: Item, size: int, claim: Claim) -> None:
         """Adds bytes to an item as soon as there is room."""
-        if self._is_bounded(item):
+        if self.is_limited:
             await self._memory.wait_for_room(size, claim)
             self._items[item] += size
 
-    def _is_bounded(self, item: Item) -> bool:
-        return self.is_limited or item in _OF_REPLICAS
-
     def retry_wait_s(self, size: int) -> float:
         """Counts a refusal and returns the expected time until a request has room."""
         return self._memory.refuse(size)
@@ -162,25 +154,17 @@
     Args:
         memory_mb: Memory of the process in megabytes; 0 for no limit.
         metrics: Receives gauges and counters; None for none.
-        limits_callers: Whether what callers make the process hold is bounded as well.
 
     Attributes:
         bound: The most bytes that may be held; infinite without a limit.
         is_bounded: Whether there is a limit.
-        is_limited: Whether it applies to what callers make the process hold.
         held: Bytes that are held.
         peak: The most bytes that were held at once.
     """
 
-    def __init__(
-        self,
-        memory_mb: float = 0.0,
-        metrics: Metrics | None = None,
-        limits_callers: bool = True,
-    ) -> None:
+    def __init__(self, memory_mb: float = 0.0, metrics: Metrics | None = None) -> None:
         self.bound = bound_bytes(memory_mb)
         self.is_bounded = math.isfinite(self.bound)
-        self.is_limited = self.is_bounded and limits_callers
         self.held = 0
         self.peak = 0
         self._metrics = metrics
@@ -200,9 +184,9 @@
     def open(self, cut: Callable[[], str], measure: Callable[[Account], float | None]) -> Account:
         """Returns the account of a new connection."""
         account = Account(self, cut, measure)
-        if self.is_limited:
+        if self.is_bounded:
             account.is_admitted = account.claim(Item.CONNECTION, CONNECTION_BYTES, Claim.CONNECTION)
-        if self.is_limited and account.is_admitted:
+        if self.is_bounded and account.is_admitted:
             self._accounts[account.id] = account
         return account
 
@@ -254,10 +238,7 @@
         return expected_room_wait_s(size, self.held, self.bound, self._freed_per_s)
 
     async def run(self) -> None:
-        """Cuts off callers that are behind while memory is short; does nothing without a bound.
-
-        Only callers whose memory is limited have accounts that can be cut.
-        """
+        """Cuts off callers that are behind while memory is short; does nothing without a bound."""
         while self.is_bounded:
             await asyncio.sleep(SWEEP_PERIOD_S)
             self.sweep(time.monotonic())
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/request_reader.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/request_reader.py
@@ -10,10 +10,17 @@
 
 from .held_memory import REQUEST_BYTES, Account, Item
 from .responder import RawRequest
+from .sockets import KERNEL_BUFFER_BYTES, KERNEL_INPUT_BYTES, resize_input
 
 READ_BYTES = 64 * 1024  # Size of one read from a connection.
+# Size of one read if the process has a memory bound, and twice what is buffered unread.
+BOUNDED_READ_BYTES = 16 * 1024
+# Size of one read of a head.
+HEAD_READ_BYTES = 4 * 1024
 # More pipelined data stays in the kernel's buffer until the current request has its response.
-MAX_PIPELINED_BYTES = 256 * 1024
+MAX_PIPELINED_BYTES = 16 * 1024
+# Announced length of a body from which on the kernel may take in more of it.
+LONG_BODY_BYTES = 2 * KERNEL_BUFFER_BYTES
 # Size of a read that is only to detect a disconnect, while there is no memory for more.
 _PROBE_BYTES = 1024
 _STATUS_TIMEOUT = 408
@@ -76,7 +83,7 @@
         while self._pipelined_bytes < MAX_PIPELINED_BYTES and has_room and not self.refused:
             has_room = self._account.has_room(Claim.BEHIND)
             try:
-                data = await self._reader.read(READ_BYTES if has_room else _PROBE_BYTES)
+                data = await self._reader.read(HEAD_READ_BYTES if has_room else _PROBE_BYTES)
             except OSError:
                 return False
             if not data:
@@ -106,7 +113,12 @@
         length = min(_content_length(head), limits.max_body_bytes)
         if not self._account.claim(Item.REQUEST, REQUEST_BYTES + length, Claim.NEW):
             return self._refuse(head, REQUEST_BYTES + length)
+        is_long = self._account.is_limited and length >= LONG_BODY_BYTES
+        if is_long:
+            resize_input(self._writer, KERNEL_BUFFER_BYTES)
         body = await self._read_body(length)
+        if is_long:
+            resize_input(self._writer, KERNEL_INPUT_BYTES)
         self.waiting_since_s = None
         if isinstance(body, int):
             return self._refuse(head, body)
@@ -167,7 +179,7 @@
                 return None if isinstance(event, h11.ConnectionClosed) else event
             try:
                 async with asyncio.timeout(read_timeout_s if self.busy else idle_timeout_s):
-                    data = await self._reader.read(READ_BYTES)
+                    data = await self._reader.read(READ_BYTES if self._in_body else HEAD_READ_BYTES)
             except TimeoutError:
                 if self.busy:
                     raise h11.RemoteProtocolError(
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/run.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/run.py
@@ -34,8 +34,9 @@
 from .quarantine import Quarantine
 from .quotas import Quotas
 from .registration import register_in_background
+from .request_reader import BOUNDED_READ_BYTES
 from .socket_limit import CALLERS_SHARE, IDLE_UPSTREAM_SHARE, max_sockets
-from .sockets import LISTEN_BACKLOG, listening_socket
+from .sockets import KERNEL_INPUT_BYTES, LISTEN_BACKLOG, listening_socket
 from .stop_time import ANSWER_MARGIN_S, StopTime
 from .transcripts import Transcripts
 from .turn_store import TurnStore
@@ -59,9 +60,9 @@
     """Serves callers until stop is set, then finishes the requests in flight."""
     location = Location(settings.failure_domain, settings.region)
     metrics = Metrics("", settings.host)
-    memory = HeldMemory(settings.memory_mb, metrics, settings.slow_readers)
+    memory = HeldMemory(settings.memory_mb, metrics)
     fleet, pool, turns = (
-        Fleet(location, memory.is_limited),
+        Fleet(location, memory.is_bounded and settings.slow_readers),
         ConnectionPool(memory.is_bounded, _max_idle_upstreams(settings)),
         TurnStore(location),
     )
@@ -131,7 +132,8 @@
 
 
 def _caller_connections(settings: ProcessSettings, memory: HeldMemory) -> CallerConnections:
-    by_memory = max_connections(memory.bound, CONNECTION_BYTES)
+    # The kernel takes in up to twice the size of its buffer.
+    by_memory = max_connections(memory.bound, CONNECTION_BYTES + 2 * KERNEL_INPUT_BYTES)
     return CallerConnections(min(max_sockets(settings.max_fds) * CALLERS_SHARE, by_memory))
 
 
@@ -229,9 +231,10 @@
         finally:
             callers.remove(conn)
 
+    is_bounded = memory is not None and memory.is_bounded
+    sock = listening_socket(address, KERNEL_INPUT_BYTES if is_bounded else None)
     # Twice this is buffered of a caller while nothing is read.
-    limit = READ_BYTES // 4 if memory is not None and memory.is_limited else READ_BYTES
-    sock = listening_socket(address)
+    limit = BOUNDED_READ_BYTES // 2 if is_bounded else READ_BYTES
     # asyncio accepts as many connections at once as its backlog has.
     server = await asyncio.start_server(
         on_connection, sock=sock, backlog=ACCEPTED_AT_ONCE, limit=limit
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/sockets.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/sockets.py
@@ -13,6 +13,9 @@
 # Size of the kernel's buffers of a connection if the process has a memory bound. With a round trip
 # of 40 ms between regions, it lets through 13 Mbit/s.
 KERNEL_BUFFER_BYTES = 64 * 1024
+# Size of the kernel's buffer for what a caller has sent and has not been read, except while a long
+# body arrives. Connections that wait to be accepted have it too.
+KERNEL_INPUT_BYTES = 8 * 1024
 LISTEN_BACKLOG = 1_024  # Connections that may wait to be accepted; enough for a burst of callers.
 
 
@@ -28,12 +31,20 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
 
 
-def listening_socket(address: str) -> socket.socket:
-    """Returns a bound socket for a server; raises OSError when the address can't be bound."""
+def listening_socket(address: str, input_bytes: int | None) -> socket.socket:
+    """Returns a bound socket for a server; raises OSError when the address can't be bound.
+
+    Args:
+        address: The address, as "ip:port".
+        input_bytes: Size of the kernel's buffer for what is sent on each connection; None for the
+            kernel's own choice.
+    """
     ip, _, port = address.rpartition(":")
     sock = socket.socket()
     try:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if input_bytes is not None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, input_bytes)
         sock.bind((ip, int(port)))
     except OSError:
         sock.close()
@@ -41,6 +52,17 @@
     return sock
 
 
+def resize_input(writer: asyncio.StreamWriter, size: int) -> None:
+    """Changes the size of the kernel's buffer for what is sent on an accepted connection."""
+    sock = writer.get_extra_info("socket")
+    if sock is None:
+        return
+    with contextlib.suppress(OSError):  # The connection is gone already.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+        # The window keeps the size that the listening socket had.
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_WINDOW_CLAMP, size)
+
+
 def limit_buffers(writer: asyncio.StreamWriter, read_bytes: int) -> None:
     """Bounds what the kernel and one read take in before the process asks for more.
 
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/platform_adapter.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/platform_adapter.py
@@ -33,8 +33,8 @@
             accepted until a newer configuration is read.
         memory_mb: Memory in megabytes above which a process is killed; 0 if it is not limited.
         max_fds: Most file descriptors of a process; 0 if they are not limited.
-        slow_readers: Whether callers and replicas may read slowly, so that what they make a process
-            hold is bounded by memory_mb too.
+        slow_readers: Whether replicas end if they hold more requests than their memory takes, so
+            that what is sent to them at once is bounded.
         load_shedding: Whether requests are ordered and refused by what a delay costs their callers
             while a service has too little room.
     """
--- a/tests/deployed/harness.py
+++ b/tests/deployed/harness.py
@@ -100,7 +100,7 @@
     Args:
         host: Its name.
         memory_mb: Its memory in megabytes; 0 for no limit.
-        slow_readers: Whether the limit applies to what callers make it hold as well.
+        slow_readers: Whether the memory of replicas is bounded as well.
 
     Attributes:
         is_out_of_step: Whether it hears of no changes.
@@ -110,10 +110,10 @@
     def __init__(self, host: str, memory_mb: float = 0.0, slow_readers: bool = True) -> None:
         self.host = host
         self.metrics = Metrics("", "test")
-        self.memory = HeldMemory(memory_mb, self.metrics, slow_readers)
+        self.memory = HeldMemory(memory_mb, self.metrics)
         self.turns = TurnStore(LOCATION)
         self.pool = ConnectionPool(self.memory.is_bounded)
-        self.fleet = Fleet(LOCATION, self.memory.is_limited)
+        self.fleet = Fleet(LOCATION, self.memory.is_bounded and slow_readers)
         self.quarantine = Quarantine()
         self.list_age_s: float | None = 0.0
         self.origins = OriginExchange(host, lambda: self.list_age_s)
@@ -191,7 +191,7 @@
         replicas: Scripts of the replicas by service and name, such as "llm/a".
         versions: Software versions of replicas by name; "v1" for the others.
         memory_mb: Memory of the entry in megabytes; 0 for no limit.
-        slow_readers: Whether the limit applies to what callers make the entry hold as well.
+        slow_readers: Whether the memory of replicas is bounded as well.
         route: Settings that replace those of the default routes.
 
     Attributes:
