Count the headers of a request by the objects that they take

Cause: a head of 16 KB may have 3,000 lines, whose objects, with those of the message to the replica, take over a hundred times the bytes that are sent. Only the bytes were counted.

Change: each header beyond 64 counts 512 bytes from the moment at which the head has been parsed.

Evidence: the new test is refused as it should be; with 0 bytes for a header the request is served though there is no room, and the test fails.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/request_reader.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/request_reader.py
@@ -19,6 +19,10 @@
 HEAD_READ_BYTES = 4 * 1024
 # More pipelined data stays in the kernel's buffer until the current request has its response.
 MAX_PIPELINED_BYTES = 16 * 1024
+# Headers whose objects are part of REQUEST_BYTES, and the objects of each further one, with those
+# of the message to the replica.
+MANY_HEADERS = 64
+HEADER_BYTES = 512
 # Announced length of a body from which on the kernel may take in more of it.
 LONG_BODY_BYTES = 2 * KERNEL_BUFFER_BYTES
 # Size of a read that is only to detect a disconnect, while there is no memory for more.
@@ -111,8 +115,9 @@
                 "headers are too large", error_status_hint=_STATUS_HEADERS_TOO_LARGE
             )
         length = min(_content_length(head), limits.max_body_bytes)
-        if not self._account.claim(Item.REQUEST, REQUEST_BYTES + length, Claim.NEW):
-            return self._refuse(head, REQUEST_BYTES + length)
+        size = REQUEST_BYTES + HEADER_BYTES * max(0, len(head.headers) - MANY_HEADERS) + length
+        if not self._account.claim(Item.REQUEST, size, Claim.NEW):
+            return self._refuse(head, size)
         is_long = self._account.is_limited and length >= LONG_BODY_BYTES
         if is_long:
             resize_input(self._writer, KERNEL_BUFFER_BYTES)
--- a/tests/deployed/test_memory_refusals.py
+++ b/tests/deployed/test_memory_refusals.py
@@ -76,6 +76,17 @@
 
         run(scenario)
 
+    def test_headers_count_by_their_objects(self, tmp_path: Path) -> None:
+        async def scenario() -> None:
+            async with deploy(tmp_path) as deployment:
+                fill(deployment, 0.77)
+                assert (await deployment.send(ORDER, b"o")).status == 200
+                many = {f"A{number}": "b" for number in range(2_500)}
+                assert (await deployment.send(ORDER, b"o", **many)).status == 503
+                assert len(deployment.replicas["shop/a"].arrivals) == 1
+
+        run(scenario)
+
     def test_a_connection_beyond_the_bound_is_closed_unread(self, tmp_path: Path) -> None:
         async def scenario() -> None:
             async with deploy(tmp_path) as deployment:
