Let callers that have stopped sending give way to new requests

The crowd was cut only after 3 s, and other connections of it took its place.

Cause: a long body may take all the room up to which new requests are taken on, and nothing makes room at the moment at which a request needs it.

Change: a request that takes more than 256 KiB of the bound may only take it up to 0.6; ordinary ones have what lies between that and 0.8 to themselves. A request that lacks room makes those give way that have sent nothing, or too little of a body, for half a second, those that hold most first, and only if that makes enough room. They get 408, and their request has not run. All connections are looked at every 50 ms at most.

A single body at the limit has room at the smallest bound, by a test.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/callers.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/callers.py
@@ -67,7 +67,9 @@
         self._cut = asyncio.Event()
         self._is_closing = False
         self._responder: Responder | None = None
-        self._account = (memory or HeldMemory()).open(self._cut_off, self._measure)
+        self._account = (memory or HeldMemory()).open(
+            self._cut_off, self._measure, self._sending_since_s
+        )
         self._requests = RequestReader(reader, writer, self._conn, limits, self._account)
 
     @property
@@ -92,6 +94,9 @@
             return now_s - since_s >= CUT_AFTER_S
         return not self.busy or now_s - since_s >= STALLED_S
 
+    def _sending_since_s(self) -> float | None:
+        return None if self._unread.since_s is not None else self._requests.waiting_since_s
+
     async def run(self) -> None:
         """Serves requests until the connection ends."""
         if not self._account.is_admitted:
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/held_memory.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/held_memory.py
@@ -13,17 +13,22 @@
     Claim,
     Peer,
     bound_bytes,
+    claim_of,
     expected_room_wait_s,
     has_room,
     is_fair,
     is_short,
+    missing_bytes,
     peers_to_cut,
+    peers_to_evict,
 )
 from endiveworks.telemetry import logs
 from endiveworks.telemetry.metrics import Metrics
 
 SWEEP_PERIOD_S = 0.25  # Time between looks at the readers; a fraction of the time they are given.
 REFUSED_FOR_S = 1.0  # A refusal counts as wanted memory for this long.
+# Shortest time between two evictions, each of which looks at all connections.
+EVICTION_PERIOD_S = 0.05
 CONNECTION_BYTES = 16 * 1024  # Objects of one open connection.
 # Objects of one request at work (48 KiB), and what arrives of its response while nothing of it is
 # read (twice BOUNDED_READ_BYTES and KERNEL_BUFFER_BYTES).
@@ -42,6 +47,8 @@
 
 
 _OF_REQUEST = (Item.REQUEST, Item.RESPONSE, Item.EVENT)
+_OF_SENDERS = (Item.REQUEST, Item.INPUT)
+_EVICTING = (Claim.NEW, Claim.LARGE, Claim.CONNECTION)
 _COUNTERS = {"reader": "readers_cut", "sender": "senders_cut", "idle": "idle_connections_cut"}
 
 
@@ -55,6 +62,8 @@
             without a request, empty if it has ended already.
         measure: Returns since when the caller has been owing progress (None for not), after it
             has brought the account up to date.
+        waiting_since: Returns since when the caller has sent nothing or too little of a request;
+            None while one is served.
 
     Attributes:
         id: Number of the connection.
@@ -67,12 +76,14 @@
         memory: "HeldMemory",
         cut: Callable[[], str],
         measure: Callable[["Account"], float | None],
+        waiting_since: Callable[[], float | None],
     ) -> None:
         self.id = memory.next_id()
         self._memory = memory
         self._items: Counter[Item] = Counter()
         self.cut = cut
         self.measure = measure
+        self.waiting_since = waiting_since
         self.is_limited = memory.is_bounded
         self.is_admitted = True
 
@@ -104,6 +115,8 @@
         """Adds bytes to an item if there is room; returns whether there was."""
         if not self.is_limited:
             return True
+        if item in _OF_SENDERS:
+            claim = claim_of(claim, sum(self._items[part] for part in _OF_SENDERS) + size)
         if not self._memory.claim(size, claim):
             return False
         self._items[item] += size
@@ -137,7 +150,8 @@
         for item in Item:
             self.set(item, 0)
         self._memory.forget(self)
-        self.cut, self.measure = _end_nothing, _owe_nothing  # The connection refers to the account.
+        # The connection refers to the account.
+        self.cut, self.measure, self.waiting_since = _end_nothing, _owe_nothing, _wait_for_nothing
 
 
 def _end_nothing() -> str:
@@ -148,6 +162,10 @@
     return None
 
 
+def _wait_for_nothing() -> float | None:
+    return None
+
+
 class HeldMemory:
     """The bytes that the process holds for all its callers.
 
@@ -180,10 +198,16 @@
         self._freed = 0
         self._freed_per_s = 0.0
         self._freed_since_s = time.monotonic()
+        self._evicted_s = -math.inf
 
-    def open(self, cut: Callable[[], str], measure: Callable[[Account], float | None]) -> Account:
-        """Returns the account of a new connection."""
-        account = Account(self, cut, measure)
+    def open(
+        self,
+        cut: Callable[[], str],
+        measure: Callable[[Account], float | None],
+        waiting_since: Callable[[], float | None],
+    ) -> Account:
+        """Returns the account of a new connection; see Account."""
+        account = Account(self, cut, measure, waiting_since)
         if self.is_bounded:
             account.is_admitted = account.claim(Item.CONNECTION, CONNECTION_BYTES, Claim.CONNECTION)
         if self.is_bounded and account.is_admitted:
@@ -207,7 +231,9 @@
             self._wake()
 
     def claim(self, size: int, claim: Claim) -> bool:
-        """Adds bytes if there is room; returns whether there was."""
+        """Adds bytes if there is room, or can be made; returns whether there was."""
+        if not has_room(claim, size, self.held, self.bound) and claim in _EVICTING:
+            self._evict(claim, size, time.monotonic())
         if not has_room(claim, size, self.held, self.bound):
             self._record_lack(size)
             return False
@@ -261,6 +287,21 @@
             self._metrics.gauge("held_bytes", self.held)
             self._metrics.gauge("held_bytes_bound", self.bound)
 
+    def _evict(self, claim: Claim, size: int, now_s: float) -> None:
+        """Cuts off callers that have stopped sending, if that makes room."""
+        if now_s - self._evicted_s < EVICTION_PERIOD_S:
+            return
+        self._evicted_s = now_s
+        peers = [
+            Peer(name, account.held(), account.waiting_since())
+            for name, account in self._accounts.items()
+        ]
+        missing = missing_bytes(claim, size, self.held, self.bound)
+        for peer in peers_to_evict(peers, missing, now_s):
+            account = self._accounts[peer.id]
+            self._cut(peer, now_s)
+            account.close()
+
     def _cut(self, peer: Peer, now_s: float) -> None:
         account = self._accounts.get(peer.id)
         if account is None:
--- a/packages/endiveworks/src/endiveworks/gateway/memory_budget.py
+++ b/packages/endiveworks/src/endiveworks/gateway/memory_budget.py
@@ -27,6 +27,11 @@
 BEHIND_SHARE = 0.9
 # Share of the bound up to which the next piece is held for peers that are not behind.
 FLOWING_SHARE = 0.95
+# Share of the bound up to which one peer may hold more than ORDINARY_BYTES, so that ordinary
+# requests have room beside long ones.
+LARGE_SHARE = 0.6
+# Bytes that a peer's request may take before it counts as a long one.
+ORDINARY_BYTES = 256 * 1024
 # Share of the bound that open connections may take by themselves.
 CONNECTIONS_SHARE = 0.4
 # Largest share of the bound that one response takes before the rest is passed on as it is read.
@@ -54,6 +59,7 @@
     """What memory is asked for."""
 
     NEW = "a request that has not begun"
+    LARGE = "more for a request that is longer than an ordinary one"
     BEHIND = "more for a request whose peer has bytes left to read or to send"
     FLOWING = "the next piece for a peer that has read everything so far"
     CONNECTION = "a connection and the heads of its requests, without which nothing can be refused"
@@ -61,6 +67,7 @@
 
 _SHARES = {
     Claim.NEW: NEW_SHARE,
+    Claim.LARGE: LARGE_SHARE,
     Claim.BEHIND: BEHIND_SHARE,
     Claim.FLOWING: FLOWING_SHARE,
     Claim.CONNECTION: 1.0,
@@ -154,6 +161,45 @@
     return cut
 
 
+def peers_to_evict(peers: Sequence[Peer], missing: float, now_s: float) -> list[Peer]:
+    """Returns the peers to cut off for a new request, first those that hold most.
+
+    None is returned if that doesn't make enough room.
+
+    Args:
+        peers: The peers that have sent nothing or too little of a request.
+        missing: Bytes that the request lacks.
+        now_s: Monotonic time.
+    """
+    stalled = [
+        peer
+        for peer in peers
+        if peer.waiting_since_s is not None and now_s - peer.waiting_since_s >= STALLED_S
+    ]
+    evicted: list[Peer] = []
+    for peer in sorted(stalled, key=lambda peer: (-peer.held_bytes, peer.waiting_since_s)):
+        if missing <= 0:
+            break
+        missing -= peer.held_bytes
+        evicted.append(peer)
+    return evicted if missing <= 0 else []
+
+
+def missing_bytes(claim: Claim, size: int, held: int, bound: float) -> float:
+    """Returns how many bytes must be given back before there is room; see has_room."""
+    return max(0.0, held + size - bound * _SHARES[claim])
+
+
+def claim_of(claim: Claim, held: int) -> Claim:
+    """Returns what a peer's request asks for, which is more if it is a long one.
+
+    Args:
+        claim: What an ordinary request would ask for.
+        held: Bytes that would be held for the peer.
+    """
+    return Claim.LARGE if held > ORDINARY_BYTES and claim is not Claim.FLOWING else claim
+
+
 def max_connections(bound: float, connection_bytes: int) -> float:
     """Returns the most connections that callers may keep open; infinite without a bound."""
     return max(1.0, bound * CONNECTIONS_SHARE / connection_bytes)
--- a/packages/endiveworks/src/endiveworks/gateway/tests/test_memory_budget.py
+++ b/packages/endiveworks/src/endiveworks/gateway/tests/test_memory_budget.py
@@ -5,15 +5,21 @@
     CUT_AFTER_S,
     MAX_RETRY_S,
     MIN_BOUND_BYTES,
+    ORDINARY_BYTES,
+    STALLED_S,
     Claim,
     Peer,
     UnreadBytes,
     bound_bytes,
+    claim_of,
     expected_room_wait_s,
     has_room,
     is_fair,
     is_short,
+    max_connections,
+    missing_bytes,
     peers_to_cut,
+    peers_to_evict,
 )
 
 KIB = 1024
@@ -177,3 +183,38 @@
             unread.write(10, number * 0.0001)
         assert len(unread._marks) <= 41
         assert unread.since_s == 0.0
+
+
+class TestEvictions:
+    def test_those_that_hold_most_go_first_and_no_more_than_needed(self) -> None:
+        peers = [Peer(1, KIB, 0.0), Peer(2, MIB, 1.0), Peer(3, 2 * MIB, 2.0)]
+        assert peers_to_evict(peers, MIB, 10.0) == [peers[2]]
+        assert peers_to_evict(peers, 3 * MIB, 10.0) == [peers[2], peers[1]]
+
+    def test_nobody_goes_in_vain(self) -> None:
+        assert not peers_to_evict([Peer(1, KIB, 0.0)], MIB, 10.0)
+
+    def test_only_those_that_have_stopped_go(self) -> None:
+        now_s = 10.0
+        served, sending = Peer(1, MIB, None), Peer(2, MIB, now_s - STALLED_S / 2)
+        stopped = Peer(3, MIB, now_s - STALLED_S)
+        assert peers_to_evict([served, sending, stopped], KIB, now_s) == [stopped]
+
+    def test_what_is_missing_makes_room(self) -> None:
+        held = int(BOUND)
+        missing = missing_bytes(Claim.NEW, MIB, held, BOUND)
+        assert not has_room(Claim.NEW, MIB, held, BOUND)
+        assert has_room(Claim.NEW, MIB, math.floor(held - missing), BOUND)
+
+
+class TestLongRequests:
+    def test_a_request_is_long_beyond_an_ordinary_one(self) -> None:
+        assert claim_of(Claim.NEW, ORDINARY_BYTES) is Claim.NEW
+        assert claim_of(Claim.NEW, ORDINARY_BYTES + 1) is Claim.LARGE
+
+    def test_a_single_body_at_the_limit_has_room_at_the_smallest_bound(self) -> None:
+        assert has_room(Claim.LARGE, 4 * MIB + ORDINARY_BYTES, 0, MIN_BOUND_BYTES)
+
+    def test_connections_leave_room_for_requests(self) -> None:
+        assert max_connections(BOUND, 32 * KIB) * 32 * KIB < BOUND / 2
+        assert max_connections(math.inf, 32 * KIB) == math.inf
--- a/tests/deployed/test_memory_refusals.py
+++ b/tests/deployed/test_memory_refusals.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
+from endiveworks.gateway.memory_budget import LARGE_SHARE, NEW_SHARE, STALLED_S
 from endiveworks_standins.site_caller import HOSTNAME, read_response
 from endiveworks_standins.site_replica import Arrival, chunk
 from structlog.testing import capture_logs
@@ -76,6 +77,16 @@
 
         run(scenario)
 
+    def test_long_bodies_leave_room_for_ordinary_requests(self, tmp_path: Path) -> None:
+        async def scenario() -> None:
+            async with deploy(tmp_path) as deployment:
+                fill(deployment, LARGE_SHARE)
+                assert (await deployment.send(ORDER, b"x" * 1_000_000)).status == 503
+                assert (await deployment.send(ORDER, b"o")).status == 200
+                assert len(deployment.replicas["shop/a"].arrivals) == 1
+
+        run(scenario)
+
     def test_headers_count_by_their_objects(self, tmp_path: Path) -> None:
         async def scenario() -> None:
             async with deploy(tmp_path) as deployment:
@@ -131,6 +142,21 @@
         assert events.count("caller_cut") == 3
         assert "r1" not in json.dumps([line for line in lines if line["part"] == "memory"])
 
+    def test_a_sender_that_has_stopped_gives_way_to_a_new_request(self, tmp_path: Path) -> None:
+        async def scenario() -> None:
+            async with deploy(tmp_path) as deployment:
+                sender, slow = await deployment.open()
+                slow.write(f"{HEADS}Content-Length: 4000000\r\n\r\n".encode())
+                while deployment.memory.held < 4_000_000:
+                    await asyncio.sleep(0.01)
+                fill(deployment, NEW_SHARE - deployment.memory.held / deployment.memory.bound)
+                await asyncio.sleep(STALLED_S)
+                assert (await deployment.send(ORDER, b"o")).status == 200
+                assert (await read_response(sender)).status == 408
+                slow.close()
+
+        run(scenario)
+
     def test_nobody_is_cut_while_there_is_memory(self, tmp_path: Path) -> None:
         async def scenario() -> None:
             async with deploy(tmp_path) as deployment:
