Free what a cut sender had sent without a garbage collection

What callers saw: nothing by itself; a bound on memory that is given back only when the garbage collector runs does not hold.

Cause: the reader of a connection that is cut keeps the exception that ends its reading, the exception refers to the frames that it passed, and these to the reader and to the part of the body that had arrived.

Change: the traceback is dropped where the exception is handled, and the answer to a malformed request is sent after its handler has ended.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/callers.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/callers.py
@@ -107,16 +107,9 @@
             self._writer.transport.max_size = BOUNDED_READ_BYTES  # type: ignore[attr-defined]
             limit_output(self._writer, PIECE_BYTES)
         try:
-            while await self._serve_request():
-                self._conn.start_next_cycle()
-                self._requests.waiting_since_s = time.monotonic()
-        except _CutError:
-            if self.busy:
-                await self._send_error(_STATUS_TIMEOUT)
-        except (OSError, CallerDisconnectedError):
-            pass  # The caller disconnected; its request has been cancelled.
-        except h11.RemoteProtocolError as exc:
-            await self._send_error(exc.error_status_hint)
+            status = await self._serve_requests()
+            if status is not None:
+                await self._send_error(status)
         finally:
             self._requests.busy = False
             self._requests.waiting_since_s = None
@@ -124,6 +117,22 @@
             await self._close()
             self._account.close()
 
+    async def _serve_requests(self) -> int | None:
+        """Serves requests; returns the status with which a malformed one is answered."""
+        try:
+            while await self._serve_request():
+                self._conn.start_next_cycle()
+                self._requests.waiting_since_s = time.monotonic()
+        except _CutError as exc:
+            # The reader keeps the exception, whose traceback would keep the body.
+            exc.__traceback__ = None
+            return _STATUS_TIMEOUT if self.busy else None
+        except (OSError, CallerDisconnectedError):
+            pass  # The caller disconnected; its request has been cancelled.
+        except h11.RemoteProtocolError as exc:
+            return exc.error_status_hint
+        return None
+
     def refuse(self) -> None:
         """Closes a connection for which there is no place."""
         self._account.close()
--- a/tests/deployed/test_memory_refusals.py
+++ b/tests/deployed/test_memory_refusals.py
@@ -1,7 +1,9 @@
 """What callers and operators see of an entry whose memory is short."""
 
 import asyncio
+import gc
 import json
+import tracemalloc
 from collections.abc import Callable
 from pathlib import Path
 
@@ -157,6 +159,33 @@
 
         run(scenario)
 
+    def test_what_a_cut_sender_had_sent_is_freed_without_a_garbage_collection(
+        self, tmp_path: Path
+    ) -> None:
+        async def scenario() -> None:
+            async with deploy(tmp_path) as deployment:
+                reader, writer = await deployment.open()
+                writer.write(f"{HEADS}Content-Length: 4000000\r\n\r\n".encode())
+                writer.write(b"x" * 3_000_000)
+                await writer.drain()
+                while tracemalloc.get_traced_memory()[0] < 3_000_000:
+                    await asyncio.sleep(0.01)
+                fill(deployment, 0.85)
+                assert (await read_response(reader)).status == 408
+                writer.close()
+                while deployment.callers.open:
+                    await asyncio.sleep(0.01)
+                assert tracemalloc.get_traced_memory()[0] < 1_000_000
+
+        gc.collect()
+        gc.disable()
+        tracemalloc.start()
+        try:
+            run(scenario)
+        finally:
+            tracemalloc.stop()
+            gc.enable()
+
     def test_nobody_is_cut_while_there_is_memory(self, tmp_path: Path) -> None:
         async def scenario() -> None:
             async with deploy(tmp_path) as deployment:
