Parse small chunks together, and long input in turns

Cause: the parser takes a step for each chunk, and what one read has brought is parsed before anything else goes on: thousands of steps at a time, for each connection of the crowd in turn. A head with thousands of lines does the same.

Change: chunks are joined before they reach the parser, which still sees all framing that can be malformed as malformed. A piece of input with more than 128 lines is parsed in a turn: one connection at a time, and between two turns the event loop has as long for everything else as the first took.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/callers.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/callers.py
@@ -12,6 +12,7 @@
 from endiveworks.telemetry import logs
 
 from .held_memory import Account, HeldMemory
+from .parse_turns import ParseTurns
 from .request_reader import BOUNDED_READ_BYTES, RequestReader
 from .request_reader import READ_BYTES as READ_BYTES
 from .responder import PIECE_BYTES, record_unread
@@ -45,6 +46,7 @@
         closing: Returns whether the process is shutting down, so that connections are closed after
             their current response.
         memory: The memory that is held for all callers; None for no bound.
+        turns: Turns of the connections whose input takes long to parse.
     """
 
     def __init__(
@@ -55,6 +57,7 @@
         limits: Callable[[], Limits],
         closing: Callable[[], bool],
         memory: HeldMemory | None = None,
+        turns: ParseTurns | None = None,
     ) -> None:
         self._reader = reader
         self._writer = writer
@@ -70,7 +73,9 @@
         self._account = (memory or HeldMemory()).open(
             self._cut_off, self._measure, self._sending_since_s
         )
-        self._requests = RequestReader(reader, writer, self._conn, limits, self._account)
+        self._requests = RequestReader(
+            reader, writer, self._conn, limits, self._account, turns or ParseTurns()
+        )
 
     @property
     def busy(self) -> bool:
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/request_reader.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/request_reader.py
@@ -5,17 +5,19 @@
 from collections.abc import Callable
 
 import h11
+from endiveworks.gateway.chunks import ChunkJoiner, MalformedChunkError
 from endiveworks.gateway.memory_budget import PROGRESS_BYTES, Claim
 from endiveworks.gateway.routes import Limits
 
 from .held_memory import REQUEST_BYTES, Account, Item
+from .parse_turns import MANY_LINES, ParseTurns
 from .responder import RawRequest
 from .sockets import KERNEL_BUFFER_BYTES, KERNEL_INPUT_BYTES, resize_input
 
 READ_BYTES = 64 * 1024  # Size of one read from a connection.
 # Size of one read if the process has a memory bound, and twice what is buffered unread.
 BOUNDED_READ_BYTES = 16 * 1024
-# Size of one read of a head.
+# Size of one read of a head. What it takes in of a body is parsed in the chunks in which it came.
 HEAD_READ_BYTES = 4 * 1024
 # More pipelined data stays in the kernel's buffer until the current request has its response.
 MAX_PIPELINED_BYTES = 16 * 1024
@@ -42,6 +44,7 @@
         conn: HTTP state of the connection.
         limits: Returns the limits in force.
         account: The memory that is held for the connection.
+        turns: Turns of the connections whose input takes long to parse.
 
     Attributes:
         busy: Whether a request is being received or served.
@@ -57,12 +60,15 @@
         conn: h11.Connection,
         limits: Callable[[], Limits],
         account: Account,
+        turns: ParseTurns,
     ) -> None:
         self._reader = reader
         self._writer = writer
         self._conn = conn
         self._limits = limits
         self._account = account
+        self._turns = turns
+        self._joiner: ChunkJoiner | None = None
         self._pipelined_bytes = 0
         self._in_body = False
         self.busy = False
@@ -118,6 +124,9 @@
         size = REQUEST_BYTES + HEADER_BYTES * max(0, len(head.headers) - MANY_HEADERS) + length
         if not self._account.claim(Item.REQUEST, size, Claim.NEW):
             return self._refuse(head, size)
+        if _is_chunked(head):
+            self._joiner = ChunkJoiner(limits.max_header_bytes)
+            await self._receive(self._take_unparsed())
         is_long = self._account.is_limited and length >= LONG_BODY_BYTES
         if is_long:
             resize_input(self._writer, KERNEL_BUFFER_BYTES)
@@ -150,6 +159,7 @@
             event = await self._next_event(limits.idle_timeout_s, limits.idle_timeout_s)
             if isinstance(event, h11.EndOfMessage):
                 self._in_body = False
+                self._joiner = None
                 return bytes(body)
             if not isinstance(event, h11.Data):
                 return None
@@ -179,7 +189,7 @@
             read_timeout_s: Time to wait for more bytes of a request.
         """
         while True:
-            event = self._conn.next_event()
+            event = await self._parse()
             if event is not h11.NEED_DATA:
                 return None if isinstance(event, h11.ConnectionClosed) else event
             try:
@@ -198,8 +208,42 @@
                 self.waiting_since_s = time.monotonic()
             if not self._in_body:
                 self._receive_head(data)
+            await self._receive(data)
+
+    async def _receive(self, data: bytes) -> None:
+        """Hands bytes to the parser, which takes none for the end of the connection."""
+        if self._joiner is not None:
+            data = await self._join_chunks(self._joiner, data)
+        if data:
             self._conn.receive_data(data)
 
+    def _take_unparsed(self) -> bytes:
+        """Takes back what the parser has received and not parsed; it has no public way for this."""
+        buffer = self._conn._receive_buffer
+        return bytes(buffer.maybe_extract_at_most(len(buffer)) or b"")
+
+    async def _parse(self) -> object:
+        """Returns the next event of what has arrived; a head with many lines waits for a turn."""
+        if not self._in_body and self._count_head_lines() > MANY_LINES:
+            async with self._turns.turn():
+                return self._conn.next_event()
+        return self._conn.next_event()
+
+    def _count_head_lines(self) -> int:
+        """Returns the number of lines of a head that has arrived whole, else 0."""
+        data = self._conn.trailing_data[0]
+        end = data.find(b"\r\n\r\n")
+        return data.count(b"\n", 0, end) if end >= 0 else 0
+
+    async def _join_chunks(self, joiner: ChunkJoiner, data: bytes) -> bytes:
+        try:
+            if data.count(b"\n") <= MANY_LINES:
+                return joiner.feed(data)
+            async with self._turns.turn():
+                return joiner.feed(data)
+        except MalformedChunkError as exc:
+            raise h11.RemoteProtocolError(str(exc)) from None
+
     def _receive_head(self, data: bytes) -> None:
         self._pipelined_bytes += len(data)
         if not self._account.claim(Item.INPUT, len(data), Claim.CONNECTION):
@@ -213,6 +257,10 @@
     return next((int(value) for name, value in head.headers if name == b"content-length"), 0)
 
 
+def _is_chunked(head: h11.Request) -> bool:
+    return any(name == b"transfer-encoding" for name, _ in head.headers)
+
+
 def _raw_request(head: h11.Request, body: bytes, refused_for_s: float | None = None) -> RawRequest:
     method, target = head.method.decode("ascii"), head.target.decode("latin-1")
     return RawRequest(method, target, list(head.headers), body, refused_for_s)
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/run.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/run.py
@@ -31,6 +31,7 @@
 from .load_exchange import BeliefBook, Beliefs, LoadExchange, SharedLoad
 from .origin_exchange import OriginExchange
 from .overload_report import OverloadReport
+from .parse_turns import ParseTurns
 from .quarantine import Quarantine
 from .quotas import Quotas
 from .registration import register_in_background
@@ -220,9 +221,12 @@
     memory: HeldMemory | None = None,
 ) -> asyncio.Server:
     """Accepts connections at "ip:port"; raises OSError when the address can't be bound."""
+    turns = ParseTurns()
 
     async def on_connection(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        conn = CallerConnection(reader, writer, handle, limits, lambda: callers.closing, memory)
+        conn = CallerConnection(
+            reader, writer, handle, limits, lambda: callers.closing, memory, turns
+        )
         if not callers.admit(conn):
             conn.refuse()
             return
