Read a body in chunks at the own interface by its data, many chunks at once

What callers saw: a single legal body of 4 MiB in chunks of 64 KiB was refused with 413, and in chunks of 16 bytes with 408 after 10 s. Beside 60 such bodies the process was busy copying.

Cause: cheroot counts the framing of chunks as part of the body, and copies all that has arrived of a body for each of its chunks. Of a body with a length it allocates the whole at each piece that arrives.

Change: the body is read in pieces of 16 KiB, and chunks are read from what has arrived, many at a time; only their data counts.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/http_request.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/http_request.py
@@ -4,11 +4,11 @@
 from http import HTTPStatus
 from typing import Any, NamedTuple
 
-from cheroot.errors import MaxSizeExceeded
 from endiveworks.errors import Code, Failure
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
+from .body_reader import BodyTooLongError, read_body
 from .problems import encode_problem
 
 # Keys of request headers in the WSGI environment.
@@ -113,19 +113,16 @@
     if not length and environ.get("HTTP_TRANSFER_ENCODING", "").lower() != "chunked":
         return Success(b"")
     try:
-        body = environ["wsgi.input"].read(int(length) if length else max_body_bytes + 1)
+        body = read_body(
+            environ["wsgi.input"], int(length) if length else None, max_body_bytes
+        )
     except TimeoutError:
         detail = "the body did not arrive in time"
         return Err(Failure(Code.REQUEST_TIMEOUT, _STEP, "", detail, not_run=True))
-    except MaxSizeExceeded:
+    except BodyTooLongError:
         return Err(_too_large(max_body_bytes))
     except (OSError, ValueError) as exc:
-        # cheroot raises an OSError without errno for a chunk over the limit.
-        if isinstance(exc, OSError) and exc.errno is None:
-            return Err(_too_large(max_body_bytes))
         return Err(bad_request(f"the body could not be read: {type(exc).__name__}"))
-    if len(body) > max_body_bytes:
-        return Err(_too_large(max_body_bytes))
     if length and len(body) < int(length):
         return Err(bad_request("the body is shorter than Content-Length"))
     return Success(body)
