Bound what callers make the own interface hold

With the defaults, 256 bodies and their copies are over 3 GB.

Half of it is for bodies, counted three times, and responses; a body that doesn't fit is refused with 503 before it is read, as not run, and a long one leaves room for others. A response is never refused, it counts for requests that come later. The kernel's buffer for a connection is 16 KiB, and large blocks are mapped on their own, so that they go back when they are freed.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/callers.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/callers.py
@@ -5,6 +5,7 @@
 from endiveworks.settings.flags import Values
 
 from . import http_server
+from .caller_memory import bound_bytes
 from .http_server import HttpServer, ServerLimits
 
 _SPARE_THREADS = 16
@@ -25,5 +26,6 @@
         body_bytes=cfg.integer("max_body_bytes"),
         request_timeout_s=cfg.number("request_s"),
         idle_timeout_s=cfg.integer("caller_silence_s"),
+        held_bytes=bound_bytes(cfg.integer("caller_memory_mb")),
     )
     return http_server.serve(cfg.text("http"), app, limits, "http")
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/http_app.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/http_app.py
@@ -19,6 +19,7 @@
 from .forward import OwnerLocator
 from .http_protocol import AFTER_SENT
 from .http_request import (
+    REQUEST_MEMORY,
     Request,
     Response,
     bad_request,
@@ -126,7 +127,10 @@
             )
         # A request is in flight until its last response byte is sent, so that a drain waits for it.
         environ[AFTER_SENT](limiter.release)
-        return _start_response(_handle(owners, environ, limits), start_response)
+        response = _handle(owners, environ, limits)
+        if isinstance(response.body, tuple):
+            environ[REQUEST_MEMORY].hold_response(sum(map(len, response.body)))
+        return _start_response(response, start_response)
 
     return app
 
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/http_protocol.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/http_protocol.py
@@ -13,6 +13,8 @@
 from cheroot.wsgi import Gateway_10
 from endiveworks.errors import Code, Failure
 
+from .caller_memory import RequestMemory
+from .http_request import REQUEST_MEMORY
 from .problems import encode_problem
 from .response_sink import ChunkWriter
 
@@ -183,6 +185,7 @@
         super().__init__(server, sock, makefile)
         self._raw = _DeadlineIO(sock)
         self.rfile = _Reader(self._raw, self.rbufsize)
+        self.memory = RequestMemory(server.caller_memory)
         self.is_new = True
         self.has_unread_input = False
         self._sent_callbacks: list[Callable[[], None]] = []
@@ -203,6 +206,7 @@
             keep_open: bool = super().communicate()
             return keep_open
         finally:
+            self.memory.release()
             callbacks, self._sent_callbacks = self._sent_callbacks, []
             for callback in callbacks:
                 callback()
@@ -244,6 +248,7 @@
         environ: dict[str, Any] = super().get_environ()
         environ[AFTER_SENT] = self.req.conn.call_after_sent
         environ[CHUNK_WRITER] = self._chunk_writer
+        environ[REQUEST_MEMORY] = self.req.conn.memory
         return environ
 
     def _chunk_writer(self) -> ChunkWriter | None:
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/http_request.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/http_request.py
@@ -8,7 +8,8 @@
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
-from .body_reader import BodyTooLongError, read_body
+from .body_reader import BodyTooLongError, NoRoomError, read_body
+from .caller_memory import RequestMemory
 from .problems import encode_problem
 
 # Keys of request headers in the WSGI environment.
@@ -17,7 +18,11 @@
 CALL_HEADER = "HTTP_ENDIVE_CALL"
 IDEMPOTENCY_KEY_HEADER = "HTTP_IDEMPOTENCY_KEY"
 _MAX_NAME_CHARS = 256
+# Key of the memory that is held for the request, in the WSGI environment.
+REQUEST_MEMORY = "endiveworks.request_memory"
 _MAX_CALL_NUMBER = 1_000_000
+# Time after which a caller may come back if there was no memory for its request.
+_NO_ROOM_RETRY_AFTER_S = 1.0
 _STEP = "http.request"
 
 
@@ -112,10 +117,14 @@
         return Err(_too_large(max_body_bytes))
     if not length and environ.get("HTTP_TRANSFER_ENCODING", "").lower() != "chunked":
         return Success(b"")
+    memory: RequestMemory = environ[REQUEST_MEMORY]
     try:
         body = read_body(
-            environ["wsgi.input"], int(length) if length else None, max_body_bytes
+            environ["wsgi.input"], int(length) if length else None, max_body_bytes, memory
         )
+    except NoRoomError:
+        detail = "too little memory is free for the body"
+        return Err(Failure(Code.OVERLOADED, _STEP, "", detail, True, _NO_ROOM_RETRY_AFTER_S))
     except TimeoutError:
         detail = "the body did not arrive in time"
         return Err(Failure(Code.REQUEST_TIMEOUT, _STEP, "", detail, not_run=True))
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/http_server.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/http_server.py
@@ -1,6 +1,8 @@
 """HTTP server with limits on threads and connections, and timeouts for slow callers."""
 
 import logging
+import math
+import socket
 import sys
 import threading
 import time
@@ -11,11 +13,14 @@
 from endiveworks.settings.checks import split_address
 from endiveworks.telemetry.logs import logger
 
+from .caller_memory import CallerMemory
 from .http_protocol import Connection, Gateway, Request
 
 _BACKLOG_CONNECTIONS = 1024
 _IDLE_PERIOD_S = 0.5
 _POLL_S = 0.05
+# Size of the kernel's buffer for what a caller has sent and has not been read.
+_KERNEL_INPUT_BYTES = 16 * 1024
 
 
 class ServerLimits(NamedTuple):
@@ -29,6 +34,7 @@
         request_timeout_s: Seconds in which a request must arrive completely.
         idle_timeout_s: Seconds after which a connection is closed when it is idle or its caller
             does not read the response.
+        held_bytes: Bytes that are held of all requests and responses.
     """
 
     threads: int
@@ -37,6 +43,7 @@
     body_bytes: int
     request_timeout_s: float
     idle_timeout_s: int
+    held_bytes: float = math.inf
 
 
 class HttpServer(NamedTuple):
@@ -78,6 +85,7 @@
         self.keep_alive_conn_limit = limits.connections
         self.request_timeout_s = limits.request_timeout_s
         self.last_request_at_s = time.monotonic()
+        self.caller_memory = CallerMemory(limits.held_bytes)
         self._limits = limits
         self._open_connections = 0
         self._open_lock = threading.Lock()
@@ -143,6 +151,7 @@
     """
     httpd = _Server(address, app, limits)
     httpd.prepare()
+    httpd.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _KERNEL_INPUT_BYTES)
     threading.Thread(target=httpd.serve, name=name, daemon=True).start()
     host, port = httpd.bind_addr[:2]
 
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/main.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/main.py
@@ -8,6 +8,7 @@
 from endiveworks.settings.flags import EXIT_USAGE, Values, load
 from endiveworks.telemetry import logs
 
+from .allocator import return_large_blocks
 from .entry import start_entry
 from .file_limit import raise_file_limit
 from .options import daemon_flags, role_errors
@@ -30,6 +31,7 @@
         raise SystemExit(EXIT_USAGE)
     logs.configure(cfg.text("host"), cfg.text("log_level"), sys.stderr)
     logs.install_log_hooks()
+    return_large_blocks()
     # Blocked in every thread and received by sigwait: a Python handler runs only in the main
     # thread, which isn't woken when the signal is delivered to another thread.
     signal.pthread_sigmask(signal.SIG_BLOCK, _STOP_SIGNALS)
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/options.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/options.py
@@ -80,6 +80,12 @@
     flags.define_integer(
         "max_callers", 2048, "Entry: open connections of callers.", between(16, 65536)
     )
+    flags.define_integer(
+        "caller_memory_mb",
+        0,
+        "Entry: memory that callers may take, in megabytes; 0 for a quarter of the host's.",
+        between(0, 2**20),
+    )
     flags.define_integer(
         "max_header_bytes", 16384, "Entry: largest request headers.", between(1024, 2**20)
     )
