Cut off callers of the own interface for which threads wait, for others

With all of them held, others waited or were refused for as long; beside 60 bodies with a length, or sent in pieces, an order was not served for 60 s.

Cause: a thread is given to a connection with its first byte, and nothing but the time limits takes it away.

Change: four times a second, as many callers are cut off as requests lack a thread or were refused for want of a place: those that have sent a request for half a second and are waited for, or have left an answer unread for 3 s, the longest first. A request that has not arrived whole gets 408. Nobody is cut off while there is a free thread and a free place.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/callers.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/callers.py
@@ -11,11 +11,18 @@
 _SPARE_THREADS = 16
 
 
-def serve_callers(cfg: Values, app: Callable[..., Iterable[bytes]]) -> HttpServer:
+def serve_callers(
+    cfg: Values, app: Callable[..., Iterable[bytes]], take_refused: Callable[[], int]
+) -> HttpServer:
     """Starts the server in daemon threads.
 
     It has more threads than max_open, so that requests over that limit can still be rejected.
 
+    Args:
+        cfg: The settings.
+        app: The WSGI application.
+        take_refused: See http_server.serve.
+
     Raises:
         OSError: The address can't be bound.
     """
@@ -28,4 +35,4 @@
         idle_timeout_s=cfg.integer("caller_silence_s"),
         held_bytes=bound_bytes(cfg.integer("caller_memory_mb")),
     )
-    return http_server.serve(cfg.text("http"), app, limits, "http")
+    return http_server.serve(cfg.text("http"), app, limits, "http", take_refused)
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/entry.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/entry.py
@@ -97,7 +97,9 @@
     )
     owners = partition_owners(deployment, owner, partitions, entries, cfg.number("patience_s"))
     limits = Limits(cfg.integer("max_body_bytes"), cfg.integer("max_open"))
-    http = serve_callers(cfg, instrument_app(make_app(owners, limiter, limits), metrics))
+    http = serve_callers(
+        cfg, instrument_app(make_app(owners, limiter, limits), metrics), limiter.take_refused
+    )
     operators = serve_operators(
         cfg,
         deployment,
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/http_app.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/http_app.py
@@ -73,6 +73,7 @@
     def __init__(self, max_open: int) -> None:
         self._max_open = max_open
         self._in_flight = 0
+        self._refused = 0
         self._draining = False
         self._changed = threading.Condition()
 
@@ -83,6 +84,7 @@
                 detail = "this host is draining; send the request to another host"
                 return Failure(Code.DRAINING, "http.gate", "", detail, True, 0.0)
             if self._in_flight >= self._max_open:
+                self._refused += 1
                 detail = f"the limit of {self._max_open} requests in flight is reached"
                 return Failure(
                     Code.OVERLOADED, "http.gate", "", detail, True, _OVERLOAD_RETRY_AFTER_S
@@ -96,6 +98,12 @@
             self._in_flight -= 1
             self._changed.notify_all()
 
+    def take_refused(self) -> int:
+        """Returns the number of requests that had no place since the last call."""
+        with self._changed:
+            refused, self._refused = self._refused, 0
+            return refused
+
     def start_draining(self) -> None:
         """Rejects all further requests."""
         with self._changed:
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/http_protocol.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/http_protocol.py
@@ -3,15 +3,16 @@
 import contextlib
 import socket
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from http import HTTPStatus
 from typing import Any
 
 from cheroot import errors as cheroot_errors
 from cheroot import server as cheroot_server
-from cheroot.makefile import StreamReader
+from cheroot.makefile import StreamReader, StreamWriter
 from cheroot.wsgi import Gateway_10
 from endiveworks.errors import Code, Failure
+from endiveworks.gateway.memory_budget import CUT_AFTER_S, STALLED_S
 
 from .caller_memory import RequestMemory
 from .http_request import REQUEST_MEMORY
@@ -136,12 +137,21 @@
 
 
 class _DeadlineIO(socket.SocketIO):
-    """Reads from a socket with one deadline for all reads, not a timeout for each."""
+    """Reads from a socket with one deadline for all reads, not a timeout for each.
+
+    Attributes:
+        socket: The socket.
+        deadline_s: Monotonic time at which reading ends.
+        is_waiting: Whether a thread waits for more bytes.
+        is_cut: Whether nothing more is read.
+    """
 
     def __init__(self, sock: socket.socket) -> None:
         super().__init__(sock, "rb")
         self.socket = sock
         self.deadline_s = float("inf")
+        self.is_waiting = False
+        self.is_cut = False
 
     def readinto(self, buffer: Any) -> int | None:
         """Reads available bytes, waiting for them at most until the deadline.
@@ -150,16 +160,46 @@
             TimeoutError: The deadline or the socket's own timeout has passed.
         """
         remaining_s = self.deadline_s - time.monotonic()
-        if remaining_s <= 0:
+        if remaining_s <= 0 or self.is_cut:
             raise TimeoutError("timed out")
         socket_timeout_s = self.socket.gettimeout()
         self.socket.settimeout(
             remaining_s if socket_timeout_s is None else min(remaining_s, socket_timeout_s)
         )
+        self.is_waiting = True
         try:
-            return super().readinto(buffer)
+            size = super().readinto(buffer)
         finally:
+            self.is_waiting = False
             self.socket.settimeout(socket_timeout_s)
+        if self.is_cut:
+            raise TimeoutError("timed out")
+        return size
+
+
+class _Writer(StreamWriter):
+    """Buffered writer to a socket, which tells since when a thread has waited for the caller."""
+
+    def __init__(self, sock: socket.socket, size: int) -> None:
+        super().__init__(sock, "wb", size)
+        self.waiting_since_s: float | None = None
+
+    @contextlib.contextmanager
+    def waiting(self) -> Iterator[None]:
+        """Marks the time in which the caller may have to read before more is written."""
+        self.waiting_since_s = time.monotonic()
+        try:
+            yield
+        finally:
+            self.waiting_since_s = None
+
+    def write(  # type: ignore[override]  # its stub differs from its class
+        self, val: Any, *args: Any, **kwargs: Any
+    ) -> int:
+        """Writes bytes, waiting for a slow caller."""
+        with self.waiting():
+            size: int = super().write(val, *args, **kwargs)
+            return size
 
 
 class _Reader(StreamReader):
@@ -185,16 +225,40 @@
         super().__init__(server, sock, makefile)
         self._raw = _DeadlineIO(sock)
         self.rfile = _Reader(self._raw, self.rbufsize)
+        self.wfile = _Writer(sock, self.wbufsize)
         self.memory = RequestMemory(server.caller_memory)
         self.is_new = True
         self.has_unread_input = False
         self._sent_callbacks: list[Callable[[], None]] = []
         self._counted = True
+        self._receiving_since_s = time.monotonic()
         server.adjust_open_connections(1)
 
     def start_deadline(self) -> None:
         """Starts the time limit for receiving the next request."""
-        self._raw.deadline_s = time.monotonic() + self.server.request_timeout_s
+        self._receiving_since_s = time.monotonic()
+        self._raw.deadline_s = self._receiving_since_s + self.server.request_timeout_s
+
+    def stuck_since_s(self, now_s: float) -> float | None:
+        """Returns since when a thread has waited for a caller that may be cut off; None for not."""
+        writing_since_s: float | None = self.wfile.waiting_since_s
+        if writing_since_s is not None:
+            return writing_since_s if now_s - writing_since_s >= CUT_AFTER_S else None
+        since_s = self._receiving_since_s
+        return since_s if self._raw.is_waiting and now_s - since_s >= STALLED_S else None
+
+    def cut_off(self, now_s: float) -> None:
+        """Ends the wait for the caller; a request that has not arrived whole is refused."""
+        writing_since_s: float | None = self.wfile.waiting_since_s
+        is_unread = writing_since_s is not None and now_s - writing_since_s >= CUT_AFTER_S
+        self._raw.is_cut = True
+        with contextlib.suppress(OSError):  # The caller has closed the connection.
+            self.socket.shutdown(socket.SHUT_RDWR if is_unread else socket.SHUT_RD)
+
+    def _uncount(self) -> None:
+        if self._counted:
+            self._counted = False
+            self.server.adjust_open_connections(-1)
 
     def call_after_sent(self, callback: Callable[[], None]) -> None:
         """Registers a callback for when the current response has been sent or has failed."""
@@ -202,10 +266,12 @@
 
     def communicate(self) -> bool:
         """Reads a request and responds to it; returns whether the connection stays open."""
+        self.server.working.add(self)
         try:
             keep_open: bool = super().communicate()
             return keep_open
         finally:
+            self.server.working.discard(self)
             self.memory.release()
             callbacks, self._sent_callbacks = self._sent_callbacks, []
             for callback in callbacks:
@@ -213,9 +279,7 @@
 
     def close(self) -> None:
         """Closes the connection; errors are ignored, since nothing can act on them any more."""
-        if self._counted:
-            self._counted = False
-            self.server.adjust_open_connections(-1)
+        self._uncount()
         # An exception raised here would stop the server.
         with contextlib.suppress(OSError, ValueError):
             if self.has_unread_input:
@@ -255,7 +319,7 @@
         req = self.req
         if not (req.sent_headers and req.chunked_write) or req.conn.socket.gettimeout() is None:
             return None
-        return ChunkWriter(req.conn.socket)
+        return ChunkWriter(req.conn.socket, req.conn.wfile.waiting)
 
 
 def _is_valid_length(value: bytes) -> bool:
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/http_server.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/http_server.py
@@ -1,5 +1,6 @@
 """HTTP server with limits on threads and connections, and timeouts for slow callers."""
 
+import heapq
 import logging
 import math
 import socket
@@ -21,6 +22,8 @@
 _POLL_S = 0.05
 # Size of the kernel's buffer for what a caller has sent and has not been read.
 _KERNEL_INPUT_BYTES = 16 * 1024
+# Time between looks at the callers for which threads wait.
+_LOOK_PERIOD_S = 0.25
 
 
 class ServerLimits(NamedTuple):
@@ -86,6 +89,7 @@
         self.request_timeout_s = limits.request_timeout_s
         self.last_request_at_s = time.monotonic()
         self.caller_memory = CallerMemory(limits.held_bytes)
+        self.working: set[Connection] = set()  # Connections that have a thread.
         self._limits = limits
         self._open_connections = 0
         self._open_lock = threading.Lock()
@@ -126,6 +130,26 @@
         except (OSError, ValueError, KeyError):
             conn.close()
 
+    def cut_off_stuck(self, refused: int) -> None:
+        """Cuts off callers for which threads wait, as many as others lack a thread or a place.
+
+        Args:
+            refused: Requests that had no place since the last call.
+        """
+        lacking = max(refused, 0 if self.requests.idle else self.requests.qsize)
+        if not lacking:
+            return
+        now_s = time.monotonic()
+        stuck = [
+            (since_s, id(conn), conn)
+            for conn in self.working.copy()
+            if (since_s := conn.stuck_since_s(now_s)) is not None
+        ]
+        for since_s, _, conn in heapq.nsmallest(lacking, stuck):
+            conn.cut_off(now_s)
+            wait_ms = round((now_s - since_s) * 1000)
+            logger("http").info("caller_cut", wait_ms=wait_ms, amount=lacking)
+
     def error_log(self, msg: str = "", level: int = logging.INFO, traceback: bool = False) -> None:
         """Logs the current exception without msg, which may quote a caller's content."""
         exc = sys.exc_info()[1]
@@ -137,7 +161,19 @@
             logger("http").warning("connection_failed")
 
 
-def serve(address: str, app: Any, limits: ServerLimits, name: str) -> HttpServer:
+def _cut_off_forever(httpd: _Server, take_refused: Callable[[], int]) -> None:
+    while httpd.ready:
+        time.sleep(_LOOK_PERIOD_S)
+        httpd.cut_off_stuck(take_refused())
+
+
+def serve(
+    address: str,
+    app: Any,
+    limits: ServerLimits,
+    name: str,
+    take_refused: Callable[[], int] = lambda: 0,
+) -> HttpServer:
     """Starts a server in daemon threads.
 
     Args:
@@ -145,6 +181,8 @@
         app: The WSGI application.
         limits: Limits of the server.
         name: Name of the thread that accepts connections.
+        take_refused: Returns the number of requests that the application has refused since the last
+            call because too many others were at work.
 
     Raises:
         OSError: The address can't be bound.
@@ -153,6 +191,9 @@
     httpd.prepare()
     httpd.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _KERNEL_INPUT_BYTES)
     threading.Thread(target=httpd.serve, name=name, daemon=True).start()
+    threading.Thread(
+        target=_cut_off_forever, args=(httpd, take_refused), name=f"{name}-cuts", daemon=True
+    ).start()
     host, port = httpd.bind_addr[:2]
 
     def wait_idle(timeout_s: float) -> None:
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/response_sink.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/response_sink.py
@@ -3,6 +3,7 @@
 import os
 import socket
 from collections.abc import Callable
+from contextlib import AbstractContextManager, nullcontext
 
 _LINE_END = b"\r\n"
 
@@ -12,10 +13,16 @@
 
     Args:
         sock: Connection whose headers have been sent with chunked encoding.
+        waiting: Marks the time in which a thread waits for the caller.
     """
 
-    def __init__(self, sock: socket.socket) -> None:
+    def __init__(
+        self,
+        sock: socket.socket,
+        waiting: Callable[[], AbstractContextManager[None]] = nullcontext,
+    ) -> None:
         self._sock = sock
+        self._waiting = waiting
         self._unsent = b""
 
     def write(self, data: bytes) -> bool:
@@ -37,7 +44,8 @@
         """
         unsent, self._unsent = self._unsent, b""
         if unsent:
-            self._sock.sendall(unsent)
+            with self._waiting():
+                self._sock.sendall(unsent)
 
 
 class ResponseSink:
