Let idle connections of the own interface give way to new ones

Change: at the limit, the connections that have been idle longest are closed, a thirty-second of the limit at once. A new connection is refused only while none is idle.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/http_protocol.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/http_protocol.py
@@ -216,6 +216,7 @@
 
     Attributes:
         is_new: Whether the server has not yet waited for the first byte.
+        is_evicted: Whether the connection ends because another one takes its place.
         has_unread_input: Whether a response was sent before the whole request was read.
     """
 
@@ -228,6 +229,7 @@
         self.wfile = _Writer(sock, self.wbufsize)
         self.memory = RequestMemory(server.caller_memory)
         self.is_new = True
+        self.is_evicted = False
         self.has_unread_input = False
         self._sent_callbacks: list[Callable[[], None]] = []
         self._counted = True
@@ -255,6 +257,13 @@
         with contextlib.suppress(OSError):  # The caller has closed the connection.
             self.socket.shutdown(socket.SHUT_RDWR if is_unread else socket.SHUT_RD)
 
+    def evict(self) -> None:
+        """Ends an idle connection, which the server then closes as soon as it sees the end."""
+        self.is_evicted = True
+        self._uncount()
+        with contextlib.suppress(OSError):  # The caller has closed the connection.
+            self.socket.shutdown(socket.SHUT_RDWR)
+
     def _uncount(self) -> None:
         if self._counted:
             self._counted = False
@@ -280,6 +289,7 @@
     def close(self) -> None:
         """Closes the connection; errors are ignored, since nothing can act on them any more."""
         self._uncount()
+        self.server.forget(self)
         # An exception raised here would stop the server.
         with contextlib.suppress(OSError, ValueError):
             if self.has_unread_input:
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/http_server.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/http_server.py
@@ -20,6 +20,8 @@
 _BACKLOG_CONNECTIONS = 1024
 _IDLE_PERIOD_S = 0.5
 _POLL_S = 0.05
+# Share of the connections at the limit that are closed at once to make room for new ones.
+_EVICTED_SHARE = 1 / 32
 # Size of the kernel's buffer for what a caller has sent and has not been read.
 _KERNEL_INPUT_BYTES = 16 * 1024
 # Time between looks at the callers for which threads wait.
@@ -90,6 +92,7 @@
         self.last_request_at_s = time.monotonic()
         self.caller_memory = CallerMemory(limits.held_bytes)
         self.working: set[Connection] = set()  # Connections that have a thread.
+        self._idle: dict[Connection, None] = {}  # In the order in which they became idle.
         self._limits = limits
         self._open_connections = 0
         self._open_lock = threading.Lock()
@@ -109,12 +112,16 @@
 
         A new connection first waits for its first byte without occupying a thread.
         """
+        self._idle.pop(conn, None)
+        if conn.is_evicted:
+            conn.close()
+            return
         if not conn.is_new:
             self.last_request_at_s = time.monotonic()
             super().process_conn(conn)
             return
         conn.is_new = False
-        if self.open_connections() > self._limits.connections:
+        if self.open_connections() > self._limits.connections and not self._evict():
             Request(self, conn).simple_response("503", "Too many connections are open.")
             conn.has_unread_input = False
             conn.close()
@@ -124,12 +131,29 @@
 
     def put_conn(self, conn: Connection) -> None:
         """Monitors an idle connection for its next request."""
+        self._idle[conn] = None
         # An exception raised here would stop the server.
         try:
             super().put_conn(conn)
         except (OSError, ValueError, KeyError):
+            self._idle.pop(conn, None)
             conn.close()
 
+    def forget(self, conn: Connection) -> None:
+        """Removes a connection that is closed."""
+        self._idle.pop(conn, None)
+
+    def _evict(self) -> int:
+        """Ends the connections that have been idle longest; returns their number."""
+        count = max(1, int(self._limits.connections * _EVICTED_SHARE))
+        # Worker threads add connections meanwhile.
+        evicted = list(self._idle.copy())[:count]
+        for conn in evicted:
+            self._idle.pop(conn, None)
+            conn.evict()
+        logger("http").info("connections_evicted", amount=len(evicted))
+        return len(evicted)
+
     def cut_off_stuck(self, refused: int) -> None:
         """Cuts off callers for which threads wait, as many as others lack a thread or a place.
 
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/tests/test_http_server.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/tests/test_http_server.py
@@ -151,6 +151,19 @@
         for conn in idle:
             conn.close()
 
+    def test_the_longest_idle_connection_gives_way(self, server: HttpServer) -> None:
+        idle = [_connect(server) for _ in range(_LIMITS.connections)]
+        data = _HEAD + b"Connection: close\r\n\r\n"
+        assert _exchange(server, data).startswith(b"HTTP/1.1 200")
+        assert _read_all(idle[0]) == b""
+        for conn in idle[1:]:
+            conn.sendall(data)
+            assert _read_all(conn).startswith(b"HTTP/1.1 200")
+        for conn in idle:
+            conn.close()
+        while server.connections():
+            time.sleep(0.01)
+
     def test_connections_are_bounded_while_none_is_idle(self, app: _App) -> None:
         limits = _LIMITS._replace(connections=_LIMITS.threads)
         server = serve("127.0.0.1:0", app, limits, "full")
