--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/caller_connections.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/caller_connections.py
@@ -9,6 +9,7 @@
 
 # Share of the connections at the limit that are closed at once to make room for new ones.
 _EVICTED_SHARE = 1 / 32
+_LOG_PERIOD_S = 1.0  # Shortest time between two log lines on closed connections.
 
 
 class Connection(Protocol):
@@ -50,6 +51,8 @@
         self.open: set[Connection] = set()
         self.closing = False
         self._max_open = max_open
+        self._unlogged = 0
+        self._logged_s = -math.inf
 
     def admit(self, conn: Connection) -> bool:
         """Adds a connection; closes others at the limit, and returns whether there was a place."""
@@ -77,7 +80,13 @@
         for *_, conn in evicted:
             self.open.discard(conn)
             conn.evict()
-        logs.logger("callers").info(
-            "connections_evicted", amount=len(evicted), running=len(self.open)
-        )
+        self._log(len(evicted), now_s)
         return len(evicted)
+
+    def _log(self, count: int, now_s: float) -> None:
+        self._unlogged += count
+        if self._unlogged and now_s - self._logged_s >= _LOG_PERIOD_S:
+            logs.logger("callers").info(
+                "connections_evicted", amount=self._unlogged, running=len(self.open)
+            )
+            self._unlogged, self._logged_s = 0, now_s
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/request_reader.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/request_reader.py
@@ -17,13 +17,12 @@
 READ_BYTES = 64 * 1024  # Size of one read from a connection.
 # Size of one read if the process has a memory bound, and twice what is buffered unread.
 BOUNDED_READ_BYTES = 16 * 1024
-# Size of one read of a head. What it takes in of a body is parsed in the chunks in which it came.
+# Size of one read of a head.
 HEAD_READ_BYTES = 4 * 1024
 # More pipelined data stays in the kernel's buffer until the current request has its response.
 MAX_PIPELINED_BYTES = 16 * 1024
-# Headers whose objects are part of REQUEST_BYTES, and the objects of each further one, with those
-# of the message to the replica.
-MANY_HEADERS = 64
+MANY_HEADERS = 64  # Headers whose objects are part of REQUEST_BYTES.
+# Objects of each further header, with those of the message to the replica.
 HEADER_BYTES = 512
 # Announced length of a body from which on the kernel may take in more of it.
 LONG_BODY_BYTES = 2 * KERNEL_BUFFER_BYTES
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/http_server.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/http_server.py
@@ -93,6 +93,7 @@
         self.caller_memory = CallerMemory(limits.held_bytes)
         self.working: set[Connection] = set()  # Connections that have a thread.
         self._idle: dict[Connection, None] = {}  # In the order in which they became idle.
+        self._evicted = 0
         self._limits = limits
         self._open_connections = 0
         self._open_lock = threading.Lock()
@@ -151,9 +152,16 @@
         for conn in evicted:
             self._idle.pop(conn, None)
             conn.evict()
-        logger("http").info("connections_evicted", amount=len(evicted))
+        self._evicted += len(evicted)
         return len(evicted)
 
+    def log_evictions(self) -> None:
+        """Logs how many idle connections were closed since the last call."""
+        evicted, self._evicted = self._evicted, 0
+        if evicted:
+            running = self.open_connections()
+            logger("http").info("connections_evicted", amount=evicted, running=running)
+
     def cut_off_stuck(self, refused: int) -> None:
         """Cuts off callers for which threads wait, as many as others lack a thread or a place.
 
@@ -169,10 +177,12 @@
             for conn in self.working.copy()
             if (since_s := conn.stuck_since_s(now_s)) is not None
         ]
-        for since_s, _, conn in heapq.nsmallest(lacking, stuck):
+        cut = heapq.nsmallest(lacking, stuck)
+        for _, _, conn in cut:
             conn.cut_off(now_s)
-            wait_ms = round((now_s - since_s) * 1000)
-            logger("http").info("caller_cut", wait_ms=wait_ms, amount=lacking)
+        if cut:
+            wait_ms = round((now_s - cut[0][0]) * 1000)
+            logger("http").info("callers_cut", amount=len(cut), wait_ms=wait_ms)
 
     def error_log(self, msg: str = "", level: int = logging.INFO, traceback: bool = False) -> None:
         """Logs the current exception without msg, which may quote a caller's content."""
@@ -189,6 +199,7 @@
     while httpd.ready:
         time.sleep(_LOOK_PERIOD_S)
         httpd.cut_off_stuck(take_refused())
+        httpd.log_evictions()
 
 
 def serve(
--- a/packages/endiveworks/src/endiveworks/gateway/memory_budget.py
+++ b/packages/endiveworks/src/endiveworks/gateway/memory_budget.py
@@ -164,7 +164,7 @@
 def peers_to_evict(peers: Sequence[Peer], missing: float, now_s: float) -> list[Peer]:
     """Returns the peers to cut off for a new request, first those that hold most.
 
-    None is returned if that doesn't make enough room.
+    Nobody is cut off if that doesn't make enough room.
 
     Args:
         peers: The peers that have sent nothing or too little of a request.
