Reset a connection that is closed within a response for a new one

What callers saw: nothing yet; found by reading. A caller that has left an answer unread for 3 s may be closed for a new connection. An HTTP/1.0 answer without chunks ends with its connection, so one that is closed so could have looked complete.

Cause: the connection was closed, not reset, unlike one cut for its memory.

Change: it is reset while bytes are unread.

Evidence: by reading only, no test of its own.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/callers.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/callers.py
@@ -146,6 +146,9 @@
     def evict(self) -> None:
         """Closes the connection at once."""
         self._cut.set()
+        if self._unread.since_s is not None:
+            # A connection that is reset can't look like the end of a complete response.
+            reset_on_close(self._writer)
         self._writer.transport.abort()
 
     def close_if_idle(self) -> None:
