--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/replica_table.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/replica_table.py
@@ -161,6 +161,11 @@
             state.failures = recent_failures(state) + 1.0
             state.last_failure_s = time.monotonic()
 
+    def recent_failures(self, replica: str) -> float:
+        """Returns the recent failures of a replica, decayed over time; 0 if it is gone."""
+        state = self._states.get(replica)
+        return recent_failures(state) if state else 0.0
+
     def record_leaving(self, replica: str) -> None:
         """Records that a replica announced in a response that it is about to leave."""
         state = self._states.get(replica)
