Choose replicas by the outcomes of their requests, so that one that fails at once draws none

Cause: an error that a replica answered was passed on and not recorded, unless the request was repeated. A replica that fails at once is idle and near, and its programs prefer it.

Change: a moving average of failures for each replica at each entry. Many different requests that fail make it failing; repetitions of one request never do, whoever sends them. While others serve theirs, it gets single requests as trials, within a twentieth of the requests, spread over time, and first those that may be repeated; a few successes end it. If all fail, nothing changes. Rejections and timeouts count for less. Resets and silence, of streams too, count the same, and failures that were recorded otherwise no longer add up without a bound. A stream from which nothing was sent and which may be resumed goes elsewhere after an error, and an error is forwarded if there is no other replica.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/buffered.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/buffered.py
@@ -10,10 +10,17 @@
 from .context import Context
 from .exchange import Exchange
 from .held_memory import Item
-from .retries import Response, handle_lost_response, record_loss, send_with_retries
+from .retries import (
+    FIRST_SERVER_ERROR,
+    Response,
+    handle_lost_response,
+    may_try_elsewhere,
+    record_loss,
+    record_outcome,
+    send_with_retries,
+)
 from .upstreams import MAX_RESPONSE_BYTES, ResponseError
 
-_FIRST_SERVER_ERROR = 500
 _OK = range(200, 300)
 
 
@@ -27,8 +34,7 @@
     while True:
         response = await send_with_retries(context, ex, ex.body)
         status = response.head.status
-        may_retry = ex.route.may_retry() and len(ex.sent_to) < ex.route.max_attempts
-        will_retry = status >= _FIRST_SERVER_ERROR and may_retry
+        will_retry = status >= FIRST_SERVER_ERROR and may_try_elsewhere(context, ex)
         body = await read_body(context, ex, response, None if will_retry else responder)
         if body is None and responder.started:
             return status
@@ -37,7 +43,6 @@
         context.quarantine.record_response(ex)
         if will_retry:
             ex.excluded.add(response.replica)
-            context.fleet.table.record_failure(response.replica)
             continue
         await responder.respond(status, response.head.headers, body)
         return status
@@ -74,6 +79,7 @@
             complete = True
         if ex.route.type is not RouteType.STREAMING:
             response.in_flight_request.record_response()
+        record_outcome(context, ex, response)
     except (OSError, ResponseError) as exc:
         if responder is not None and responder.started:
             record_loss(context, ex, response.replica, exc)
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/exchange.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/exchange.py
@@ -7,6 +7,7 @@
 
 import xxhash
 from endiveworks.gateway.messages import Request
+from endiveworks.gateway.outcomes import Source
 from endiveworks.gateway.request_queue import QueuedRequest
 from endiveworks.gateway.routes import Route, RouteType, RoutingTable
 
@@ -92,6 +93,12 @@
         """Hash of what a repetition has in common with this request, in hexadecimal."""
         return self._hash(self.body)
 
+    @functools.cached_property
+    def source(self) -> Source:
+        """Origin of the request, which tells repetitions from different requests."""
+        program = self.request.program
+        return Source(self.scoped(program.program) if program else "", self.digest)
+
     @functools.cached_property
     def head_digest(self) -> str:
         """Hash that is also shared by a repetition with a longer or shorter body."""
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/fleet.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/fleet.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from endiveworks.gateway.messages import Replica, Request
+from endiveworks.gateway.outcomes import Trial
 from endiveworks.gateway.placement import Location, ReplicaChoice
 from endiveworks.gateway.request_queue import (
     QueuedRequest,
@@ -98,6 +99,7 @@
         queued: QueuedRequest,
         excluded: Collection[str],
         spread_key: str = "",
+        trial: Trial = Trial.NEVER,
     ) -> ReplicaChoice:
         """Returns the replica for a request; queues it by urgency while no slot is free.
 
@@ -108,19 +110,20 @@
             excluded: Replicas that refused this request or failed to serve it.
             spread_key: Key whose hash selects the replica, rather than a cached prompt or object;
                 empty for none.
+            trial: Whether the request may be used as a trial of a failing replica.
 
         Raises:
             RefusedError: There is no replica, or none will have a free slot in time.
         """
         gate = self.rooms.gate_of(group.service)
         if gate is None:
-            return await self._acquire_slot(group, request, queued, excluded, spread_key)
+            return await self._acquire_slot(group, request, queued, excluded, spread_key, trial)
         if excluded or group.version is not None:
             gate.begin(group.service)  # It was admitted before.
         else:
             await gate.enter(group.service, request, queued)
         try:
-            return await self._acquire_slot(group, request, queued, excluded, spread_key)
+            return await self._acquire_slot(group, request, queued, excluded, spread_key, trial)
         finally:
             gate.end(group.service)
 
@@ -131,10 +134,11 @@
         queued: QueuedRequest,
         excluded: Collection[str],
         spread_key: str,
+        trial: Trial,
     ) -> ReplicaChoice:
         queue = self._queues.get(group, RequestQueue())
         choice = (
-            self._selector.choose(group, request, excluded, spread_key)
+            self._selector.choose(group, request, excluded, spread_key, trial)
             if not len(queue)
             else ReplicaChoice("", 0.0)
         )
@@ -150,7 +154,7 @@
         try:
             while True:
                 await fut
-                choice = self._selector.choose(group, request, excluded, spread_key)
+                choice = self._selector.choose(group, request, excluded, spread_key, trial)
                 if choice.replica:
                     return choice
                 self._check_capacity(group, queued, excluded, queue)
@@ -223,7 +227,7 @@
         queue: RequestQueue,
     ) -> None:
         mean_s = self.table.mean_response_s(group.service)
-        usable = [s for s in self.table.eligible(group) if s.replica.id not in excluded]
+        usable = [s for s in self.table.usable(group, excluded) if s.replica.id not in excluded]
         if not usable and group.version is not None:
             raise RefusedError(
                 mean_s,
@@ -254,7 +258,7 @@
         limited = self.table.limits.limited()
         free = sum(
             max(0, math.ceil(s.replica.slots * MAX_IN_FLIGHT_FACTOR) - s.in_flight)
-            for s in self.table.eligible(group)
+            for s in self.table.usable(group)
             if s.replica.id not in limited
         )
         self._wake(queue, free)
@@ -272,7 +276,7 @@
         """Retries queued requests after a while, if replicas of their group have limits."""
         limited = self.table.limits.limited()
         if group in self._limit_retries or not any(
-            s.replica.id in limited for s in self.table.eligible(group)
+            s.replica.id in limited for s in self.table.usable(group)
         ):
             return
         self._limit_retries.add(group)
@@ -287,7 +291,7 @@
         limited = self.table.limits.limited()
         available_per_s = sum(
             self.table.limits.available_per_s(s.replica.id)
-            for s in self.table.eligible(group)
+            for s in self.table.usable(group)
             if s.replica.id in limited
         )
         self._wake(queue, max(1, math.ceil(available_per_s * LIMIT_RETRY_S)))
@@ -301,5 +305,5 @@
                 math.ceil(s.replica.slots * MAX_IN_FLIGHT_FACTOR),
                 self.table.limits.available_per_s(s.replica.id) * mean_s,
             )
-            for s in self.table.eligible(group)
+            for s in self.table.usable(group)
         )
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/replica_choice.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/replica_choice.py
@@ -1,5 +1,6 @@
 """Choice of the replica for one request, from the state of all replicas of its service."""
 
+import random
 import time
 from collections import Counter
 from collections.abc import Callable, Collection, Sequence
@@ -7,6 +8,7 @@
 from endiveworks.gateway.latency import slowdown, typical_mean_s
 from endiveworks.gateway.load_balance import assigned_replica
 from endiveworks.gateway.messages import Request
+from endiveworks.gateway.outcomes import Trial, due_trial
 from endiveworks.gateway.placement import (
     STALL_AFTER_S,
     Candidate,
@@ -64,7 +66,12 @@
             self._demands += Counter()  # Drops counts of zero, also of replicas that are gone.
 
     def choose(
-        self, group: ReplicaGroup, request: Request, excluded: Collection[str], spread_key: str
+        self,
+        group: ReplicaGroup,
+        request: Request,
+        excluded: Collection[str],
+        spread_key: str,
+        trial: Trial = Trial.NEVER,
     ) -> ReplicaChoice:
         """Returns the best replica for a request; none while all of them are busy.
 
@@ -74,9 +81,13 @@
             excluded: Replicas that refused this request or failed to serve it.
             spread_key: Key whose hash selects the replica, rather than a cached prompt or object;
                 empty for none.
+            trial: Whether the request may be used as a trial of a failing replica.
         """
         service = group.service
-        states = {s.replica.id: s for s in self._table.eligible(group)}
+        tried = self._choose_trial(group, request, excluded, trial)
+        if tried:
+            return ReplicaChoice(tried, 0.0)
+        states = {s.replica.id: s for s in self._table.usable(group, excluded)}
         typical_s = typical_mean_s([s.mean_latency for s in states.values()])
         mean_response_ms = self._table.mean_response_s(service) * 1000
         now_s = time.monotonic()
@@ -117,6 +128,29 @@
         choice = self._choose_within_limits(candidates, excluded)
         return choice._replace(preferred=preferred)
 
+    def _choose_trial(
+        self, group: ReplicaGroup, request: Request, excluded: Collection[str], trial: Trial
+    ) -> str:
+        """Returns a failing replica that gets the request to find out if it serves again."""
+        if trial is Trial.NEVER:
+            return ""
+        now_s = time.monotonic()
+        budget = self._table.trials(group.service)
+        budget.record_request(now_s)
+        failing = {
+            s.replica.id: s.outcomes
+            for s in self._table.eligible(group)
+            if s.outcomes.is_failing
+            and s.replica.id not in excluded
+            and s.in_flight < s.replica.slots * MAX_IN_FLIGHT_FACTOR
+            and (not self._bounds_memory or s.fits(request))
+        }
+        replica = due_trial(failing, trial, now_s)
+        if not replica or not self._table.limits.admit(replica) or not budget.take():
+            return ""
+        failing[replica].start_trial(now_s, random.random())
+        return replica
+
     def _choose_within_limits(
         self, candidates: Sequence[Candidate], excluded: Collection[str]
     ) -> ReplicaChoice:
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/replica_state.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/replica_state.py
@@ -6,6 +6,7 @@
 
 from endiveworks.gateway.latency import MeanLatency, record_events, record_sample
 from endiveworks.gateway.messages import Replica, Request
+from endiveworks.gateway.outcomes import Outcomes
 from endiveworks.gateway.prefixes import PromptCache
 from endiveworks.gateway.replica_memory import TokensInFlight
 
@@ -21,6 +22,7 @@
         cached_parts: Prompt parts that it has probably cached.
         failures: Recent failures, decayed to the time of the last one.
         last_failure_s: Monotonic time of the last failure.
+        outcomes: Outcomes of the requests that this process has sent there.
         is_leaving: Whether it has announced in a response that it is about to leave.
         delisted_s: Monotonic time since which it has been draining or missing from service
             discovery; None while it is listed.
@@ -30,6 +32,7 @@
         response_waits_s: Monotonic time at which each request in flight of a service that doesn't
             stream was sent, oldest first.
         last_response_s: Monotonic time of the latest response of a service that doesn't stream.
+        last_event_s: Monotonic time of the latest event of any stream.
     """
 
     def __init__(self, replica: Replica, memory_tokens: int) -> None:
@@ -40,12 +43,14 @@
         self.tokens_in_flight = TokensInFlight()
         self.failures = 0.0
         self.last_failure_s = 0.0
+        self.outcomes = Outcomes()
         self.is_leaving = False
         self.delisted_s: float | None = None
         self.mean_latency = MeanLatency()
         self.stream_waits_s: OrderedDict[int, float] = OrderedDict()
         self.response_waits_s: OrderedDict[int, float] = OrderedDict()
         self.last_response_s = 0.0
+        self.last_event_s = 0.0
 
     def fits(self, request: Request) -> bool:
         """Returns whether one more request of this process fits into the replica's memory."""
@@ -64,6 +69,12 @@
             return 0.0
         return now_s - max(next(iter(self.response_waits_s.values())), self.last_response_s)
 
+    def streams_silent_s(self, now_s: float) -> float:
+        """Returns the time for which streams have waited and no event of any has arrived."""
+        if not self.stream_waits_s:
+            return 0.0
+        return now_s - max(next(iter(self.stream_waits_s.values())), self.last_event_s)
+
 
 class InFlightRequest:
     """A request that a replica is working on.
@@ -114,6 +125,8 @@
         if state is None:
             return
         state.stream_waits_s.pop(id(self), None)
+        if count:
+            state.last_event_s = now_s
         if self._has_events and count:
             state.mean_latency = record_events(
                 state.mean_latency, now_s - self._wait_started_s, count, now_s
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/replica_table.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/replica_table.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from endiveworks.gateway.messages import Replica
+from endiveworks.gateway.outcomes import ERROR_SHARE, UNKNOWN_SOURCE, Source, TrialBudget, avoided
 from endiveworks.gateway.placement import silence_limit_s
 from endiveworks.gateway.rate_limit import LimitSighting
 from endiveworks.gateway.routes import Service
@@ -17,6 +18,10 @@
 
 # Half-life of the penalty that a replica gets for a failure.
 FAILURE_HALF_LIFE_S = 2.0
+# Failures that are counted at most, so that a replica that is sound again is soon used again.
+MAX_FAILURES = 2.0
+# A replica that sends no event of any stream for this long, while some wait, has failed them.
+STREAM_SILENCE_S = 1.0
 # Replicas keep serving for some seconds after they have left service discovery.
 DELISTED_GRACE_S = 2.0
 # A leaving replica gets a request again that it had before within this time. Less than
@@ -65,6 +70,7 @@
         self._states: dict[str, ReplicaState] = {}
         self._left: OrderedDict[str, _LeftReplica] = OrderedDict()
         self._mean_responses_s: dict[str, float] = {}
+        self._trials: dict[str, TrialBudget] = {}
         self.limits = RateLimits()
         self.engine_services: frozenset[str] = frozenset()
 
@@ -141,9 +147,33 @@
         now_s = time.monotonic()
         return listed or [s for s in states if now_s - (s.delisted_s or 0.0) < DELISTED_GRACE_S]
 
-    def has_other(self, service: str, excluded: Collection[str]) -> bool:
-        """Tells whether a service has a replica besides the excluded ones."""
-        eligible = self.eligible(ReplicaGroup(service))
+    def usable(self, group: ReplicaGroup, excluded: Collection[str] = ()) -> list[ReplicaState]:
+        """Returns the replicas of a group that may take requests, without those that fail them.
+
+        Args:
+            group: The group.
+            excluded: Replicas that refused a request or failed to serve it.
+        """
+        states = self.eligible(group)
+        if not any(s.outcomes.is_failing for s in states):
+            return states
+        failing = avoided({s.replica.id: s.outcomes for s in states}, excluded)
+        return [s for s in states if s.replica.id not in failing]
+
+    def trials(self, service: str) -> TrialBudget:
+        """Returns what bounds the trials of a service's failing replicas."""
+        return self._trials.setdefault(service, TrialBudget())
+
+    def is_failing(self, replica: str) -> bool:
+        """Returns whether a replica fails too many of this process's requests."""
+        state = self._states.get(replica)
+        return state is not None and state.outcomes.is_failing
+
+    def has_other(
+        self, service: str, excluded: Collection[str], version: str | None = None
+    ) -> bool:
+        """Tells whether a service has a replica besides the excluded ones, also of a version."""
+        eligible = self.eligible(ReplicaGroup(service, version))
         return any(state.replica.id not in excluded for state in eligible)
 
     def may_repeat(self, group: ReplicaGroup, replica: str) -> bool:
@@ -154,12 +184,41 @@
         left_s = time.monotonic() - state.delisted_s if state.delisted_s is not None else 0.0
         return left_s < REPEAT_GRACE_S
 
-    def record_failure(self, replica: str) -> None:
-        """Records a failure of a replica, so that others are preferred for some time."""
+    def record_failure(self, replica: str, source: Source = UNKNOWN_SOURCE) -> None:
+        """Records a failure of a replica, so that others are preferred for some time.
+
+        Args:
+            replica: Id of the replica.
+            source: The origin of the request that failed.
+        """
         state = self._states.get(replica)
         if state:
-            state.failures = recent_failures(state) + 1.0
+            state.failures = min(MAX_FAILURES, recent_failures(state) + 1.0)
             state.last_failure_s = time.monotonic()
+            self.record_error(replica, source)
+
+    def record_error(self, replica: str, source: Source, severity: float = ERROR_SHARE) -> None:
+        """Records that a replica has answered a request with an error, or failed it otherwise.
+
+        Args:
+            replica: Id of the replica.
+            source: The origin of the request.
+            severity: Part of the failure that counts against the replica, 0 to 1.
+        """
+        state = self._states.get(replica)
+        if state and state.outcomes.record_failure(source, time.monotonic(), severity):
+            _log_outcomes("replica_failing", state)
+
+    def record_success(self, replica: str) -> None:
+        """Records that a replica has served a request."""
+        state = self._states.get(replica)
+        if state is None:
+            return
+        if state.outcomes.is_failing:
+            self.trials(state.replica.service).give_back()
+        if state.outcomes.record_success(time.monotonic()):
+            state.failures = 0.0
+            _log_outcomes("replica_sound", state)
 
     def recent_failures(self, replica: str) -> float:
         """Returns the recent failures of a replica, decayed over time; 0 if it is gone."""
@@ -177,7 +236,7 @@
             "replica_leaving", service=state.replica.service, peer=replica, running=state.in_flight
         )
 
-    def record_silence(self, service: str, replica: str) -> None:
+    def record_silence(self, service: str, replica: str, source: Source) -> None:
         """Records a failure of a replica that has left requests without any response for long.
 
         It must be called while the request that waited is still in flight.
@@ -185,12 +244,15 @@
         state = self._states.get(replica)
         if state is None:
             return
-        silent_s = state.silent_s(time.monotonic())
-        if silent_s > silence_limit_s(self.mean_response_s(service)):
+        now_s = time.monotonic()
+        silent_s, limit_s = state.silent_s(now_s), silence_limit_s(self.mean_response_s(service))
+        if not silent_s:
+            silent_s, limit_s = state.streams_silent_s(now_s), STREAM_SILENCE_S
+        if silent_s > limit_s:
             logs.logger("gateway").info(
                 "replica_silent", service=service, peer=replica, took_ms=round(silent_s * 1000)
             )
-            self.record_failure(replica)
+            self.record_failure(replica, source)
 
     def mean_response_s(self, service: str) -> float:
         """Returns a service's mean response time in seconds."""
@@ -208,5 +270,15 @@
     return state.failures * math.pow(0.5, age_s / FAILURE_HALF_LIFE_S)
 
 
+def _log_outcomes(event: str, state: ReplicaState) -> None:
+    logs.logger("gateway").info(
+        event,
+        service=state.replica.service,
+        peer=state.replica.id,
+        failure_share=round(state.outcomes.failure_share, 2),
+        running=state.in_flight,
+    )
+
+
 def _is_restarted(listed: Replica, known: Replica) -> bool:
     return (listed.started_ms, listed.version) != (known.started_ms, known.version)
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/retries.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/retries.py
@@ -5,6 +5,7 @@
 
 from endiveworks.gateway.attempts import NextAttempt, Tried, next_attempt
 from endiveworks.gateway.messages import Dispatch, ResponseHead
+from endiveworks.gateway.outcomes import DOUBTFUL_ERROR_SHARE, ERROR_SHARE, Trial
 from endiveworks.gateway.routes import RouteType
 from endiveworks.telemetry import logs
 
@@ -20,6 +21,8 @@
 
 STATUS_BAD_GATEWAY = 502
 STATUS_TIMEOUT = 504
+FIRST_ERROR = 400  # Lowest status of an error.
+FIRST_SERVER_ERROR = 500  # Lowest status of an error that the request has not caused.
 # A response that takes longer than this multiple of the mean is treated as lost, if another
 # replica may be tried.
 LOST_AFTER_FACTOR = 5.0
@@ -118,7 +121,7 @@
     Raises:
         HttpError: The request may not be sent again.
     """
-    context.fleet.table.record_failure(replica)
+    context.fleet.table.record_failure(replica, ex.source)
     record_loss(context, ex, replica, cause)
     if not ex.route.may_retry() or ex.send_count >= MAX_SENDS:
         raise HttpError(STATUS_BAD_GATEWAY, "the replica's response was lost")
@@ -126,6 +129,26 @@
         ex.excluded.add(replica)
 
 
+def record_outcome(context: Context, ex: Exchange, response: Response) -> None:
+    """Records a complete response, which may be an error of the replica."""
+    status = response.head.status
+    if status < FIRST_ERROR:
+        context.fleet.table.record_success(response.replica)
+        return
+    is_doubtful = status < FIRST_SERVER_ERROR or status == STATUS_TIMEOUT
+    severity = DOUBTFUL_ERROR_SHARE if is_doubtful else ERROR_SHARE
+    context.fleet.table.record_error(response.replica, ex.source, severity)
+
+
+def may_try_elsewhere(context: Context, ex: Exchange) -> bool:
+    """Returns whether a request that a replica has answered with an error may run at another."""
+    if not ex.route.may_retry() or ex.send_count >= MAX_SENDS:
+        return False
+    if len(ex.sent_to) >= ex.route.max_attempts:
+        return False
+    return context.fleet.table.has_other(ex.service, ex.sent_to | ex.excluded, ex.version)
+
+
 async def _handle_refusal(
     context: Context, ex: Exchange, replica: str, conn: UpstreamConnection, is_first: bool
 ) -> bool:
@@ -201,6 +224,7 @@
 
 async def _choose(context: Context, ex: Exchange, group: ReplicaGroup) -> str:
     started_s = time.monotonic()
+    spread_key = context.quarantine.spread_key(ex)
     reserve_s = context.stop.expected_s(ex, context.fleet.table.mean_response_s(ex.service))
     try:
         async with context.stop.limited(reserve_s=reserve_s):
@@ -209,7 +233,8 @@
                 ex.request,
                 ex.queued_request(),
                 ex.excluded,
-                context.quarantine.spread_key(ex),
+                spread_key,
+                Trial.NEVER if spread_key else _trial(ex),
             )
     except TimeoutError as exc:
         raise stopping_error(ex) from exc
@@ -225,6 +250,13 @@
     return choice.replica
 
 
+def _trial(ex: Exchange) -> Trial:
+    """Returns whether a request may be used as a trial of a failing replica."""
+    if ex.may_have_run or ex.excluded:
+        return Trial.NEVER
+    return Trial.DUE if ex.route.may_retry() and ex.route.max_attempts > 1 else Trial.LATE
+
+
 def _response_timeout_s(context: Context, ex: Exchange) -> float | None:
     """Returns the time limit for a response head in seconds; None if only the deadline applies."""
     if ex.route.type is not RouteType.IDEMPOTENT or len(ex.sent_to) >= ex.route.max_attempts:
@@ -290,14 +322,14 @@
         return Response(context, replica, conn, head, in_flight_request)
     except (OSError, ResponseError) as exc:
         if conn is None:
-            context.fleet.table.record_failure(replica)
+            context.fleet.table.record_failure(replica, ex.source)
             _drop_replica(ex, replica)
             return None
         handle_lost_response(context, ex, replica, exc)
         return None
     except asyncio.CancelledError:
         # The request's time is up, or its caller has left.
-        context.fleet.table.record_silence(ex.service, replica)
+        context.fleet.table.record_silence(ex.service, replica, ex.source)
         raise
     finally:
         if not handed_over and conn is not None:
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/service_rooms.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/service_rooms.py
@@ -83,7 +83,7 @@
 
     def _room(self, service: str, queued: int) -> ServiceRoom:
         """Returns the room of a service, from the number of its requests that wait at the gate."""
-        states = self._table.eligible(ReplicaGroup(service))
+        states = self._table.usable(ReplicaGroup(service))
         mean_s = self._table.mean_response_s(service)
         slots = self._usable_slots(states, mean_s)
         others = self._others(service)
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/stream.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/stream.py
@@ -26,10 +26,13 @@
     wait_until_told,
 )
 from .retries import (
+    FIRST_SERVER_ERROR,
     STATUS_BAD_GATEWAY,
     Response,
     handle_lost_response,
+    may_try_elsewhere,
     record_loss,
+    record_outcome,
     send_with_retries,
 )
 from .transcripts import Transcript
@@ -45,6 +48,10 @@
 ReservationFuture = Awaitable[Result[bool, Failure]]
 
 
+class _NoMemoryError(ResponseError):
+    """Raised if a stream can't go on for want of memory of this process."""
+
+
 class _Stream:
     """Progress of one stream, over all replicas that serve it.
 
@@ -226,11 +233,15 @@
             stream.check_not_taken()
             response.close(complete=True)
             context.quarantine.record_response(ex)
+            record_outcome(context, ex, response)
         except (OSError, ResponseError) as exc:
             response.close(complete=False)
             preferred = _start_resume(context, ex, response, stream, exc)
             await context.quarantine.wait_before_resuming(ex)
             continue
+        except asyncio.CancelledError:
+            context.fleet.table.record_silence(ex.service, response.replica, ex.source)
+            raise
         finally:
             stream.transcript.on_taken = None  # The connection may serve other requests.
             response.close(complete=False)
@@ -248,7 +259,11 @@
         ResponseError: A part of the stream or of the error has been sent.
     """
     is_resumed = responder.started
-    body = await read_body(context, ex, response, None if is_resumed else responder)
+    will_retry = response.head.status >= FIRST_SERVER_ERROR and may_try_elsewhere(context, ex)
+    body = await read_body(context, ex, response, None if is_resumed or will_retry else responder)
+    if will_retry and body is not None:
+        ex.excluded.add(response.replica)
+        return None
     if is_resumed:
         raise ResponseError("the stream could not be resumed")
     if body is None:
@@ -272,7 +287,7 @@
         events = splitter.feed(data)
         pending = splitter.pending_size
         if not responder.account.resize(Item.EVENT, pending if pending > READ_BYTES else 0):
-            raise ResponseError("there is too little memory for an event")
+            raise _NoMemoryError("there is too little memory for an event")
         response.in_flight_request.record_events(len(events))
         for event in events:
             stream.check_not_taken()
@@ -285,7 +300,7 @@
             record_event_sent(context, ex, response)
             if ex.route.retains_turns:
                 if not responder.account.is_fair(len(stream.transcript.output) + len(event.data)):
-                    raise ResponseError("there is too little memory for the output of the turn")
+                    raise _NoMemoryError("there is too little memory for the output of the turn")
                 await responder.account.wait_for_room(Item.RESPONSE, len(event.data), Claim.FLOWING)
             stream.record_event(event)
             await responder.send(event.raw)
@@ -316,12 +331,14 @@
     if not may_resume and not stream.events_sent:
         handle_lost_response(context, ex, response.replica, cause)
     else:
+        if not isinstance(cause, _NoMemoryError):
+            context.fleet.table.record_error(response.replica, ex.source)
         record_loss(context, ex, response.replica, cause)
     if not may_resume and stream.events_sent:
         raise ResponseError(str(cause)) from cause
     check_version(ex, response)
     stream.resumes += 1
-    return response.replica
+    return "" if context.fleet.table.is_failing(response.replica) else response.replica
 
 
 async def _finish(
--- a/packages/endiveworks/src/endiveworks/telemetry/fields.py
+++ b/packages/endiveworks/src/endiveworks/telemetry/fields.py
@@ -24,6 +24,7 @@
     "error_at": "Source file, line and function that raised an exception, innermost last.",
     "error_type": "Type of an exception; its message is left out.",
     "event": "Name of the event.",
+    "failure_share": "Moving average of the failures among the requests at a server, 0 to 1.",
     "fencing": "Fencing number of an order.",
     "failure_domain": "Failure domain of the process or peer.",
     "has_place": "Whether a place is kept for a refused caller.",
--- a/tests/deployed/test_failing_replicas.py
+++ b/tests/deployed/test_failing_replicas.py
@@ -1,4 +1,4 @@
-"""Replicas that fail requests at once while others serve theirs, and requests that fail anywhere."""
+"""Replicas that fail requests at once while others serve theirs; requests that fail anywhere."""
 
 import asyncio
 import itertools
@@ -6,10 +6,10 @@
 from pathlib import Path
 
 import pytest
-from endiveworks_standins.site_replica import Arrival, Script
+from endiveworks_standins.site_replica import Arrival, Script, chunk, event, stream_head
 from endiveworks_standins.site_replica import reset as reset_connection
 
-from tests.deployed.harness import DRAFT, LOOKUP, ORDER, TURN, Deployment, responds, run, streams
+from tests.deployed.harness import DRAFT, LOOKUP, ORDER, TURN, Deployment, responds, run
 
 ERROR = "500 Internal Server Error"
 HARMFUL = b"harmful"
@@ -69,8 +69,18 @@
         return len(self.deployed.replicas[name].arrivals)
 
 
+async def streams_evenly(arrival: Arrival, writer: asyncio.StreamWriter) -> bool:
+    """Streams events with a pause, so that their measured latency is that of the script."""
+    writer.write(stream_head(arrival))
+    for number in range(1, 4):
+        await asyncio.sleep(0.005)
+        writer.write(chunk(event(number, "x")))
+    writer.write(chunk(b""))
+    return True
+
+
 def sound_script(target: str) -> Script:
-    return streams("x", "y") if target in (TURN, DRAFT) else responds(b"done")
+    return streams_evenly if target in (TURN, DRAFT) else responds(b"done")
 
 
 def service_of(target: str) -> str:
