Choose upstream processes by the outcomes of their calls at the own interface too

An upstream process whose engine fails at once has no wait, so it gets the calls of all programs, and a plain service's 500 even shortened the expected duration of all calls.

Change: the same moving average for each incarnation of a process, with trials; an error no longer counts as a sample of the duration.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/tests/test_upstream_selector.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/tests/test_upstream_selector.py
@@ -1,8 +1,12 @@
 import random
 import time
+from collections import Counter
+from collections.abc import Callable
 from typing import Any
 
+import pytest
 from endiveworks.calls.messages import CallKey, Job
+from endiveworks.calls.stream import FinalStatus
 from endiveworks.config.bundle import CostWeights, Service
 from endiveworks.errors import Code, Failure
 from endiveworks.links.link_share import LinkShare
@@ -80,3 +84,71 @@
         for host, running in (("up-1", 3), ("up-2", 3), ("up-3", 1)):
             selector.record_report(host, LoadReport(now_s, running, 0))
         assert self.pick(selector, "p") == "up-3"
+
+
+SERVED = FinalStatus(200, "application/json")
+FAILURES = {
+    "an engine that is gone": FinalStatus(
+        502, "", failure=Failure(Code.UPSTREAM_FAILED, "engines.chat", "e", "", not_run=True)
+    ),
+    "a lost outcome": FinalStatus(
+        502, "", failure=Failure(Code.OUTCOME_UNKNOWN, "engines.plain", "e", "")
+    ),
+    "an unreachable process": FinalStatus(
+        503, "", failure=Failure(Code.UNREACHABLE, "upstream.submit", "up-1", "", not_run=True)
+    ),
+    "an error": FinalStatus(500, "application/json"),
+    "a rejection": FinalStatus(404, "application/json"),
+}
+
+
+class TestUpstreamThatFailsAtOnce(TestReports):
+    def run_calls(
+        self,
+        selector: UpstreamSelector,
+        count: int,
+        outcome: Callable[[str], FinalStatus],
+        program: str = "",
+    ) -> Counter[str]:
+        """Runs calls one after another, and returns their number by host."""
+        chosen: Counter[str] = Counter()
+        for number in range(count):
+            req = self.placement_request(program or f"p{number}")
+            host = selector.choose(req, MEMBERS).unwrap().host
+            chosen[host] += 1
+            time.sleep(0.001 if outcome(host) == SERVED else 0.0)
+            selector.record_end(host, req, outcome(host))
+        return chosen
+
+    @pytest.mark.parametrize("failure", FAILURES.values(), ids=FAILURES.keys())
+    def test_it_does_not_draw_calls(self, failure: FinalStatus) -> None:
+        chosen = self.run_calls(
+            self.selector(), 100, lambda host: failure if host == "up-1" else SERVED
+        )
+        assert chosen["up-1"] <= 15
+
+    def test_one_that_serves_again_gets_calls_soon(self) -> None:
+        selector = self.selector()
+        failure = FAILURES["an error"]
+        self.run_calls(selector, 100, lambda host: failure if host == "up-1" else SERVED)
+        end_s = time.monotonic() + 4.0
+        while time.monotonic() < end_s:
+            self.run_calls(selector, 10, lambda host: SERVED)
+        assert self.run_calls(selector, 90, lambda host: SERVED)["up-1"] >= 20
+
+    def test_calls_are_still_sent_if_all_fail(self) -> None:
+        chosen = self.run_calls(self.selector(), 90, lambda host: FAILURES["an error"])
+        assert sum(chosen.values()) == 90
+
+    def test_failures_of_this_host_count_against_no_upstream(self) -> None:
+        journal = Failure(Code.TIMEOUT, "journal.append", "d1", "")
+        selector = self.selector()
+        self.run_calls(
+            selector, 50, lambda host: FinalStatus(503, "application/json", failure=journal)
+        )
+        assert self.run_calls(selector, 1, lambda host: SERVED)["up-1"] == 1
+
+    def test_an_error_does_not_shorten_the_expected_duration_of_calls(self) -> None:
+        selector = self.selector()
+        self.run_calls(selector, 50, lambda host: FAILURES["an error"])
+        assert not selector._cost_s
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/upstream_selector.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/upstream_selector.py
@@ -4,23 +4,35 @@
 import threading
 import time
 from collections import OrderedDict, defaultdict
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from typing import NamedTuple
 
 from endiveworks.calls.stream import FinalStatus
 from endiveworks.errors import Code, Failure
+from endiveworks.gateway.outcomes import (
+    DOUBTFUL_ERROR_SHARE,
+    ERROR_SHARE,
+    Outcomes,
+    Source,
+    Trial,
+    TrialBudget,
+    avoided,
+    due_trial,
+)
 from endiveworks.links.link_share import LinkShare
 from endiveworks.members.member import Member
 from endiveworks.programs.plan import PlacementRequest
-from endiveworks.reasons import Reasons
+from endiveworks.reasons import Reason, Reasons
 from endiveworks.routing.upstream_choice import (
     CachedPrefix,
+    Choice,
     CostModel,
     RoutingRequest,
     UpstreamState,
     choose_upstream,
     estimate_wait_s,
 )
+from endiveworks.telemetry.logs import logger
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
@@ -31,6 +43,14 @@
 _STREAM_BYTES_PER_TOKEN = 100
 _MAX_PROGRAMS = 4_096
 _MAX_DECISIONS = 8
+_FIRST_ERROR = 400
+_FIRST_SERVER_ERROR = 500
+# Failures that come from the upstream process or its engine, not from the call or its program.
+_UPSTREAM_CODES = frozenset(
+    {Code.UPSTREAM_FAILED, Code.UNREACHABLE, Code.TIMEOUT, Code.OUTCOME_UNKNOWN}
+)
+
+_UPSTREAM_STEPS = ("engines.", "upstream.", "calls.", "programs.settle")
 
 
 class InterRegionLink(NamedTuple):
@@ -64,6 +84,13 @@
     reasons: Reasons
 
 
+class _KnownOutcomes(NamedTuple):
+    """Outcomes of the calls at an incarnation of a process."""
+
+    incarnation: int
+    outcomes: Outcomes
+
+
 _NO_REPORT = LoadReport(float("-inf"), 0, 0)
 
 
@@ -90,6 +117,8 @@
         self._reports: dict[str, LoadReport] = {}
         self._dispatched_at_s: dict[str, dict[str, float]] = defaultdict(dict)
         self._cost_s: dict[str, float] = {}
+        self._outcomes: dict[str, _KnownOutcomes] = {}
+        self._trials: dict[str, TrialBudget] = {}
         self._decisions: OrderedDict[str, tuple[RoutingDecision, ...]] = OrderedDict()
 
     def choose(
@@ -104,9 +133,20 @@
         ]
         now_s = time.monotonic()
         with self._lock:
-            upstreams = [self._upstream_state(req, member, now_s) for member in candidates]
+            self._forget_ended(members)
             call = self._routing_request(req)
-            choice = choose_upstream(call, upstreams, self._cost_model(req), now_s, self._rng)
+            outcomes = {member.host: self._outcomes_of(member) for member in candidates}
+            tried = self._choose_trial(req, candidates, outcomes, now_s)
+            if tried:
+                choice = Choice(tried, 0.0, (Reason("trial", 1.0, tried),))
+            else:
+                failing = avoided(outcomes, [m.host for m in candidates if m.draining])
+                upstreams = [
+                    self._upstream_state(req, member, now_s)
+                    for member in candidates
+                    if member.host not in failing
+                ]
+                choice = choose_upstream(call, upstreams, self._cost_model(req), now_s, self._rng)
             if not choice.host:
                 detail = f"no upstream of {name!r} accepts the call"
                 return Err(Failure(Code.NO_UPSTREAM, "choice.choose", "", detail, True, _RETRY_S))
@@ -121,8 +161,10 @@
         """Records that an attempt has ended."""
         with self._lock:
             dispatched_at_s = self._dispatched_at_s[host].pop(req.program, None)
-            if dispatched_at_s is None or final_status.failure is not None:
-                return
+            self._record_outcome(host, req, final_status)
+            is_served = final_status.failure is None and final_status.status < _FIRST_ERROR
+            if dispatched_at_s is None or not is_served:
+                return  # A call that failed at once says nothing of how long calls take.
             name = req.service.name
             cost_s = self._cost_s.get(name, _INITIAL_COST_S)
             self._cost_s[name] = cost_s + _EWMA_ALPHA * (
@@ -140,6 +182,68 @@
         with self._lock:
             return self._decisions.get(program, ())
 
+    def _record_outcome(self, host: str, req: PlacementRequest, final_status: FinalStatus) -> None:
+        failure, status, now_s = final_status.failure, final_status.status, time.monotonic()
+        known = self._outcomes.get(host)
+        if known is None:
+            return
+        outcomes = known.outcomes
+        if failure is None and status < _FIRST_ERROR:
+            if outcomes.is_failing:
+                self._budget(req).give_back()
+            changed = outcomes.record_success(now_s)
+        elif failure is not None and not _is_of_upstream(failure):
+            return
+        else:
+            is_error = failure is not None or status >= _FIRST_SERVER_ERROR
+            severity = ERROR_SHARE if is_error else DOUBTFUL_ERROR_SHARE
+            changed = outcomes.record_failure(Source(req.program), now_s, severity)
+        if changed:
+            logger("routing").info(
+                "upstream_failing" if outcomes.is_failing else "upstream_sound",
+                service=req.service.name,
+                peer=host,
+                failure_share=round(outcomes.failure_share, 2),
+            )
+
+    def _choose_trial(
+        self,
+        req: PlacementRequest,
+        candidates: Sequence[Member],
+        outcomes: Mapping[str, Outcomes],
+        now_s: float,
+    ) -> str:
+        """Returns a failing process that gets the call to find out if it serves again."""
+        budget = self._budget(req)
+        budget.record_request(now_s)
+        if req.excluded_hosts:
+            return ""
+        failing = {
+            m.host: outcomes[m.host]
+            for m in candidates
+            if outcomes[m.host].is_failing and not m.draining and m.region == self._region
+        }
+        tried = due_trial(failing, Trial.DUE, now_s)
+        if not tried or not budget.take():
+            return ""
+        failing[tried].start_trial(now_s, self._rng.random())
+        return tried
+
+    def _budget(self, req: PlacementRequest) -> TrialBudget:
+        return self._trials.setdefault(req.service.name, TrialBudget())
+
+    def _outcomes_of(self, member: Member) -> Outcomes:
+        known = self._outcomes.get(member.host)
+        if known is None or known.incarnation != member.incarnation:
+            known = self._outcomes[member.host] = _KnownOutcomes(member.incarnation, Outcomes())
+        return known.outcomes
+
+    def _forget_ended(self, members: Mapping[str, Member]) -> None:
+        """Drops the outcomes of processes that are gone."""
+        if len(self._outcomes) > len(members):
+            for host in self._outcomes.keys() - members.keys():
+                del self._outcomes[host]
+
     def _upstream_state(self, req: PlacementRequest, member: Member, now_s: float) -> UpstreamState:
         report = self._reports.get(member.host, _NO_REPORT)
         slots = req.service.slots
@@ -179,3 +283,8 @@
         self._decisions[program] = (*earlier, chosen)[-_MAX_DECISIONS:]
         if len(self._decisions) > _MAX_PROGRAMS:
             self._decisions.popitem(last=False)
+
+
+def _is_of_upstream(failure: Failure) -> bool:
+    """Returns whether a failure comes from a process or its engine, not from this host."""
+    return failure.code in _UPSTREAM_CODES and failure.step.startswith(_UPSTREAM_STEPS)
