Let programs of a region without room run in another one although their prompt is cached nearby

Cause: programs that leave a region for want of room are assigned a replica of another one, but the choice then adds the cost of the distance, and counts only this entry's requests as load. Where the shared part of a prompt is cached nearby, that always costs less.

Change: the assigned replica of another region is not charged the distance.

Evidence: the new test, 0 of 100 programs left a region with five times the turns that it can run; 40 or more leave now, and none while there is room.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/replica_choice.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/replica_choice.py
@@ -10,6 +10,7 @@
 from endiveworks.gateway.messages import Request
 from endiveworks.gateway.outcomes import Trial, due_trial
 from endiveworks.gateway.placement import (
+    REGION_HOP_MS,
     STALL_AFTER_S,
     Candidate,
     Location,
@@ -117,7 +118,8 @@
                 c._replace(
                     uncached_tokens=_uncached_tokens(
                         states[c.replica], request, c.replica == assigned
-                    )
+                    ),
+                    saved_ms=self._saved_by_move_ms(c, assigned, preferred),
                 )
                 for c in candidates
             ]
@@ -164,6 +166,15 @@
         refused |= self._table.limits.limited()
         return choose_replica(self._here, candidates, refused, MAX_IN_FLIGHT_FACTOR)
 
+    def _saved_by_move_ms(self, candidate: Candidate, assigned: str, preferred: str) -> float:
+        """Returns the cost of the distance to a replica for a program that was moved there.
+
+        The move to another region has weighed the distance against the load of all entries, which
+        the cost of a replica doesn't know.
+        """
+        is_target = candidate.replica == assigned != preferred
+        return REGION_HOP_MS if is_target and candidate.region != self._here.region else 0.0
+
     def _assigned(self, program: str, preferred: str, candidates: Sequence[Candidate]) -> str:
         demands = {
             c.replica: self._demands[c.replica] + self._other_demand(c.replica) for c in candidates
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/tests/test_replica_choice.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/tests/test_replica_choice.py
@@ -53,3 +53,34 @@
         small, large = asyncio.run(choice_time_s(40)), asyncio.run(choice_time_s(400))
         # Ten times the replicas; a square would be a hundred times.
         assert large < 30 * small
+
+
+class TestRegionWithoutRoom:
+    def choices(self, demand: int) -> list[str]:
+        """Returns the regions of the replicas of many programs, with turns of other entries.
+
+        The one replica of this region has the shared part of their prompts in its cache, and
+        `demand` turns of other entries; four replicas of another region have none.
+        """
+        fleet = Fleet(Location("edin", "east"))
+        regions = {"near": "east"} | {f"far{n}": "west" for n in range(4)}
+        replicas = {
+            name: Replica(name, "llm", "10.0.0.1:80", f"{region}-1", region, 6, False)
+            for name, region in regions.items()
+        }
+        fleet.update(replicas, {"llm": SERVICE})
+        fleet.track_request("llm", "near", request("warm-up")).end()
+        fleet.set_other_demand(lambda name: demand if name == "near" else 0)
+
+        async def choose(program: str) -> str:
+            queued = QueuedRequest(program, 0, 4.0, 0.0, time.monotonic() + 4.0)
+            choice = await fleet.acquire(ReplicaGroup("llm"), request(program), queued, ())
+            return regions[choice.replica]
+
+        return [asyncio.run(choose(f"p{n}")) for n in range(100)]
+
+    def test_a_part_of_its_programs_goes_to_another_region(self) -> None:
+        assert 40 <= self.choices(demand=30).count("west") <= 90
+
+    def test_programs_stay_while_there_is_room(self) -> None:
+        assert self.choices(demand=3).count("west") == 0
