Use another relay after one whose replies can't be read

A relay became the path to a disk before its reply was decoded, so one that answers at once and wrongly kept the disk for good.

Change: it is decoded first, and the relay gives its place up if that fails.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/disk_links.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/disk_links.py
@@ -117,13 +117,15 @@
             self._demote_relay(disk, relay)
             detail = reply.detail if reply else str(relayed.failure())
             return Err(Failure(Code.UNREACHABLE, method, disk.host, f"via relay {relay}: {detail}"))
-        if self._relay_by_disk.get(disk.address) != relay:
-            logs.logger("turns").info("disk_relayed", peer=disk.host, address=relay)
-        self._relay_by_disk[disk.address] = relay
         try:
-            return Success(msgspec.msgpack.decode(reply.disk_reply, type=reply_type))
+            decoded = msgspec.msgpack.decode(reply.disk_reply, type=reply_type)
         except DECODE_ERRORS as exc:
+            self._demote_relay(disk, relay)
             return Err(Failure(Code.CORRUPT, method, disk.host, f"via relay {relay}: {exc}"))
+        if self._relay_by_disk.get(disk.address) != relay:
+            logs.logger("turns").info("disk_relayed", peer=disk.host, address=relay)
+        self._relay_by_disk[disk.address] = relay
+        return Success(decoded)
 
     def relay_handler(self, is_disk: Callable[[str], bool]) -> Handler:
         """Returns the RPC handler that relays messages for other processes.
