Let entries tell each other which replicas fail, as a hint

Each of 27 entries had to fail three requests at each failing replica to find it out, and all of them sent trials to replicas of other domains as well.

Cause: what one entry had found helped no other one.

Change: entries pass on with the loads which replicas they find failing or sound again. It decides nothing by itself, as a replica may fail for some callers only: one that others find failing is avoided after one failure here, and one that they find sound is tried within half a second. Replicas of other failure domains are tried later than those of the own. A request counts against a replica eight times at most.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/load_exchange.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/load_exchange.py
@@ -15,6 +15,7 @@
 
 import msgspec
 from endiveworks.errors import Failure
+from endiveworks.gateway.outcomes import Sighting
 from endiveworks.gateway.rate_limit import NO_RATES, LimitedLoad, LimitSighting, Rates
 from endiveworks.gateway.service_load import NO_SERVICE_LOAD, ServiceLoad
 from endiveworks.telemetry import logs
@@ -58,11 +59,13 @@
         limits: Limits on requests by replica.
         suspicions: Requests that were running at replicas that ended.
         places: Places kept for refused callers, and the seconds until they expire.
+        sightings: Replicas that fail requests, or no longer do.
     """
 
     limits: dict[str, LimitSighting]
     suspicions: SharedSuspicions
     places: dict[int, float] = {}
+    sightings: dict[str, Sighting] = {}
 
 
 class BeliefBook(NamedTuple):
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/replica_choice.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/replica_choice.py
@@ -147,7 +147,8 @@
             and s.in_flight < s.replica.slots * MAX_IN_FLIGHT_FACTOR
             and (not self._bounds_memory or s.fits(request))
         }
-        replica = due_trial(failing, trial, now_s)
+        far = [name for name in failing if self._table.domain(name) != self._here.failure_domain]
+        replica = due_trial(failing, trial, now_s, far)
         if not replica or not self._table.limits.admit(replica) or not budget.take():
             return ""
         failing[replica].start_trial(now_s, random.random())
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/replica_table.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/replica_table.py
@@ -1,13 +1,21 @@
 """Replicas of all services as this process knows them."""
 
 import math
+import random
 import time
 from collections import OrderedDict
 from collections.abc import Collection, Mapping
 from typing import NamedTuple
 
 from endiveworks.gateway.messages import Replica
-from endiveworks.gateway.outcomes import ERROR_SHARE, UNKNOWN_SOURCE, Source, TrialBudget, avoided
+from endiveworks.gateway.outcomes import (
+    ERROR_SHARE,
+    UNKNOWN_SOURCE,
+    Sighting,
+    Source,
+    TrialBudget,
+    avoided,
+)
 from endiveworks.gateway.placement import silence_limit_s
 from endiveworks.gateway.rate_limit import LimitSighting
 from endiveworks.gateway.routes import Service
@@ -160,6 +168,25 @@
         failing = avoided({s.replica.id: s.outcomes for s in states}, excluded)
         return [s for s in states if s.replica.id not in failing]
 
+    def domain(self, replica: str) -> str:
+        """Returns the failure domain of a replica; empty if the replica is gone."""
+        state = self._states.get(replica)
+        return state.replica.failure_domain if state else ""
+
+    def sightings(self) -> dict[str, Sighting]:
+        """Returns what other entries should know of the outcomes of requests at replicas."""
+        now_s = time.monotonic()
+        found = {name: state.outcomes.sighting(now_s) for name, state in self._states.items()}
+        return {name: sighting for name, sighting in found.items() if sighting is not None}
+
+    def adopt_sightings(self, sightings: Mapping[str, Sighting]) -> None:
+        """Takes over what other entries have found of replicas."""
+        now_s = time.monotonic()
+        for name, sighting in sightings.items():
+            state = self._states.get(name)
+            if state is not None:
+                state.outcomes.adopt(sighting, now_s, random.random())
+
     def trials(self, service: str) -> TrialBudget:
         """Returns what bounds the trials of a service's failing replicas."""
         return self._trials.setdefault(service, TrialBudget())
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/run.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/run.py
@@ -167,10 +167,13 @@
 
     def share() -> Beliefs:
         places = fleet.rooms.gate.places() if fleet.rooms.gate else {}
-        return Beliefs(fleet.limits.sightings(), quarantine.share(), places)
+        return Beliefs(
+            fleet.limits.sightings(), quarantine.share(), places, fleet.table.sightings()
+        )
 
     def adopt(beliefs: Beliefs) -> None:
         fleet.table.adopt_limits(beliefs.limits)
+        fleet.table.adopt_sightings(beliefs.sightings)
         quarantine.adopt(beliefs.suspicions)
         if fleet.rooms.gate:
             fleet.rooms.gate.adopt_places(beliefs.places)
--- a/packages/endiveworks/src/endiveworks/gateway/outcomes.py
+++ b/packages/endiveworks/src/endiveworks/gateway/outcomes.py
@@ -20,12 +20,18 @@
 MIN_CONTRAST_FACTOR = 2.0
 # Failures whose requests are remembered, to recognize repetitions.
 MAX_REMEMBERED = 32
+MAX_COUNTED_REPEATS = 8  # Further repetitions of a request don't count at all.
 MIN_TRIAL_PAUSE_S = 0.25  # Pause before the next trial of a server after a success.
 MAX_TRIAL_PAUSE_S = 2.0  # The same after failures; it doubles with each up to this.
 # Trials of all servers of a service that may fail, as a share of the requests of this process.
 MAX_FAILED_TRIAL_SHARE = 0.05
 MIN_TRIALS_PER_S = 0.1  # So that a server is tried again when there are few requests.
 
+# Weight of a failure at a server that fails requests of other processes as well.
+TOLD_FAILURE_WEIGHT = 0.5
+SIGHTING_AGE_S = 3.0  # Age up to which another process's sighting counts.
+SPREAD_S = 0.5  # Time over which processes spread the trials after one has found a server sound.
+
 ERROR_SHARE = 1.0  # Part of a failure that counts against the server.
 # The same of one that the request itself may have caused: a rejection, or its deadline.
 DOUBTFUL_ERROR_SHARE = 0.6
@@ -46,6 +52,18 @@
 UNKNOWN_SOURCE = Source("")
 
 
+class Sighting(NamedTuple):
+    """What a process has found of a server.
+
+    Attributes:
+        is_failing: Whether the server fails the requests of that process.
+        age_s: Time since it was found, in seconds.
+    """
+
+    is_failing: bool
+    age_s: float
+
+
 class Trial(Enum):
     """Whether a request may be used as a trial of a failing server."""
 
@@ -54,6 +72,14 @@
     DUE = 2
 
 
+class _Seen(NamedTuple):
+    is_failing: bool
+    at_s: float
+
+
+_NOTHING_SEEN = _Seen(False, float("-inf"))
+
+
 class Outcomes:
     """Outcomes of the requests that this process has sent to one server.
 
@@ -68,6 +94,7 @@
         self._failed: deque[Source] = deque(maxlen=MAX_REMEMBERED)
         self._pause_s = MIN_TRIAL_PAUSE_S
         self._next_trial_s = 0.0
+        self._seen = _NOTHING_SEEN
 
     def record_success(self, now_s: float) -> bool:
         """Records a request that the server has served; returns whether is_failing has changed."""
@@ -80,6 +107,7 @@
         self.is_failing = self.failure_share >= SOUND_SHARE
         if not self.is_failing:
             self._failed.clear()
+            self._seen = _Seen(False, now_s)
         return not self.is_failing
 
     def record_failure(self, source: Source, now_s: float, severity: float = ERROR_SHARE) -> bool:
@@ -90,10 +118,13 @@
             now_s: Monotonic time.
             severity: Part of the failure that counts, 0 to 1.
         """
-        weight = self._weight(source)
+        weight = self._weight(source, now_s)
         self._failed.append(source)
         self.failure_share += weight * max(0.0, severity - self.failure_share)
-        if self.is_failing or self.failure_share < FAILING_SHARE:
+        if self.failure_share < FAILING_SHARE:
+            return False
+        self._seen = _Seen(True, now_s)
+        if self.is_failing:
             return False
         self.is_failing = True
         self._pause_s = MIN_TRIAL_PAUSE_S
@@ -116,7 +147,31 @@
         self._pause_s = min(MAX_TRIAL_PAUSE_S, 2 * self._pause_s)
         self._next_trial_s = now_s + self._pause_s * (0.75 + 0.5 * jitter)
 
-    def _weight(self, source: Source) -> float:
+    def sighting(self, now_s: float) -> Sighting | None:
+        """Returns what other processes should know; None if there is nothing recent."""
+        age_s = now_s - self._seen.at_s
+        return Sighting(self._seen.is_failing, age_s) if age_s < SIGHTING_AGE_S else None
+
+    def adopt(self, sighting: Sighting, now_s: float, jitter: float) -> None:
+        """Takes over what another process has found, if it is newer.
+
+        It decides nothing by itself, since a server may fail the requests of some processes only:
+        one that others find failing takes fewer failures here, and one that they find sound is
+        tried soon.
+
+        Args:
+            sighting: What was found.
+            now_s: Monotonic time.
+            jitter: Random number from 0 to 1, so that processes don't send trials together.
+        """
+        at_s = now_s - sighting.age_s
+        if at_s <= self._seen.at_s:
+            return
+        self._seen = _Seen(sighting.is_failing, at_s)
+        if self.is_failing and not sighting.is_failing:
+            self._next_trial_s = min(self._next_trial_s, now_s + SPREAD_S * jitter)
+
+    def _weight(self, source: Source, now_s: float) -> float:
         """Returns the weight of a failure.
 
         Repetitions of one request lose weight with the square of their number, so that their sum
@@ -124,7 +179,11 @@
         """
         of_program = sum(1 for s in self._failed if s.program and s.program == source.program)
         repeated = sum(1 for s in self._failed if s.digest and s.digest == source.digest)
-        return FAILURE_WEIGHT / max(1 + of_program, (1 + repeated) ** 2)
+        if repeated >= MAX_COUNTED_REPEATS:
+            return 0.0
+        told = self._seen.is_failing and now_s - self._seen.at_s < SIGHTING_AGE_S
+        first = TOLD_FAILURE_WEIGHT if told and not repeated else FAILURE_WEIGHT
+        return first / max(1 + of_program, (1 + repeated) ** 2)
 
 
 class TrialBudget:
@@ -175,8 +234,21 @@
     )
 
 
-def due_trial(servers: Mapping[str, Outcomes], trial: Trial, now_s: float) -> str:
-    """Returns the server whose trial has been due for longest; empty for none."""
-    ages = {name: o.trial_age_s(trial, now_s) for name, o in servers.items() if o.is_failing}
+def due_trial(
+    servers: Mapping[str, Outcomes], trial: Trial, now_s: float, far: Collection[str] = ()
+) -> str:
+    """Returns the server whose trial has been due for longest; empty for none.
+
+    Args:
+        servers: Outcomes of the servers of a service by name.
+        trial: Whether the request may be used as a trial.
+        now_s: Monotonic time.
+        far: Servers that are left to processes nearer to them for a while.
+    """
+    ages = {
+        name: o.trial_age_s(trial, now_s) - (MAX_TRIAL_PAUSE_S if name in far else 0.0)
+        for name, o in servers.items()
+        if o.is_failing
+    }
     name = max(ages, key=lambda n: ages[n], default="")
     return name if name and ages[name] >= 0 else ""
--- a/packages/endiveworks/src/endiveworks/gateway/tests/test_outcomes.py
+++ b/packages/endiveworks/src/endiveworks/gateway/tests/test_outcomes.py
@@ -9,6 +9,7 @@
     MAX_TRIAL_PAUSE_S,
     MIN_TRIAL_PAUSE_S,
     Outcomes,
+    Sighting,
     Source,
     Trial,
     TrialBudget,
@@ -35,7 +36,7 @@
         changes = [outcomes.record_failure(source(number), 0.0) for number in range(5)]
         assert changes == [False, False, True, False, False]
 
-    @pytest.mark.parametrize("count", [10, 1_000])
+    @pytest.mark.parametrize("count", [10, 100_000])
     def test_repetitions_of_one_request_never(self, count: int) -> None:
         outcomes = Outcomes()
         for _ in range(count):
@@ -143,3 +144,35 @@
         assert budget.take() and not budget.take()
         budget.give_back()
         assert budget.take()
+
+
+class TestSightings:
+    def test_one_failure_suffices_where_others_find_the_server_failing(self) -> None:
+        told = failing().sighting(0.5)
+        assert told == Sighting(is_failing=True, age_s=0.5)
+        outcomes = Outcomes()
+        outcomes.adopt(told, 0.6, 0.5)
+        assert not outcomes.is_failing
+        assert outcomes.record_failure(source(1), 0.7)
+
+    def test_a_server_that_serves_this_process_stays_sound(self) -> None:
+        outcomes = Outcomes()
+        for number in range(50):
+            outcomes.adopt(Sighting(is_failing=True, age_s=0.0), float(number), 0.5)
+            outcomes.record_success(float(number))
+        assert not avoided({"a": outcomes, "b": Outcomes()}, ())
+
+    def test_a_trial_is_due_soon_where_others_find_the_server_sound(self) -> None:
+        outcomes = failing()
+        for number in range(6):
+            outcomes.start_trial(10.0, 0.5)
+            outcomes.record_failure(source(100 + number), 10.0)
+        outcomes.adopt(Sighting(is_failing=False, age_s=0.0), 10.5, 0.2)
+        assert due_trial({"a": outcomes}, Trial.DUE, 10.7) == "a"
+
+    def test_old_and_earlier_sightings_have_no_effect(self) -> None:
+        outcomes = failing()
+        assert outcomes.sighting(60.0) is None
+        outcomes.start_trial(0.0, 0.5)
+        outcomes.adopt(Sighting(is_failing=False, age_s=5.0), 0.1, 0.0)
+        assert not due_trial({"a": outcomes}, Trial.DUE, 0.2)
--- a/tests/deployed/test_failing_replicas.py
+++ b/tests/deployed/test_failing_replicas.py
@@ -213,3 +213,36 @@
                 assert (reply.status, reply.body) == (500, b"own")
 
         run(scenario)
+
+
+class TestSeveralEntries:
+    def test_what_one_has_found_spares_the_others_failures(self, tmp_path: Path) -> None:
+        async def scenario() -> None:
+            replicas = {"shop/a": responds(b"error", ERROR), "shop/b": responds(b"done")}
+            async with Deployment(tmp_path, replicas) as deployed:
+                other = await deployed.add_entry()
+                await Callers(deployed, ORDER).send(REQUESTS, pause_s=0.0)
+                before = len(deployed.replicas["shop/a"].arrivals)
+                other.fleet.table.adopt_sightings(deployed.fleet.table.sightings())
+                for number in range(20):
+                    await other.send(ORDER, b"o%d" % number, Request_Id=f"o{number}")
+                assert len(deployed.replicas["shop/a"].arrivals) - before <= 2
+
+        run(scenario)
+
+    def test_a_replica_that_fails_for_one_entry_only_serves_the_others(
+        self, tmp_path: Path
+    ) -> None:
+        async def scenario() -> None:
+            replicas = {"shop/a": responds(b"error", ERROR), "shop/b": responds(b"done")}
+            async with Deployment(tmp_path, replicas) as deployed:
+                other = await deployed.add_entry()
+                await Callers(deployed, ORDER).send(REQUESTS, pause_s=0.0)
+                deployed.replicas["shop/a"].script = responds(b"done")
+                before = len(deployed.replicas["shop/a"].arrivals)
+                for number in range(40):
+                    other.fleet.table.adopt_sightings(deployed.fleet.table.sightings())
+                    await other.send(ORDER, b"o%d" % number, Request_Id=f"o{number}")
+                assert len(deployed.replicas["shop/a"].arrivals) - before >= 10
+
+        run(scenario)
