--- a/tests/deployed/test_failing_replicas.py
+++ b/tests/deployed/test_failing_replicas.py
@@ -167,6 +167,31 @@
 
         run(scenario)
 
+    @pytest.mark.parametrize("target", [TURN, ORDER])
+    def test_one_that_answers_nothing_does_not_draw_requests(
+        self, tmp_path: Path, target: str
+    ) -> None:
+        async def hangs(arrival: Arrival, writer: asyncio.StreamWriter) -> bool:
+            await asyncio.sleep(30)
+            return False
+
+        async def scenario() -> None:
+            service = service_of(target)
+            sound = sound_script(target)
+            replicas = {f"{service}/a": hangs, f"{service}/b": sound}
+            async with Deployment(tmp_path, replicas, timeout_ms=1300) as deployed:
+                deployed.slots = 40
+                deployed.apply(deployed.view)
+                await deployed.wait_for_disks()
+                callers = Callers(deployed, target)
+                for _ in range(2):
+                    await asyncio.gather(*(callers.send() for _ in range(16)))
+                before = callers.arrivals(f"{service}/a")
+                await asyncio.gather(*(callers.send() for _ in range(16)))
+                assert callers.arrivals(f"{service}/a") - before <= 1
+
+        run(scenario)
+
 
 class TestRequestsThatFailAnywhere:
     def test_a_harmful_request_condemns_no_replica(self, tmp_path: Path) -> None:
