--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/retries.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/retries.py
@@ -115,6 +115,11 @@
     )
 
 
+def _may_send_again(ex: Exchange) -> bool:
+    """Returns whether a request may be sent once more after a replica may have run it."""
+    return ex.route.may_retry() and ex.send_count < MAX_SENDS
+
+
 def handle_lost_response(context: Context, ex: Exchange, replica: str, cause: Exception) -> None:
     """Records that the response to a request that the replica may have run was lost.
 
@@ -123,7 +128,7 @@
     """
     context.fleet.table.record_failure(replica, ex.source)
     record_loss(context, ex, replica, cause)
-    if not ex.route.may_retry() or ex.send_count >= MAX_SENDS:
+    if not _may_send_again(ex):
         raise HttpError(STATUS_BAD_GATEWAY, "the replica's response was lost")
     if len(ex.sent_to) < ex.route.max_attempts:
         ex.excluded.add(replica)
@@ -142,9 +147,7 @@
 
 def may_try_elsewhere(context: Context, ex: Exchange) -> bool:
     """Returns whether a request that a replica has answered with an error may run at another."""
-    if not ex.route.may_retry() or ex.send_count >= MAX_SENDS:
-        return False
-    if len(ex.sent_to) >= ex.route.max_attempts:
+    if not _may_send_again(ex) or len(ex.sent_to) >= ex.route.max_attempts:
         return False
     return context.fleet.table.has_other(ex.service, ex.sent_to | ex.excluded, ex.version)
 
