Use failing upstream processes if none of the others can be used

If all processes of a region fail and the link's share to the others is used up, calls were refused for want of an upstream, though the processes answer.

Change: then all are candidates, so callers get the answers as they are.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/tests/test_upstream_selector.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/tests/test_upstream_selector.py
@@ -152,3 +152,14 @@
         selector = self.selector()
         self.run_calls(selector, 50, lambda host: FAILURES["an error"])
         assert not selector._cost_s
+
+    def test_failing_upstreams_are_used_if_the_link_to_the_others_is_used_up(self) -> None:
+        link = InterRegionLink(1e6, 0.02, LinkShare(1.0))
+        selector = UpstreamSelector("east", link, 1_000.0, random.Random(1))
+        far = MEMBERS["up-3"]._replace(region="west")
+        members = {**MEMBERS, "up-3": far}
+        for number in range(30):
+            req = self.placement_request(f"p{number}")
+            host = selector.choose(req, members).unwrap().host
+            selector.record_end(host, req, FAILURES["an error"])
+        assert host != "up-3"
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/upstream_selector.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/upstream_selector.py
@@ -140,13 +140,7 @@
             if tried:
                 choice = Choice(tried, 0.0, (Reason("trial", 1.0, tried),))
             else:
-                failing = avoided(outcomes, [m.host for m in candidates if m.draining])
-                upstreams = [
-                    self._upstream_state(req, member, now_s)
-                    for member in candidates
-                    if member.host not in failing
-                ]
-                choice = choose_upstream(call, upstreams, self._cost_model(req), now_s, self._rng)
+                choice = self._choose_sound(req, call, candidates, outcomes, now_s)
             if not choice.host:
                 detail = f"no upstream of {name!r} accepts the call"
                 return Err(Failure(Code.NO_UPSTREAM, "choice.choose", "", detail, True, _RETRY_S))
@@ -206,6 +200,24 @@
                 failure_share=round(outcomes.failure_share, 2),
             )
 
+    def _choose_sound(
+        self,
+        req: PlacementRequest,
+        call: RoutingRequest,
+        candidates: Sequence[Member],
+        outcomes: Mapping[str, Outcomes],
+        now_s: float,
+    ) -> Choice:
+        """Returns the cheapest process that serves calls; of all if none of those can be used."""
+        failing = avoided(outcomes, [m.host for m in candidates if m.draining])
+        upstreams = {m.host: self._upstream_state(req, m, now_s) for m in candidates}
+        sound = [upstream for host, upstream in upstreams.items() if host not in failing]
+        costs = self._cost_model(req)
+        choice = choose_upstream(call, sound, costs, now_s, self._rng)
+        if choice.host or not failing:
+            return choice
+        return choose_upstream(call, list(upstreams.values()), costs, now_s, self._rng)
+
     def _choose_trial(
         self,
         req: PlacementRequest,
