--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/replica_table.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/replica_table.py
@@ -98,8 +98,8 @@
             if name not in listed and now_s - (state.delisted_s or now_s) > DELISTED_GRACE_S:
                 self._forget(name)
         self.limits.retain(self._states)
-        for service in self._trials.keys() - services.keys():
-            del self._trials[service]
+        for gone in self._trials.keys() - services.keys():
+            del self._trials[gone]
         for name, replica in listed.items():
             if name in self._states:
                 self._states[name].replica = replica
