Log the share of failures of the chosen replica, which is what the choice knows now

peer_failures told the penalty of lost responses, which errors no longer add to; request_ended has failure_share instead.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/exchange.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/exchange.py
@@ -52,7 +52,7 @@
         replica: The replica chosen last; empty before the first choice.
         cost_ms: Estimated cost of that choice.
         preferred_replica: Replica that its program prefers; empty for none.
-        peer_failures: Recent failures of the chosen replica that were known at the choice.
+        failure_share: Failures at the chosen replica that were known at the choice; see Outcomes.
         queued_s: Total time that it has waited for a replica.
         version: Software version that began its stream; None as long as any may serve it.
         has_events: Whether an event was sent to the caller.
@@ -80,7 +80,7 @@
         self.replica = ""
         self.cost_ms = 0.0
         self.preferred_replica = ""
-        self.peer_failures = 0.0
+        self.failure_share = 0.0
         self.queued_s = 0.0
         self.version: str | None = None
         # Callers choose the ids of their requests, so those of two tenants may be the same.
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/replica_table.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/replica_table.py
@@ -249,10 +249,10 @@
             state.failures = 0.0
             _log_outcomes("replica_sound", state)
 
-    def recent_failures(self, replica: str) -> float:
-        """Returns the recent failures of a replica, decayed over time; 0 if it is gone."""
+    def failure_share(self, replica: str) -> float:
+        """Returns the share of failures among a replica's requests; 0 if it is gone."""
         state = self._states.get(replica)
-        return recent_failures(state) if state else 0.0
+        return state.outcomes.failure_share if state else 0.0
 
     def record_leaving(self, replica: str) -> None:
         """Records that a replica announced in a response that it is about to leave."""
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/request_log.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/request_log.py
@@ -68,7 +68,7 @@
             reason=reason,
             peer=ex.replica,
             cost_ms=round(ex.cost_ms, 1),
-            peer_failures=round(ex.peer_failures, 2),
+            failure_share=round(ex.failure_share, 2),
             queued_ms=round(ex.queued_s * 1000, 1),
             attempt=ex.send_count,
             previous_turn=ex.request.previous_turn,
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/retries.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/retries.py
@@ -249,7 +249,7 @@
         ex.queued_s += time.monotonic() - started_s
     ex.replica, ex.cost_ms = choice.replica, choice.cost_ms
     ex.preferred_replica = choice.preferred
-    ex.peer_failures = context.fleet.table.recent_failures(choice.replica)
+    ex.failure_share = context.fleet.table.failure_share(choice.replica)
     return choice.replica
 
 
--- a/packages/endiveworks/src/endiveworks/telemetry/fields.py
+++ b/packages/endiveworks/src/endiveworks/telemetry/fields.py
@@ -51,7 +51,6 @@
     "partition": "Partition number.",
     "path": "File or folder of this host.",
     "peer": "Host or address of the other side.",
-    "peer_failures": "Recent failures of the chosen replica that its entry knew of at the choice.",
     "port": "Port number.",
     "previous_turn": "Id of the turn that a turn continues; empty for none.",
     "program": "Program id.",
