Count no success of a request that was sent before a server failed others

Change: only requests that were sent since then count, at the own interface too.

Evidence: TestFailing::test_requests_that_were_sent_before_do_not_end_it, which passes the time of sending that the code before didn't take.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/replica_state.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/replica_state.py
@@ -83,6 +83,9 @@
         state: State of the replica; None if the replica is already gone.
         on_end: Called with the duration in seconds when the request ends.
         request: The request; None if its tokens are not counted.
+
+    Attributes:
+        started_s: Monotonic time at which it was sent.
     """
 
     def __init__(
@@ -93,8 +96,8 @@
     ) -> None:
         self._state = state
         self._on_end = on_end
-        self._started_s = time.monotonic()
-        self._wait_started_s = self._started_s
+        self.started_s = time.monotonic()
+        self._wait_started_s = self.started_s
         self._has_events = False
         if state is not None:
             state.in_flight += 1
@@ -139,7 +142,7 @@
             now_s = time.monotonic()
             self._state.last_response_s = now_s
             self._state.mean_latency = record_sample(
-                self._state.mean_latency, now_s - self._started_s, now_s
+                self._state.mean_latency, now_s - self.started_s, now_s
             )
 
     def end(self) -> None:
@@ -149,4 +152,4 @@
             self._state.tokens_in_flight.remove(id(self))
             self._state.stream_waits_s.pop(id(self), None)
             self._state.response_waits_s.pop(id(self), None)
-        self._on_end(time.monotonic() - self._started_s)
+        self._on_end(time.monotonic() - self.started_s)
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/replica_table.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/replica_table.py
@@ -238,14 +238,14 @@
         if state and state.outcomes.record_failure(source, time.monotonic(), severity):
             _log_outcomes("replica_failing", state)
 
-    def record_success(self, replica: str) -> None:
-        """Records that a replica has served a request."""
+    def record_success(self, replica: str, sent_s: float) -> None:
+        """Records that a replica has served a request that was sent at a monotonic time."""
         state = self._states.get(replica)
         if state is None:
             return
         if state.outcomes.is_failing:
             self.trials(state.replica.service).give_back()
-        if state.outcomes.record_success(time.monotonic()):
+        if state.outcomes.record_success(time.monotonic(), sent_s):
             state.failures = 0.0
             _log_outcomes("replica_sound", state)
 
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/retries.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/retries.py
@@ -138,7 +138,8 @@
     """Records a complete response, which may be an error of the replica."""
     status = response.head.status
     if status < FIRST_ERROR:
-        context.fleet.table.record_success(response.replica)
+        sent_s = response.in_flight_request.started_s
+        context.fleet.table.record_success(response.replica, sent_s)
         return
     is_doubtful = status < FIRST_SERVER_ERROR or status == STATUS_TIMEOUT
     severity = DOUBTFUL_ERROR_SHARE if is_doubtful else ERROR_SHARE
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/upstream_selector.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/upstream_selector.py
@@ -155,7 +155,7 @@
         """Records that an attempt has ended."""
         with self._lock:
             dispatched_at_s = self._dispatched_at_s[host].pop(req.program, None)
-            self._record_outcome(host, req, final_status)
+            self._record_outcome(host, req, final_status, dispatched_at_s)
             is_served = final_status.failure is None and final_status.status < _FIRST_ERROR
             if dispatched_at_s is None or not is_served:
                 return  # A call that failed at once says nothing of how long calls take.
@@ -176,7 +176,13 @@
         with self._lock:
             return self._decisions.get(program, ())
 
-    def _record_outcome(self, host: str, req: PlacementRequest, final_status: FinalStatus) -> None:
+    def _record_outcome(
+        self,
+        host: str,
+        req: PlacementRequest,
+        final_status: FinalStatus,
+        dispatched_at_s: float | None,
+    ) -> None:
         failure, status, now_s = final_status.failure, final_status.status, time.monotonic()
         known = self._outcomes.get(host)
         if known is None:
@@ -185,7 +191,7 @@
         if failure is None and status < _FIRST_ERROR:
             if outcomes.is_failing:
                 self._budget(req).give_back()
-            changed = outcomes.record_success(now_s)
+            changed = outcomes.record_success(now_s, dispatched_at_s)
         elif failure is not None and not _is_of_upstream(failure):
             return
         else:
--- a/packages/endiveworks/src/endiveworks/gateway/outcomes.py
+++ b/packages/endiveworks/src/endiveworks/gateway/outcomes.py
@@ -94,10 +94,19 @@
         self._failed: deque[Source] = deque(maxlen=MAX_REMEMBERED)
         self._pause_s = MIN_TRIAL_PAUSE_S
         self._next_trial_s = 0.0
+        self._failing_since_s = 0.0
         self._seen = _NOTHING_SEEN
 
-    def record_success(self, now_s: float) -> bool:
-        """Records a request that the server has served; returns whether is_failing has changed."""
+    def record_success(self, now_s: float, sent_s: float | None = None) -> bool:
+        """Records a request that the server has served; returns whether is_failing has changed.
+
+        Args:
+            now_s: Monotonic time.
+            sent_s: Monotonic time at which it was sent; None for now. One that was sent before the
+                server failed others says nothing of it now.
+        """
+        if self.is_failing and sent_s is not None and sent_s < self._failing_since_s:
+            return False
         weight = TRIAL_SUCCESS_WEIGHT if self.is_failing else SUCCESS_WEIGHT
         self.failure_share -= weight * self.failure_share
         if not self.is_failing:
@@ -127,6 +136,7 @@
         if self.is_failing:
             return False
         self.is_failing = True
+        self._failing_since_s = now_s
         self._pause_s = MIN_TRIAL_PAUSE_S
         self._next_trial_s = now_s + MIN_TRIAL_PAUSE_S
         return True
--- a/packages/endiveworks/src/endiveworks/gateway/tests/test_outcomes.py
+++ b/packages/endiveworks/src/endiveworks/gateway/tests/test_outcomes.py
@@ -81,6 +81,13 @@
         assert changes.index(True) in (1, 2)
         assert not outcomes.is_failing
 
+    def test_requests_that_were_sent_before_do_not_end_it(self) -> None:
+        outcomes = failing()
+        for _ in range(10):
+            assert not outcomes.record_success(1.0, sent_s=-0.5)
+        assert outcomes.is_failing
+        assert [outcomes.record_success(2.0, sent_s=1.5) for _ in range(4)].count(True) == 1
+
 
 class TestAvoided:
     def test_failing_servers_among_others(self) -> None:
