--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/exchange.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/exchange.py
@@ -1,9 +1,10 @@
 """State of one request: which replicas were tried, its deadline, and whether it may have run."""
 
+import contextlib
 import functools
 import itertools
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 import xxhash
 from endiveworks.gateway.messages import Request
@@ -54,6 +55,7 @@
         preferred_replica: Replica that its program prefers; empty for none.
         failure_share: Failures at the chosen replica that were known at the choice; see Outcomes.
         queued_s: Total time that it has waited for a replica.
+        disk_waits_s: Total time that it has waited for disks, by what for.
         version: Software version that began its stream; None as long as any may serve it.
         has_events: Whether an event was sent to the caller.
         on_sent: Called with the replica and its version when the request was sent to one.
@@ -82,6 +84,7 @@
         self.preferred_replica = ""
         self.failure_share = 0.0
         self.queued_s = 0.0
+        self.disk_waits_s: dict[str, float] = {}
         self.version: str | None = None
         # Callers choose the ids of their requests, so those of two tenants may be the same.
         self._queue_key = str(next(_queue_keys))
@@ -121,6 +124,16 @@
         """Returns whether a replica may have started to run the request."""
         return self.send_count > 0
 
+    @contextlib.contextmanager
+    def waits_for_disks(self, step: str) -> Iterator[None]:
+        """Counts the time of a wait for disks, also if it is given up."""
+        started_s = time.monotonic()
+        try:
+            yield
+        finally:
+            waited_s = time.monotonic() - started_s
+            self.disk_waits_s[step] = self.disk_waits_s.get(step, 0.0) + waited_s
+
     def remaining_s(self) -> float:
         """Returns the time until the deadline, negative after it."""
         return self.deadline_s - time.monotonic()
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/request_log.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/request_log.py
@@ -70,6 +70,9 @@
             cost_ms=round(ex.cost_ms, 1),
             failure_share=round(ex.failure_share, 2),
             queued_ms=round(ex.queued_s * 1000, 1),
+            disk_waits_ms=[
+                f"{step} {wait_s * 1000:.1f}" for step, wait_s in ex.disk_waits_s.items()
+            ],
             attempt=ex.send_count,
             previous_turn=ex.request.previous_turn,
             sent=sent,
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/resumption.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/resumption.py
@@ -101,11 +101,12 @@
         return
     _tell(context, ex, response.replica, response.in_flight_request.version)
     attempt, window_s = attempt_name(ex.scoped(ex.request.id)), resumable_s(ex.route.timeout_s)
-    while not context.origins.is_only_version(
-        ex.service, window_s, time.monotonic() - ex.arrived_s
-    ):
-        if await context.origins.wait_until_held(attempt, LIST_CHECK_PERIOD_S):
-            return
+    with ex.waits_for_disks("origin"):
+        while not context.origins.is_only_version(
+            ex.service, window_s, time.monotonic() - ex.arrived_s
+        ):
+            if await context.origins.wait_until_held(attempt, LIST_CHECK_PERIOD_S):
+                return
 
 
 def record_event_sent(context: Context, ex: Exchange, response: Response) -> None:
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/stream.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/stream.py
@@ -137,7 +137,8 @@
     """Returns the body for the replica: the preceding turns in order, then the new input."""
     if not ex.route.retains_turns or not ex.request.previous_turn:
         return ex.body
-    read = await context.turns.read_chain(ex.scoped(ex.request.previous_turn), ex.remaining_s())
+    with ex.waits_for_disks("history"):
+        read = await context.turns.read_chain(ex.scoped(ex.request.previous_turn), ex.remaining_s())
     if not isinstance(read, Success):
         raise HttpError(STATUS_UNAVAILABLE, str(read.failure()), DISKS_UNAVAILABLE_RETRY_S)
     chain = read.unwrap()
@@ -197,7 +198,8 @@
     Raises:
         HttpError: The budget is exhausted, or too few disks respond.
     """
-    reserved = await reservation_fut
+    with ex.waits_for_disks("reservation"):
+        reserved = await reservation_fut
     if not isinstance(reserved, Success):
         status = STATUS_BAD_GATEWAY if ex.may_have_run else STATUS_UNAVAILABLE
         raise HttpError(status, str(reserved.failure()), DISKS_UNAVAILABLE_RETRY_S)
@@ -355,7 +357,8 @@
             bytes(stream.transcript.output),
             ex.route.retention_s,
         )
-        stored = await context.turns.commit(turn, settlement, max(0.0, ex.remaining_s()))
+        with ex.waits_for_disks("commit"):
+            stored = await context.turns.commit(turn, settlement, max(0.0, ex.remaining_s()))
         if not isinstance(stored, Success):
             raise ResponseError(str(stored.failure()))
     if not responder.started:  # The caller resumed the stream after its last event.
--- a/packages/endiveworks/src/endiveworks/telemetry/fields.py
+++ b/packages/endiveworks/src/endiveworks/telemetry/fields.py
@@ -20,6 +20,7 @@
     "detail": "Sentence on an error, written by this project.",
     "digest": "Hash of a request's path and body; repetitions have the same.",
     "epoch": "Epoch of a partition's owner.",
+    "disk_waits_ms": "Time that a request waited for disks, in milliseconds, by what for.",
     "due_ms": "Time until a program should end, in milliseconds; negative when it is late.",
     "error_at": "Source file, line and function that raised an exception, innermost last.",
     "error_type": "Type of an exception; its message is left out.",
