--- /dev/null
+++ b/tests/deployed/test_entries_cut_off.py
@@ -0,0 +1,207 @@
+"""Entries that reach callers, replicas and other entries, but not the disks."""
+
+import asyncio
+from collections.abc import Collection
+from pathlib import Path
+from typing import Any
+
+from endiveworks.gateway.stream_origins import RETENTION_S, StreamOrigin
+from endiveworks_standins.site_replica import Script
+
+from tests.deployed.harness import DRAFT, TURN, Deployment, Entry, run, streams
+from tests.deployed.test_rejoined_streams import AFTER, begin, take_up
+from tests.deployed.test_software_versions import hangs_after
+
+ORIGIN = StreamOrigin("llm", "v1", "entry-1", "g")
+
+
+class LossyTransport:
+    """Sends datagrams except those to some addresses, which are lost.
+
+    Attributes:
+        sent: Addresses to which datagrams were sent, lost ones included.
+    """
+
+    def __init__(self, transport: Any, lost: Collection[str]) -> None:
+        self._transport = transport
+        self._lost = lost
+        self.sent: list[str] = []
+
+    def sendto(self, data: bytes, address: tuple[str, int]) -> None:
+        """Sends or loses a datagram."""
+        self.sent.append(f"{address[0]}:{address[1]}")
+        if self.sent[-1] not in self._lost:
+            self._transport.sendto(data, address)
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._transport, name)
+
+
+def lose_datagrams(entry: Entry, addresses: Collection[str]) -> LossyTransport:
+    """Loses all datagrams from an entry to some addresses, and returns what records them."""
+    transport = LossyTransport(entry.origins._transport, addresses)
+    entry.origins._transport = transport  # type: ignore[assignment]
+    return transport
+
+
+def disk_addresses(deployed: Deployment) -> list[str]:
+    """Returns the addresses of the three disks."""
+    return [disk.address for disk in deployed.disks]
+
+
+async def out_of_step(deployed: Deployment, others: int = 0) -> Entry:
+    """Returns an entry that hears of no changes, after starting some others that do."""
+    for _ in range(others):
+        await deployed.add_entry()
+    entry = await deployed.add_entry()
+    entry.origins._versions._started_s -= RETENTION_S
+    entry.list_age_s = None
+    return entry
+
+
+def deployment(folder: Path, script: Script | None = None) -> Deployment:
+    """Returns a deployment whose streams stop after some events."""
+    return Deployment(folder, {"llm/g": script or hangs_after(AFTER)})
+
+
+class TestFirstEventAtAnEntryCutOffFromTheDisks:
+    def test_it_is_not_held_until_its_caller_leaves(self, tmp_path: Path) -> None:
+        async def scenario() -> None:
+            async with deployment(tmp_path) as deployed:
+                entry = await out_of_step(deployed)
+                lose_datagrams(entry, disk_addresses(deployed))
+                await begin(entry, "s0", "v1")
+
+        run(scenario)
+
+    def test_it_is_not_held_if_other_entries_are_cut_off_too(self, tmp_path: Path) -> None:
+        async def scenario() -> None:
+            async with deployment(tmp_path) as deployed:
+                entry = await out_of_step(deployed, others=3)
+                lost = disk_addresses(deployed)
+                for other in [entry, *deployed._entries[1:4]]:
+                    lose_datagrams(other, lost)
+                await begin(entry, "s0", "v1")
+
+        run(scenario)
+
+    def test_the_way_that_worked_is_used_at_once_for_the_next_one(self, tmp_path: Path) -> None:
+        async def scenario() -> None:
+            async with deployment(tmp_path) as deployed:
+                entry = await out_of_step(deployed)
+                transport = lose_datagrams(entry, disk_addresses(deployed))
+                await begin(entry, "s0", "v1")
+                transport.sent.clear()
+                entry.origins.tell("s1", "d1", ORIGIN)
+                await asyncio.sleep(0)  # The task that tells it has run once then.
+                assert deployed.peer_address in transport.sent
+
+        run(scenario)
+
+    def test_the_direct_way_is_used_again_after_the_cut(self, tmp_path: Path) -> None:
+        async def scenario() -> None:
+            async with deployment(tmp_path) as deployed:
+                entry = await out_of_step(deployed)
+                lost = disk_addresses(deployed)
+                transport = lose_datagrams(entry, lost)
+                await begin(entry, "s0", "v1")
+                lost.clear()
+                while deployed.peer_address in transport.sent:
+                    transport.sent.clear()
+                    entry.origins.tell("s1", "d1", ORIGIN)
+                    await asyncio.sleep(0.02)
+                    entry.origins.tell("s1", "d1", None)
+                    await asyncio.sleep(0.02)
+                assert set(transport.sent) <= set(disk_addresses(deployed))
+
+        run(scenario)
+
+    def test_its_stream_goes_on_at_another_entry(self, tmp_path: Path) -> None:
+        async def scenario() -> None:
+            async with deployment(tmp_path) as deployed:
+                entry = await out_of_step(deployed)
+                lose_datagrams(entry, disk_addresses(deployed))
+                await begin(entry, "s0", "v1")
+                reply = await take_up(deployed)
+                assert (reply.status, reply.complete) == (200, True)
+
+        run(scenario)
+
+
+class TestStreamTakenUpAtAnEntryCutOffFromTheDisks:
+    def test_it_goes_on(self, tmp_path: Path) -> None:
+        async def scenario() -> None:
+            async with deployment(tmp_path) as deployed:
+                entry = await out_of_step(deployed)
+                await begin(deployed, "s0", "v1")
+                lose_datagrams(entry, disk_addresses(deployed))
+                reply = await take_up(entry)
+                assert (reply.status, reply.complete) == (200, True)
+
+        run(scenario)
+
+
+class TestEntryThatReachesNeitherDisksNorEntries:
+    def lose_all(self, deployed: Deployment, entry: Entry) -> None:
+        """Loses all datagrams of an entry."""
+        lose_datagrams(entry, [*disk_addresses(deployed), deployed.peer_address])
+
+    def test_a_ready_stream_ends_before_its_deadline(self, tmp_path: Path) -> None:
+        async def scenario() -> None:
+            async with deployment(tmp_path, streams("a", "b")) as deployed:
+                entry = await out_of_step(deployed)
+                self.lose_all(deployed, entry)
+                assert (await entry.send(DRAFT, b"p")).status == 502
+
+        run(scenario)
+
+    def test_the_next_stream_is_refused_and_does_not_run(self, tmp_path: Path) -> None:
+        async def scenario() -> None:
+            async with deployment(tmp_path, streams("a", "b")) as deployed:
+                entry = await out_of_step(deployed)
+                self.lose_all(deployed, entry)
+                await entry.send(DRAFT, b"p")
+                ran = len(deployed.replicas["llm/g"].arrivals)
+                reply = await entry.send(DRAFT, b"q")
+                assert (reply.status, "retry-after" in reply.headers) == (503, True)
+                assert len(deployed.replicas["llm/g"].arrivals) == ran
+
+        run(scenario)
+
+    def test_streams_are_served_again_once_the_disks_are_reached(self, tmp_path: Path) -> None:
+        async def scenario() -> None:
+            async with deployment(tmp_path, streams("a", "b")) as deployed:
+                entry = await out_of_step(deployed)
+                before = entry.origins._transport
+                self.lose_all(deployed, entry)
+                await entry.send(DRAFT, b"p")
+                assert (await entry.send(DRAFT, b"q")).status == 503
+                entry.origins._transport = before
+                while (await entry.send(DRAFT, b"r")).status != 200:
+                    await asyncio.sleep(0.05)
+
+        run(scenario)
+
+    def test_routes_that_are_not_resumable_are_served(self, tmp_path: Path) -> None:
+        async def scenario() -> None:
+            async with deployment(tmp_path, streams("a", "b")) as deployed:
+                entry = await out_of_step(deployed)
+                self.lose_all(deployed, entry)
+                await entry.send(DRAFT, b"p")
+                await deployed.wait_for_disks()
+                while not entry.turns.is_reachable():
+                    await asyncio.sleep(0.01)
+                assert (await entry.send(TURN, b"p")).status == 200
+
+        run(scenario)
+
+    def test_a_complete_list_with_one_version_suffices(self, tmp_path: Path) -> None:
+        async def scenario() -> None:
+            async with deployment(tmp_path, streams("a", "b")) as deployed:
+                entry = await out_of_step(deployed)
+                self.lose_all(deployed, entry)
+                await entry.send(DRAFT, b"p")
+                entry.list_age_s = 0.0
+                assert (await entry.send(DRAFT, b"q")).status == 200
+
+        run(scenario)
