Pass what is told of streams on to disks over other entries, and refuse streams that nobody can be told of

Cause: before its first event a resumable stream waits until a write quorum of the disks has confirmed where it begins. That is told in datagrams to the disks themselves, on one way that is never looked at again, while turns and reservations go over relays. The log shows it: of the requests that ended without an answer at edge-west-pais-4, each had waited 1.2 to 2.3 s for 'origin' and 0 to 0.2 s for 'reservation'; routes that are not resumable had no such wait.

A datagram goes over two other entries now as soon as a disk has not replied for 60 ms, over others the next time, and over the one that brought a reply from then on. An entry passes datagrams on to disks in use only. If nothing is confirmed on any way for half a second, new streams are refused before they run, unless the list of replicas is recent and names one version, and a first event that has waited for a second ends with 502. That no stream is joined from two versions still rests on a write quorum of confirmations, whatever way they come: the tests of entries that are out of step are unchanged.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/origin_exchange.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/origin_exchange.py
@@ -29,15 +29,18 @@
     Address,
     Datagram,
     decode,
-    encode,
+    decode_relayed,
     listen,
-    parse_address,
 )
+from .origin_paths import OriginPaths, OriginRelay
 from .origin_telling import RESEND_S, OriginTelling, wait_for_event
+from .relays import relay_addresses
 
 # Time after which a question whose replies don't suffice is given up; processes that have just
 # started and have all callers at once reply late.
 QUERY_TIMEOUT_S = 0.5
+# An entry that hears of changes knows at least this often that its list is complete.
+MAX_LIST_AGE_S = 2.0
 
 
 class _Question:
@@ -85,6 +88,9 @@
         self._view: View | None = None
         self._members: Mapping[str, Member] = {}
         self._versions = ServiceVersions(time.monotonic())
+        self._paths = OriginPaths(self._send_to)
+        self._relay = OriginRelay(self._send_to)
+        self._was_stalled = False
         # Looked up at each call, so that a test can replace it.
         self._telling = OriginTelling(lambda *args: self._send(*args), lambda: self._view)
         self._questions: dict[int, _Question] = {}
@@ -105,7 +111,13 @@
         """Takes over the disks in use, the processes and the replicas."""
         if state.view is not None and (self._view is None or state.view.epoch > self._view.epoch):
             self._view = state.view
-        self._members = state.members
+            self._paths.retain_only(all_disks(state.view))
+            self._telling.on_view()
+        if state.members is not self._members:
+            self._members = state.members
+            own = self._members.get(self.host)
+            region = own.region if own else ""
+            self._paths.set_relays(relay_addresses(self._members.values(), self.host, region))
         self._versions.update(state.replicas.values(), time.monotonic())
 
     def address(self, host: str) -> str:
@@ -142,6 +154,24 @@
             return False
         return not self.may_be_mistaken(service, window_s)
 
+    def may_begin(self, service: str, window_s: float) -> bool:
+        """Returns whether the first event of a stream that begins now is expected to be sent soon.
+
+        Args:
+            service: The service.
+            window_s: Time before, within which another version matters.
+        """
+        is_stalled = self._telling.is_stalled()
+        if is_stalled is not self._was_stalled:
+            self._was_stalled = is_stalled
+            event = "origins_stalled" if is_stalled else "origins_confirmed"
+            logs.logger("gateway").warning(event, age_ms=self._list_age_ms())
+        if not is_stalled:
+            return True
+        age_s = self._list_age_s()
+        is_listed = age_s is not None and age_s <= MAX_LIST_AGE_S
+        return is_listed and not self.may_be_mistaken(service, window_s)
+
     def may_serve(self, origin: StreamOrigin) -> bool:
         """Returns whether the software of an origin serves, or may soon."""
         return self._versions.may_serve(origin.service, origin.version, time.monotonic())
@@ -202,13 +232,22 @@
         return verdict
 
     def datagram_received(self, data: bytes, addr: Address) -> None:
-        """Handles a datagram of a disk process."""
-        datagram = decode(data)
+        """Handles a datagram of a disk process, or one of an entry that doesn't reach it."""
+        relayed = decode_relayed(data)
+        disk = self._disk_at(relayed.address) if relayed else None
+        datagram = decode(relayed.data if relayed else data)
         if datagram is None:
             return
+        if relayed is not None:
+            if disk is not None:
+                self._relay.forward(datagram, disk, addr)
+            return
+        if datagram.kind not in (TOLD, ANSWER) or self._relay.return_reply(datagram):
+            return
+        self._record_way(datagram, addr)
         if datagram.kind == TOLD:
             self._telling.accept(datagram)
-        elif datagram.kind == ANSWER and datagram.number in self._questions:
+        elif datagram.number in self._questions:
             question = self._questions[datagram.number]
             # A process that knows of a newer view is one whose quorums are not known here.
             is_current = self._view is not None and datagram.epoch <= self._view.epoch
@@ -217,11 +256,28 @@
             question.replies[datagram.folder] = reply
             question.changed.set()
 
+    def _record_way(self, datagram: Datagram, addr: Address) -> None:
+        for disk in all_disks(self._view) if self._view else ():
+            if disk.folder == datagram.folder:
+                self._paths.record_reply(disk, addr)
+
+    def _disk_at(self, address: str) -> Disk | None:
+        """Returns the disk in use at an address; datagrams are passed on to no other address."""
+        disks = all_disks(self._view) if self._view else ()
+        return next((disk for disk in disks if disk.address == address), None)
+
+    def _list_age_ms(self) -> float:
+        """Returns the age of the list of replicas, in milliseconds; -1 if it is unknown."""
+        age_s = self._list_age_s()
+        return -1.0 if age_s is None else round(age_s * 1000, 1)
+
     def error_received(self, exc: Exception) -> None:
         """Ignores a process that isn't there; the other disks are told and asked as well."""
         logs.logger("gateway").debug("datagram_lost", exc_info=exc)
 
     def _send(self, datagram: Datagram, disk: Disk) -> None:
-        data = encode(datagram)
-        if data is not None and self._transport is not None:
-            self._transport.sendto(data, parse_address(disk.address))
+        self._paths.send(datagram, disk)
+
+    def _send_to(self, data: bytes, address: Address) -> None:
+        if self._transport is not None:
+            self._transport.sendto(data, address)
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/origin_telling.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/origin_telling.py
@@ -19,6 +19,9 @@
 # regions.
 RESEND_S = 0.06
 MAX_RESEND_S = 0.25  # Upper bound of that time, which doubles each time.
+# If nothing that is told is confirmed for this time, the disks aren't reached on any way; several
+# relays have been tried by then.
+STALLED_AFTER_S = 0.5
 MAX_OWN_STARTS = 5_000  # Starts that an entry keeps of its own streams; the oldest are dropped.
 
 
@@ -59,6 +62,8 @@
         self._by_attempt: OrderedDict[str, _Telling] = OrderedDict()
         self._by_number: dict[int, _Telling] = {}
         self._last_number = 0
+        # When the first start was told after the last one that was confirmed; None for none.
+        self._unconfirmed_since_s: float | None = None
 
     def close(self) -> None:
         """Tells no more."""
@@ -88,6 +93,8 @@
         self._forget(attempt)
         telling = _Telling(key, StreamStart(attempt, number, origin, has_events=has_events))
         self._by_attempt[attempt] = telling
+        if self._unconfirmed_since_s is None:
+            self._unconfirmed_since_s = telling.told_s
         self._drop_old(telling.told_s)
         telling.task = asyncio.create_task(self._send_until_held(telling))
 
@@ -110,6 +117,19 @@
         telling.held_by.add(datagram.folder)
         if is_write_quorum(view, telling.held_by):
             telling.held.set()
+            self._unconfirmed_since_s = None
+
+    def on_view(self) -> None:
+        """Takes note of a newer view, as other disks may not have confirmed what is told."""
+        if self._unconfirmed_since_s is not None:
+            self._unconfirmed_since_s = time.monotonic()
+
+    def is_stalled(self) -> bool:
+        """Returns whether the disks confirm nothing that is told."""
+        since_s = self._unconfirmed_since_s
+        if since_s is None or not self._by_number:
+            return False
+        return time.monotonic() - since_s > STALLED_AFTER_S
 
     def own(self, attempt: str, key: bytes) -> StreamStart | None:
         """Returns the start of an attempt that this entry served; None if it served none."""
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/resumption.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/resumption.py
@@ -20,12 +20,15 @@
 from .admission import MIN_EXPECTED_WAIT_S, STATUS_UNAVAILABLE
 from .context import Context
 from .exchange import Exchange, HttpError
-from .retries import Response
+from .retries import STATUS_BAD_GATEWAY, Response
 from .upstreams import ResponseError
 
 # Period of the looks at whether the list of replicas has become recent enough, while disks don't
 # confirm where a stream begins.
 LIST_CHECK_PERIOD_S = 0.05
+# Time after which a first event that the disks don't confirm is given up, if nothing shows that
+# they will: its caller can still be served elsewhere.
+MAX_ORIGIN_WAIT_S = 1.0
 
 
 async def adopt_origin(context: Context, ex: Exchange) -> bytes:
@@ -90,23 +93,45 @@
     context.origins.tell(attempt, ex.digest, origin, ex.has_events)
 
 
+def refuse_unless_tellable(context: Context, ex: Exchange) -> None:
+    """Refuses a request whose stream could not be sent, as nobody can be told where it begins.
+
+    Raises:
+        HttpError: No event of the stream could be sent.
+    """
+    if not ex.route.resumable or ex.request.resume_after is not None:
+        return
+    if not context.origins.may_begin(ex.service, resumable_s(ex.route.timeout_s)):
+        raise _refusal("too few disks confirm where streams begin")
+
+
 async def wait_until_told(context: Context, ex: Exchange, response: Response) -> None:
     """Waits before the first event until the disks know where it comes from.
 
     Without that, an older stream of the same request at another version could be taken for this
     one. There is none if the service has had only one version up to the request's arrival, which a
     process that is out of step can't tell.
+
+    Raises:
+        HttpError: The disks don't confirm it, and the list of replicas isn't known to be complete.
     """
     if not ex.route.resumable:
         return
     _tell(context, ex, response.replica, response.in_flight_request.version)
     attempt, window_s = attempt_name(ex.scoped(ex.request.id)), resumable_s(ex.route.timeout_s)
+    started_s = time.monotonic()
     with ex.waits_for_disks("origin"):
         while not context.origins.is_only_version(
             ex.service, window_s, time.monotonic() - ex.arrived_s
         ):
             if await context.origins.wait_until_held(attempt, LIST_CHECK_PERIOD_S):
                 return
+            waited_s = time.monotonic() - started_s
+            may_follow = context.origins.may_begin(ex.service, window_s)
+            if waited_s >= MAX_ORIGIN_WAIT_S and not may_follow:
+                raise HttpError(
+                    STATUS_BAD_GATEWAY, "the disks don't confirm where the stream begins"
+                )
 
 
 def record_event_sent(context: Context, ex: Exchange, response: Response) -> None:
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/stream.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/stream.py
@@ -23,6 +23,7 @@
     log_resumption,
     origin_told,
     record_event_sent,
+    refuse_unless_tellable,
     wait_until_told,
 )
 from .retries import (
@@ -96,6 +97,7 @@
         ResponseError: The stream could not be completed, or its turn could not be stored.
     """
     refuse_on_arrival(context, ex)
+    refuse_unless_tellable(context, ex)
     reservation = _reservation(ex)
     if (reservation or ex.route.retains_turns) and not context.turns.is_reachable():
         raise HttpError(
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/turn_store.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/turn_store.py
@@ -5,10 +5,9 @@
 from collections import OrderedDict
 from collections.abc import Collection, Iterable, Sequence
 
-import xxhash
 from endiveworks.errors import Code, Failure
 from endiveworks.gateway.placement import Location
-from endiveworks.members.member import ENTRY_ROLE, Member
+from endiveworks.members.member import Member
 from endiveworks.telemetry import logs
 from endiveworks.turns import messages
 from endiveworks.turns.ledger import Ledger, Spending, allocated_tokens, fits_budget, merge_ledgers
@@ -21,6 +20,7 @@
 from .chain_renewal import ChainRenewer
 from .disk_links import RELAY
 from .quorum import RPC_TIMEOUT_S, QuorumCall, QuorumClient
+from .relays import relay_addresses
 from .turn_cache import TurnCache
 
 # Programs whose ledger is cached; several times the number on a busy day.
@@ -55,13 +55,7 @@
 
     def update_relays(self, members: Iterable[Member], host: str) -> None:
         """Selects the entries on other hosts as relays to the disks, those of this region first."""
-        others = [m for m in members if m.role == ENTRY_ROLE and m.host != host]
-        others.sort(key=lambda m: (m.region != self._here.region, m.host))
-        # Spreads the load over the relays when several processes lose their disks at once.
-        near = [m for m in others if m.region == self._here.region]
-        start = xxhash.xxh32_intdigest(host.encode()) % max(1, len(near))
-        ordered = [*near[start:], *near[:start], *others[len(near) :]]
-        self._quorum.links.set_relays([m.address for m in ordered])
+        self._quorum.links.set_relays(relay_addresses(members, host, self._here.region))
 
     def handlers(self) -> dict[str, Handler]:
         """Returns the handlers for RPCs of other processes, by method name."""
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/origin_datagrams.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/origin_datagrams.py
@@ -14,6 +14,9 @@
 MAX_DATAGRAM_BYTES = 1_200  # Larger ones may be fragmented, and are lost more often.
 TELL, TOLD, ASK, ANSWER = "tell", "told", "ask", "answer"
 
+# First byte of an array of two, which no other message is.
+_RELAYED_MARK = b"\x92"
+
 Address = tuple[str, int]
 
 
@@ -41,6 +44,18 @@
     is_partial: bool = False
 
 
+class Relayed(NamedTuple):
+    """A datagram that an entry passes on to a disk process.
+
+    Attributes:
+        address: Address of the disk process.
+        data: The encoded datagram.
+    """
+
+    address: str
+    data: bytes
+
+
 def encode(datagram: Datagram) -> bytes | None:
     """Returns the bytes of a message; None if they are too many for a datagram."""
     data = msgspec.msgpack.encode(datagram)
@@ -56,6 +71,22 @@
         return None
 
 
+def encode_relayed(relayed: Relayed) -> bytes:
+    """Returns the bytes of a datagram that is to be passed on."""
+    return msgspec.msgpack.encode(relayed)
+
+
+def decode_relayed(data: bytes) -> Relayed | None:
+    """Returns the datagram that is to be passed on; None if the bytes are something else."""
+    if data[:1] != _RELAYED_MARK:
+        return None
+    try:
+        return msgspec.msgpack.decode(data, type=Relayed)
+    except DECODE_ERRORS as exc:
+        logs.logger("gateway").debug("message_refused", exc_info=exc)
+        return None
+
+
 def parse_address(address: str) -> Address:
     """Returns the parts of "ip:port"."""
     ip, _, port = address.rpartition(":")
--- a/tests/deployed/test_entries_cut_off.py
+++ b/tests/deployed/test_entries_cut_off.py
@@ -6,6 +6,19 @@
 from typing import Any
 
 from endiveworks.gateway.stream_origins import RETENTION_S, StreamOrigin
+from endiveworks.turns.view import Disk
+from endiveworks_daemon.gateway.origin_paths import MAX_FORWARDED, OriginRelay
+from endiveworks_daemon.origin_datagrams import (
+    ASK,
+    TELL,
+    TOLD,
+    Address,
+    Datagram,
+    Relayed,
+    decode,
+    encode,
+    encode_relayed,
+)
 from endiveworks_standins.site_replica import Script
 
 from tests.deployed.harness import DRAFT, TURN, Deployment, Entry, run, streams
@@ -128,6 +141,67 @@
         run(scenario)
 
 
+class TestDatagramsPassedOnForOthers:
+    DISK = Disk("d1", "folder", "127.0.0.1:1", "edin", "east")
+    SENDER = ("127.0.0.1", 9)
+
+    def relay(self) -> tuple[OriginRelay, list[tuple[bytes, Address]]]:
+        """Returns a relay and what it sends."""
+        sent: list[tuple[bytes, Address]] = []
+        return OriginRelay(lambda data, address: sent.append((data, address))), sent
+
+    def test_the_reply_goes_back_under_its_senders_number(self) -> None:
+        relay, sent = self.relay()
+        relay.forward(Datagram(TELL, 7, 1, b"k"), self.DISK, self.SENDER)
+        forwarded = decode(sent[0][0])
+        assert forwarded is not None and sent[0][1] == ("127.0.0.1", 1)
+        reply = forwarded._replace(kind=TOLD, folder="folder")
+        assert relay.return_reply(reply)
+        assert sent[1:] == [(encode(reply._replace(number=7)), self.SENDER)]
+        assert relay.return_reply(reply) and len(sent) == 2
+
+    def test_replies_to_its_own_datagrams_are_left_to_it(self) -> None:
+        relay, sent = self.relay()
+        relay.forward(Datagram(TELL, 7, 1, b"k"), self.DISK, self.SENDER)
+        assert not relay.return_reply(Datagram(TOLD, 7, 1, b"k"))
+
+    def test_a_reply_of_another_kind_is_dropped(self) -> None:
+        relay, sent = self.relay()
+        relay.forward(Datagram(ASK, 7, 1, b"k"), self.DISK, self.SENDER)
+        forwarded = decode(sent[0][0])
+        assert forwarded is not None
+        assert relay.return_reply(forwarded._replace(kind=TOLD))
+        assert len(sent) == 1
+
+    def test_those_that_bring_no_reply_are_forgotten(self) -> None:
+        relay, _ = self.relay()
+        for number in range(MAX_FORWARDED + 1):
+            relay.forward(Datagram(TELL, number, 1, b"k"), self.DISK, self.SENDER)
+        assert len(relay._forwarded) == MAX_FORWARDED
+
+    def test_nothing_goes_to_an_address_that_is_no_disk_in_use(self, tmp_path: Path) -> None:
+        async def scenario() -> None:
+            async with deployment(tmp_path) as deployed:
+                transport = lose_datagrams(deployed, ())
+                tell = encode(Datagram(TELL, 7, 1, b"k"))
+                assert tell is not None
+                for relayed in (
+                    encode_relayed(Relayed("127.0.0.1:1", tell)),
+                    encode_relayed(Relayed("", tell)),
+                    encode_relayed(Relayed(deployed.disks[0].address, b"\xc1")),
+                    encode_relayed(Relayed(deployed.disks[0].address, b"")),
+                    b"\x92\xa1x",
+                    b"\x92",
+                ):
+                    deployed.origins.datagram_received(relayed, self.SENDER)
+                assert transport.sent == []
+                relayed = encode_relayed(Relayed(deployed.disks[0].address, tell))
+                deployed.origins.datagram_received(relayed, self.SENDER)
+                assert transport.sent == [deployed.disks[0].address]
+
+        run(scenario)
+
+
 class TestStreamTakenUpAtAnEntryCutOffFromTheDisks:
     def test_it_goes_on(self, tmp_path: Path) -> None:
         async def scenario() -> None:
