Keep the direct way to a disk if it has replied since a message went over a relay

A reply over a relay that came after a direct one put the relay back in use, though the direct way had been shown to work later than the message was sent. It doesn't any more.

The new test fails before the change: the disk counts as relayed at its end.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/disk_links.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/disk_links.py
@@ -4,6 +4,8 @@
 the disks relays messages to them, so that the callers of this one are still served.
 """
 
+import math
+import time
 from collections.abc import Callable, Sequence
 from typing import NamedTuple, TypeVar
 
@@ -57,6 +59,7 @@
         self._clients: dict[str, RpcClient] = {}
         self._relays: list[str] = []
         self._relay_by_disk: dict[str, str] = {}
+        self._last_direct_s: dict[str, float] = {}
 
     def retain_only(self, disks: Sequence[Disk]) -> None:
         """Closes the connections to all disks except the given ones; relays stay connected."""
@@ -65,6 +68,7 @@
             if address not in self._relays:
                 self._clients.pop(address).close()
                 self._relay_by_disk.pop(address, None)
+                self._last_direct_s.pop(address, None)
 
     def set_relays(self, addresses: Sequence[str]) -> None:
         """Sets the processes that may relay messages, in order of preference.
@@ -99,17 +103,23 @@
     ) -> Result[_T, Failure]:
         """Sends a message directly to a disk; after a reply, later calls are direct as well."""
         result = await self._client(disk.address).call(method, message, reply_type, timeout_s)
-        if isinstance(result, Success) and self._relay_by_disk.pop(disk.address, None) is not None:
-            logs.logger("turns").info("disk_direct", peer=disk.host)
+        if isinstance(result, Success):
+            self._last_direct_s[disk.address] = time.monotonic()
+            if self._relay_by_disk.pop(disk.address, None) is not None:
+                logs.logger("turns").info("disk_direct", peer=disk.host)
         return result
 
     async def call_via_relay(
         self, disk: Disk, method: str, message: object, reply_type: type[_T], timeout_s: float
     ) -> Result[_T, Failure]:
-        """Sends a message to a disk via a relay; after a reply, later calls use the same relay."""
+        """Sends a message to a disk via a relay; after a reply, later calls use the same relay.
+
+        They don't if the disk has replied directly since the message was sent.
+        """
         if not self._relays:
             return Err(Failure(Code.UNREACHABLE, method, disk.host, "no relay is available"))
         relay = self._relay_by_disk.get(disk.address, self._relays[0])
+        sent_s = time.monotonic()
         request = RelayRequest(disk.address, method, msgspec.msgpack.encode(message), timeout_s)
         relayed = await self._client(relay).call(RELAY, request, RelayReply, timeout_s)
         reply = relayed.unwrap() if isinstance(relayed, Success) else None
@@ -122,6 +132,8 @@
         except DECODE_ERRORS as exc:
             self._demote_relay(disk, relay)
             return Err(Failure(Code.CORRUPT, method, disk.host, f"via relay {relay}: {exc}"))
+        if self._last_direct_s.get(disk.address, -math.inf) > sent_s:
+            return Success(decoded)
         if self._relay_by_disk.get(disk.address) != relay:
             logs.logger("turns").info("disk_relayed", peer=disk.host, address=relay)
         self._relay_by_disk[disk.address] = relay
