Take a status above 599 for a broken answer

The parser refuses 000, 001 and 099, but an entry handed 600 and 999 on as answers. They are treated like other malformed responses now: repeated elsewhere where that is allowed, 502 otherwise.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/upstreams.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/upstreams.py
@@ -41,6 +41,8 @@
 WRITE_TIMEOUT_S = 2.0
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024  # Longer responses would not fit into a machine's memory.
 
+LAST_STATUS = 599  # Higher ones are not defined; the parser accepts them.
+
 # Statuses of responses that have no body.
 _NO_BODY = (204, 304)
 
@@ -123,6 +125,8 @@
             event = await self._next_event()
             if not isinstance(event, h11.Response):
                 raise ResponseError("the connection ended before a response")
+            if event.status_code > LAST_STATUS:
+                raise ResponseError("the response has a status that is not defined")
             head = parse_head(event.status_code, list(event.headers))
             self._record_framing(event)
             if head.request_id == request_id if head.request_id else self._is_first:
