Take no part of a response, and no interim or undefined status, for an answer at the own interface

Cause: urllib3 ignores that a request could not be sent completely and reads on. The write has taken the socket's error by then, so the read ends like any other. Connections notice the failed write now (checked_http), and a response whose end is that of its connection is an error then; with a length or chunks it can still be whole. The same connections refuse statuses outside 200 to 599: http.client reads no response after 102 or 103, so that was taken as the final one, and 600 to 999 were handed on. Engines' chats and the Python client use them as well.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/upstream_run.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/upstream_run.py
@@ -4,11 +4,11 @@
 from collections.abc import Callable, Sequence
 
 import msgspec
-import urllib3
 from endiveworks.calls.executor import RunAttempt
 from endiveworks.calls.messages import CallKey, Job
 from endiveworks.calls.queue import Queue
 from endiveworks.calls.stream import FinalStatus, Stream
+from endiveworks.checked_http import pool_manager
 from endiveworks.engines.chat import ChatJob, run_chat
 from endiveworks.engines.chat_format import continuation_request, count_events
 from endiveworks.engines.plain import PlainJob, run_plain
@@ -111,7 +111,7 @@
         upstream_url: URL of the engine or plain service.
         silence_s: Seconds without an event after which a stream is aborted.
     """
-    http = urllib3.PoolManager(num_pools=1, maxsize=_MAX_ENGINE_CONNECTIONS)
+    http = pool_manager(num_pools=1, maxsize=_MAX_ENGINE_CONNECTIONS)
 
     def run(job: Job, stream: Stream, cancelled: threading.Event) -> FinalStatus:
         if job.operation == CHAT:
--- a/packages/endiveworks/src/endiveworks/client/caller.py
+++ b/packages/endiveworks/src/endiveworks/client/caller.py
@@ -10,6 +10,7 @@
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
+from ..checked_http import pool_manager
 from ..decoding import DECODE_ERRORS
 from ..errors import Code, Failure
 from ..programs.queries import ProgramStatus
@@ -47,7 +48,7 @@
         timeout_s: Total time limit of a request, retries included, in seconds.
         silence_s: Seconds without receiving a byte after which a connection is treated as lost.
     """
-    pool = urllib3.PoolManager(maxsize=_MAX_KEPT_CONNECTIONS)
+    pool = pool_manager(maxsize=_MAX_KEPT_CONNECTIONS)
     return Deployment(tuple(addresses), tenant, timeout_s, silence_s, pool)
 
 
--- a/packages/endiveworks/src/endiveworks/engines/plain.py
+++ b/packages/endiveworks/src/endiveworks/engines/plain.py
@@ -1,14 +1,12 @@
 """Runs a call on a service without a model; a failure tells whether the call may have run."""
 
-import http.client
 import time
-from http import HTTPStatus
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 import urllib3
-from urllib3.connection import HTTPConnection
 
 from ..calls.stream import FinalStatus
+from ..checked_http import is_framed, pool_manager
 from ..errors import Code, Failure
 
 _CONNECT_TIMEOUT_S = 1.0
@@ -44,40 +42,6 @@
     final_status: FinalStatus
 
 
-class _WholeLines:
-    """A response's file that raises an error at the end of the connection within a line.
-
-    The HTTP parser would take the first digits of a chunk's size, or of a header, for all of it.
-    """
-
-    def __init__(self, file: Any) -> None:
-        self._file = file
-
-    def readline(self, limit: int = -1) -> bytes:
-        """Returns the next line; raises IncompleteRead if the connection ends within it."""
-        line: bytes = self._file.readline(limit)
-        if line and not line.endswith(b"\n") and (limit < 0 or len(line) < limit):
-            raise http.client.IncompleteRead(line)
-        return line
-
-    def __getattr__(self, name: str) -> Any:
-        return getattr(self._file, name)
-
-
-class _Response(http.client.HTTPResponse):
-    def __init__(self, *args: Any, **named: Any) -> None:
-        super().__init__(*args, **named)
-        self.fp: Any = _WholeLines(self.fp)
-
-
-class _Connection(HTTPConnection):
-    response_class = _Response
-
-
-class _ConnectionPool(urllib3.HTTPConnectionPool):
-    ConnectionCls = _Connection
-
-
 def run_plain(job: PlainJob) -> PlainResponse:
     """Runs a call once on a fresh connection, without retries or redirects.
 
@@ -85,8 +49,7 @@
     the request was received.
     """
     deadline = time.monotonic() + job.timeout_s
-    with urllib3.PoolManager(num_pools=1, maxsize=1) as pools:
-        pools.pool_classes_by_scheme = {**pools.pool_classes_by_scheme, "http": _ConnectionPool}
+    with pool_manager(num_pools=1, maxsize=1) as pools:
         try:
             response = pools.request(
                 "POST",
@@ -114,7 +77,7 @@
             f"the response exceeds {_MAX_RESPONSE_BYTES} bytes",
             False,
         )
-    if not data and not _is_framed(response):
+    if not data and not is_framed(response):
         # The HTTP parser accepts a response that was cut off in the headers as complete and empty.
         return _failed(
             job, _unknown_outcome_code(job), "the response has neither body nor length", False
@@ -140,14 +103,6 @@
     return bytes(data)
 
 
-def _is_framed(response: urllib3.BaseHTTPResponse) -> bool:
-    if response.status == HTTPStatus.NO_CONTENT:
-        return True
-    if response.headers.get("Content-Length", "").strip().isdigit():
-        return True
-    return response.headers.get("Transfer-Encoding", "").lower() == "chunked"
-
-
 def _unknown_outcome_code(job: PlainJob) -> Code:
     return Code.OUTCOME_UNKNOWN if job.at_most_once else Code.UPSTREAM_FAILED
 
