Refuse new programs while replicas have too little room, so that the others end in time

Cause, from the logs of all entries (trial): the eleven sound replicas do 300 turns a second and no more, whatever they get. 300 were asked for at 8 s, with 167 to 192 turns in flight (176 slots), and each second left more behind: 315 at 15 s, 460 at 25 s. A turn took 0.23 s in the median at the start and 1.47 s at 24 s; requests waited 0.5 to 0.8 ms at entries. So a shortage of a few in a hundred, shared by all, made nearly every program late. The class of fault: what is missing is taken from everybody.

Of the new programs so many are refused now (503, not run, with a time to come back) that the turns of all entries stay at 0.75 of the slots; programs under way are served. Entries decide alike by the load that they tell each other anyway and by a hash of the program's id. It doesn't act where load shedding is configured.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/fleet.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/fleet.py
@@ -17,6 +17,7 @@
 )
 from endiveworks.gateway.routes import Service
 
+from .program_rooms import ProgramLoad, ProgramRooms
 from .refusals import RefusalKind, RefusedError
 from .replica_choice import MAX_IN_FLIGHT_FACTOR, ReplicaSelector
 from .replica_state import InFlightRequest
@@ -66,6 +67,7 @@
         table: The replicas.
         rooms: The room of their services.
         limits: Limits on requests that replicas have named.
+        programs: Admission of new programs.
     """
 
     def __init__(self, here: Location, bounds_memory: bool = False) -> None:
@@ -74,6 +76,8 @@
         self.rooms = ServiceRooms(self.table)
         self.limits = self.table.limits
         self._selector = ReplicaSelector(here, self.table, bounds_memory)
+        self.programs = ProgramRooms(self._program_load)
+        self._news_age_s: Callable[[], float] = lambda: math.inf
         self._queues: dict[ReplicaGroup, RequestQueue] = {}
         self._notifications: dict[str, asyncio.Future[None]] = {}
         self._limit_retries: set[ReplicaGroup] = set()
@@ -84,14 +88,38 @@
         for group in list(self._queues):
             self._notify(group)
 
-    def set_other_demand(self, other_demand: Callable[[str], int]) -> None:
-        """Sets the function that returns the turns of other entries that prefer a replica."""
+    def set_other_demand(
+        self,
+        other_demand: Callable[[str], int],
+        news_age_s: Callable[[], float] = lambda: math.inf,
+    ) -> None:
+        """Sets the functions that return what is known of other entries.
+
+        Args:
+            other_demand: Returns the turns of other entries that prefer a replica.
+            news_age_s: Returns the age of that, in seconds.
+        """
         self._selector.set_other_demand(other_demand)
+        self._news_age_s = news_age_s
 
     def demands(self) -> dict[str, int]:
         """Returns the turns in flight from this process by the replica that they prefer."""
         return self._selector.demands()
 
+    def _program_load(self, service: str) -> ProgramLoad | None:
+        if service not in self.table.engine_services or self.rooms.gate is not None:
+            return None
+        states = self.table.eligible(ReplicaGroup(service))
+        mean_s = self.table.mean_response_s(service)
+        # By the findings of all entries, which each know few of the replicas that fail.
+        slots = sum(
+            min(s.replica.slots, self.limits.slots(s.replica.id, mean_s))
+            for s in states
+            if not s.outcomes.is_seen_failing
+        )
+        running = sum(self._selector.demand(s.replica.id) for s in states)
+        return ProgramLoad(running, slots, self._news_age_s())
+
     async def acquire(
         self,
         group: ReplicaGroup,
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/replica_choice.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/replica_choice.py
@@ -51,6 +51,10 @@
         """Sets the function that returns the turns of other entries that prefer a replica."""
         self._other_demand = other_demand
 
+    def demand(self, replica: str) -> int:
+        """Returns the turns in flight, of all entries, that prefer a replica."""
+        return self._demands[replica] + self._other_demand(replica)
+
     def demands(self) -> dict[str, int]:
         """Returns the turns in flight from this process by the replica that they prefer."""
         return {name: count for name, count in self._demands.items() if count > 0}
@@ -177,9 +181,7 @@
         return REGION_HOP_MS if is_target and candidate.region != self._here.region else 0.0
 
     def _assigned(self, program: str, preferred: str, candidates: Sequence[Candidate]) -> str:
-        demands = {
-            c.replica: self._demands[c.replica] + self._other_demand(c.replica) for c in candidates
-        }
+        demands = {c.replica: self.demand(c.replica) for c in candidates}
         return assigned_replica(program, preferred, self._here, candidates, demands)
 
 
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/stream.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/stream.py
@@ -115,13 +115,20 @@
     stream: _Stream,
     reservation: Reservation | None,
 ) -> int:
+    may_refuse = context.fleet.programs.would_refuse(ex)
     if reservation is None:
+        if may_refuse:
+            context.fleet.programs.refuse(ex, is_under_way=False)
         body = await _build_prompt(context, ex, responder)
         return await _serve_events(context, ex, responder, body, stream, None)
-    sends_early = _may_send_early(context, ex, reservation)
+    sends_early = not may_refuse and _may_send_early(context, ex, reservation)
     reservation_fut = asyncio.ensure_future(_reserve(context, ex, reservation))
     committed = False
     try:
+        if may_refuse:
+            await _await_reservation(reservation_fut, ex)
+            others = context.turns.has_other_turns(reservation.program, reservation.turn)
+            context.fleet.programs.refuse(ex, others)
         body = await _build_prompt(context, ex, responder)
         if not sends_early:
             await _await_reservation(reservation_fut, ex)
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/turn_store.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/turn_store.py
@@ -83,6 +83,13 @@
             return False
         return allocated_tokens(self._ledgers.get(program, {})) + HEADROOM_TURNS * tokens <= budget
 
+    def has_other_turns(self, program: str, turn: str) -> bool:
+        """Returns whether a program has spent or reserved tokens for other turns, as far as known.
+
+        All is known once `reserve` has returned for the turn.
+        """
+        return allocated_tokens(self._ledgers.get(program, {}), excluded_turn=turn) > 0
+
     async def reserve(
         self, reservation: Reservation, budget: int, timeout_s: float
     ) -> Result[bool, Failure]:
--- a/packages/endiveworks/src/endiveworks/gateway/outcomes.py
+++ b/packages/endiveworks/src/endiveworks/gateway/outcomes.py
@@ -141,6 +141,11 @@
         self._next_trial_s = now_s + MIN_TRIAL_PAUSE_S
         return True
 
+    @property
+    def is_seen_failing(self) -> bool:
+        """Whether the newest finding of any process is that the server fails its requests."""
+        return self._seen.is_failing
+
     def trial_age_s(self, trial: Trial, now_s: float) -> float:
         """Returns how long a trial has been due, in seconds; negative if none is."""
         if trial is Trial.NEVER or not self.is_failing:
