Send what nobody waits for ever less often, and look for relays only for what is awaited

By reading: what isn't confirmed was sent again four times a second for up to a minute, whether anybody waited for it or not; what is told of a stream that runs or has ended is told for later resumptions only. The pause doubles up to 4 s now if nothing waits; an event that comes to wait begins with the shortest pause again, and only awaited datagrams look for a relay.

Both new tests fail before the change.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/origin_exchange.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/origin_exchange.py
@@ -276,7 +276,8 @@
         logs.logger("gateway").debug("datagram_lost", exc_info=exc)
 
     def _send(self, datagram: Datagram, disk: Disk) -> None:
-        self._paths.send(datagram, disk)
+        is_awaited = datagram.kind == ASK or self._telling.is_awaited(datagram.number)
+        self._paths.send(datagram, disk, is_awaited)
 
     def _send_to(self, data: bytes, address: Address) -> None:
         if self._transport is not None:
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/origin_paths.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/origin_paths.py
@@ -28,7 +28,7 @@
 
 # Without a reply for this time a way is taken for cut; longer than a round trip between regions.
 SILENT_AFTER_S = 0.06
-RELAYS_AT_ONCE = 2  # Relays that are tried together, since each may be cut off from the disk too.
+RELAYS_AT_ONCE = 2  # Relays that are tried first; each may be cut off from the disk too.
 MAX_FORWARDED = 4_096  # Datagrams that await a reply at a relay; the oldest are forgotten.
 # Numbers of forwarded datagrams, apart from those that an entry gives its own.
 _FIRST_FORWARDED = 1 << 40
@@ -43,14 +43,14 @@
         silent_since_s: When the first datagram after the last direct reply was sent; None for none.
         relay: Relay of the last reply; empty if that came straight, or the relay fell silent.
         relay_silent_since_s: The same as silent_since_s, for this relay.
-        next_relay: Position of the relay that is tried next.
+        tried_relays: Relays that were tried since the last reply.
     """
 
     def __init__(self) -> None:
         self.silent_since_s: float | None = None
         self.relay = ""
         self.relay_silent_since_s: float | None = None
-        self.next_relay = 0
+        self.tried_relays = 0
 
     def is_direct_silent(self, now_s: float) -> bool:
         """Returns whether the direct way seems cut."""
@@ -83,8 +83,15 @@
         addresses = {disk.address for disk in disks}
         self._paths = {key: path for key, path in self._paths.items() if key in addresses}
 
-    def send(self, datagram: Datagram, disk: Disk) -> None:
-        """Sends a datagram straight, which shows when that way works again, and over relays."""
+    def send(self, datagram: Datagram, disk: Disk, is_awaited: bool) -> None:
+        """Sends a datagram straight, which shows when that way works again, and over relays.
+
+        Args:
+            datagram: The datagram.
+            disk: The disk.
+            is_awaited: Whether a caller waits for the reply. Others don't look for a relay, as a
+                link that is full looks like one that is cut, and they would fill it further.
+        """
         data = encode(datagram)
         if data is None:
             return
@@ -93,7 +100,7 @@
         if path.silent_since_s is None:
             path.silent_since_s = now_s
         self._send_to(data, parse_address(disk.address))
-        for relay in self._relays_of(path, now_s):
+        for relay in self._relays_of(path, now_s, is_awaited):
             relayed = encode_relayed(Relayed(disk.address, data))
             self._send_to(relayed, parse_address(relay))
 
@@ -111,25 +118,26 @@
         if sender == disk.address:
             if path.relay:
                 logs.logger("gateway").info("origins_direct", peer=disk.host)
-            path.silent_since_s, path.relay = None, ""
+            path.silent_since_s, path.relay, path.tried_relays = None, "", 0
         elif sender in self._relays and path.silent_since_s is not None:
             if not path.relay:
                 logs.logger("gateway").info("origins_relayed", peer=disk.host, address=sender)
-            path.relay, path.relay_silent_since_s = sender, None
+            path.relay, path.relay_silent_since_s, path.tried_relays = sender, None, 0
 
-    def _relays_of(self, path: _Path, now_s: float) -> Sequence[str]:
+    def _relays_of(self, path: _Path, now_s: float, is_awaited: bool) -> Sequence[str]:
         if path.relay and path.relay in self._relays and not path.is_relay_silent(now_s):
             if path.relay_silent_since_s is None:
                 path.relay_silent_since_s = now_s
             return (path.relay,)
         path.relay = ""
-        if not self._relays or not path.is_direct_silent(now_s):
+        if not is_awaited or not self._relays or not path.is_direct_silent(now_s):
             return ()
+        count = 1 if path.tried_relays else RELAYS_AT_ONCE
         chosen = [
-            self._relays[(path.next_relay + number) % len(self._relays)]
-            for number in range(min(RELAYS_AT_ONCE, len(self._relays)))
+            self._relays[(path.tried_relays + number) % len(self._relays)]
+            for number in range(min(count, len(self._relays)))
         ]
-        path.next_relay = (path.next_relay + len(chosen)) % len(self._relays)
+        path.tried_relays += len(chosen)
         return chosen
 
 
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/origin_telling.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/origin_telling.py
@@ -18,7 +18,9 @@
 # A datagram without a reply is sent again after this time; longer than a round trip between
 # regions.
 RESEND_S = 0.06
-MAX_RESEND_S = 0.25  # Upper bound of that time, which doubles each time.
+MAX_RESEND_S = 0.25  # Upper bound of that time, which doubles each time, while an event waits.
+# The same if nothing waits. Tellings add up while a link is full, and must not fill it further.
+MAX_IDLE_RESEND_S = 4.0
 # If nothing that is told is confirmed for this time, the disks aren't reached on any way; several
 # relays have been tried by then.
 STALLED_AFTER_S = 0.5
@@ -35,6 +37,8 @@
         held_by: Folders of the disks that have confirmed it.
         held: Set once a write quorum has.
         task: Sends it until then.
+        waiting: Number of tasks that wait for that.
+        resend_s: Time until it is sent again.
     """
 
     def __init__(self, key: bytes, start: StreamStart) -> None:
@@ -44,6 +48,8 @@
         self.held_by: set[str] = set()
         self.held = asyncio.Event()
         self.task: asyncio.Task[None] | None = None
+        self.waiting = 0
+        self.resend_s = RESEND_S
 
 
 class OriginTelling:
@@ -96,7 +102,7 @@
         if self._unconfirmed_since_s is None:
             self._unconfirmed_since_s = telling.told_s
         self._drop_old(telling.told_s)
-        telling.task = asyncio.create_task(self._send_until_held(telling))
+        self._start(telling)
 
     async def wait_until_held(self, attempt: str, timeout_s: float | None = None) -> bool:
         """Waits until a write quorum of the disks knows what was told last of an attempt.
@@ -107,7 +113,18 @@
         telling = self._by_attempt.get(attempt)
         if telling is None or telling.held.is_set():
             return True
-        return await wait_for_event(telling.held, timeout_s)
+        telling.waiting += 1
+        if telling.resend_s > MAX_RESEND_S:
+            self._start(telling)
+        try:
+            return await wait_for_event(telling.held, timeout_s)
+        finally:
+            telling.waiting -= 1
+
+    def is_awaited(self, number: int) -> bool:
+        """Returns whether an event waits for the confirmation of a datagram with a number."""
+        telling = self._by_number.get(number)
+        return telling is not None and telling.waiting > 0
 
     def accept(self, datagram: Datagram) -> None:
         """Handles the confirmation of a disk process."""
@@ -145,9 +162,16 @@
             if telling.key == key and now_s - telling.told_s <= RETENTION_S
         ]
 
+    def _start(self, telling: _Telling) -> None:
+        """Starts to send what is told, or starts again from the shortest pause."""
+        if telling.task is not None:
+            telling.task.cancel()
+        telling.resend_s = RESEND_S
+        telling.task = asyncio.create_task(self._send_until_held(telling))
+
     async def _send_until_held(self, telling: _Telling) -> None:
         self._last_number += 1
-        number, resend_s = self._last_number, RESEND_S
+        number = self._last_number
         self._by_number[number] = telling
         try:
             while time.monotonic() - telling.told_s <= RETENTION_S:
@@ -156,9 +180,10 @@
                     if view and disk.folder not in telling.held_by:
                         datagram = Datagram(TELL, number, view.epoch, telling.key, (telling.start,))
                         self._send(datagram, disk)
-                if await wait_for_event(telling.held, resend_s):
+                if await wait_for_event(telling.held, telling.resend_s):
                     return
-                resend_s = min(2 * resend_s, MAX_RESEND_S)
+                longest_s = MAX_RESEND_S if telling.waiting else MAX_IDLE_RESEND_S
+                telling.resend_s = min(2 * telling.resend_s, longest_s)
         finally:
             del self._by_number[number]
 
--- a/tests/deployed/test_entries_cut_off.py
+++ b/tests/deployed/test_entries_cut_off.py
@@ -141,6 +141,37 @@
         run(scenario)
 
 
+class TestStartsThatNobodyConfirms:
+    """Guards against datagrams that fill a full link further, which then stays full."""
+
+    def test_they_are_sent_ever_less_often_and_over_no_relay(self, tmp_path: Path) -> None:
+        async def scenario() -> None:
+            async with deployment(tmp_path) as deployed:
+                entry = await out_of_step(deployed)
+                disks = disk_addresses(deployed)
+                transport = lose_datagrams(entry, list(disks))
+                entry.origins.tell("s1", "d1", ORIGIN)
+                await asyncio.sleep(2.0)
+                assert set(transport.sent) == set(disks)
+                assert len(transport.sent) <= 6 * len(disks)
+
+        run(scenario)
+
+    def test_one_that_an_event_waits_for_is_sent_at_once(self, tmp_path: Path) -> None:
+        async def scenario() -> None:
+            async with deployment(tmp_path) as deployed:
+                entry = await out_of_step(deployed)
+                lost = disk_addresses(deployed)
+                transport = lose_datagrams(entry, lost)
+                entry.origins.tell("s1", "d1", ORIGIN)
+                await asyncio.sleep(1.0)  # The pause is a second by now.
+                transport.sent.clear()
+                assert await entry.origins.wait_until_held("s1", 0.5)
+                assert deployed.peer_address in transport.sent
+
+        run(scenario)
+
+
 class TestDatagramsPassedOnForOthers:
     DISK = Disk("d1", "folder", "127.0.0.1:1", "edin", "east")
     SENDER = ("127.0.0.1", 9)
