Take a full link for no cut, and refuse new programs while writes to the disks are slow

A disk in another region counts as silent after 0.4 s now, nothing counts as stalled before 1 s, and a first event is given up after 1.5 s.

The tests of slow disks are new.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/origin_exchange.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/origin_exchange.py
@@ -117,7 +117,8 @@
             self._members = state.members
             own = self._members.get(self.host)
             region = own.region if own else ""
-            self._paths.set_relays(relay_addresses(self._members.values(), self.host, region))
+            relays = relay_addresses(self._members.values(), self.host, region)
+            self._paths.set_relays(region, relays)
         self._versions.update(state.replicas.values(), time.monotonic())
 
     def address(self, host: str) -> str:
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/origin_paths.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/origin_paths.py
@@ -26,8 +26,11 @@
     parse_address,
 )
 
-# Without a reply for this time a way is taken for cut; longer than a round trip between regions.
+# Without a reply for this time a way is taken for cut: several round trips within a region.
 SILENT_AFTER_S = 0.06
+# The same for a disk in another region; replies take about as long while the link there is full,
+# which the relays of this region use as well.
+FAR_SILENT_AFTER_S = 0.4
 RELAYS_AT_ONCE = 2  # Relays that are tried first; each may be cut off from the disk too.
 MAX_FORWARDED = 4_096  # Datagrams that await a reply at a relay; the oldest are forgotten.
 # Numbers of forwarded datagrams, apart from those that an entry gives its own.
@@ -39,6 +42,9 @@
 class _Path:
     """What is known of the ways to one disk.
 
+    Args:
+        silent_after_s: Time without a reply after which a way is taken for cut.
+
     Attributes:
         silent_since_s: When the first datagram after the last direct reply was sent; None for none.
         relay: Relay of the last reply; empty if that came straight, or the relay fell silent.
@@ -46,7 +52,8 @@
         tried_relays: Relays that were tried since the last reply.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, silent_after_s: float) -> None:
+        self._silent_after_s = silent_after_s
         self.silent_since_s: float | None = None
         self.relay = ""
         self.relay_silent_since_s: float | None = None
@@ -54,12 +61,13 @@
 
     def is_direct_silent(self, now_s: float) -> bool:
         """Returns whether the direct way seems cut."""
-        return self.silent_since_s is not None and now_s - self.silent_since_s >= SILENT_AFTER_S
+        since_s = self.silent_since_s
+        return since_s is not None and now_s - since_s >= self._silent_after_s
 
     def is_relay_silent(self, now_s: float) -> bool:
         """Returns whether the way over the relay seems cut; it is longer than the direct one."""
         since_s = self.relay_silent_since_s
-        return since_s is not None and now_s - since_s >= 2 * SILENT_AFTER_S
+        return since_s is not None and now_s - since_s >= 2 * self._silent_after_s
 
 
 class OriginPaths:
@@ -71,12 +79,18 @@
 
     def __init__(self, send_to: SendTo) -> None:
         self._send_to = send_to
+        self._region = ""
         self._relays: Sequence[str] = ()
         self._paths: dict[str, _Path] = {}
 
-    def set_relays(self, addresses: Sequence[str]) -> None:
-        """Sets the entries that may pass datagrams on, in order of preference."""
-        self._relays = addresses
+    def set_relays(self, region: str, addresses: Sequence[str]) -> None:
+        """Sets the region of this process, and the entries that may pass datagrams on.
+
+        Args:
+            region: The region.
+            addresses: Addresses of the entries, in order of preference.
+        """
+        self._region, self._relays = region, addresses
 
     def retain_only(self, disks: Sequence[Disk]) -> None:
         """Forgets the ways to all disks except the given ones."""
@@ -96,7 +110,12 @@
         if data is None:
             return
         now_s = time.monotonic()
-        path = self._paths.setdefault(disk.address, _Path())
+        path = self._paths.get(disk.address)
+        if path is None:
+            is_far = disk.region != self._region
+            path = self._paths[disk.address] = _Path(
+                FAR_SILENT_AFTER_S if is_far else SILENT_AFTER_S
+            )
         if path.silent_since_s is None:
             path.silent_since_s = now_s
         self._send_to(data, parse_address(disk.address))
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/origin_telling.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/origin_telling.py
@@ -23,7 +23,7 @@
 MAX_IDLE_RESEND_S = 4.0
 # If nothing that is told is confirmed for this time, the disks aren't reached on any way; several
 # relays have been tried by then.
-STALLED_AFTER_S = 0.5
+STALLED_AFTER_S = 1.0
 MAX_OWN_STARTS = 5_000  # Starts that an entry keeps of its own streams; the oldest are dropped.
 
 
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/program_rooms.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/program_rooms.py
@@ -21,6 +21,11 @@
 MIN_LOG_PERIOD_S = 1.0  # Time between two lines on the admission of one service.
 
 
+# Mean time of a write to the disks that counts as a load of 1. It is several times the usual one,
+# also across regions; a link to the disks is full then.
+SLOW_STORE_S = 0.4
+
+
 class ProgramLoad(NamedTuple):
     """Load of a service's replicas by programs.
 
@@ -44,12 +49,17 @@
 
     def __init__(self, load_of: Callable[[str], ProgramLoad | None]) -> None:
         self._load_of = load_of
+        self._store_time_s: Callable[[], float] = lambda: 0.0
         self._admissions: dict[str, ProgramAdmission] = {}
         self._read_s: dict[str, float] = {}
         self._logged: dict[str, tuple[str, float]] = {}
         self._version = -1
         self._least_urgent: dict[str, int] = {}
 
+    def set_store_time(self, store_time_s: Callable[[], float]) -> None:
+        """Sets the function that returns how long writes to the disks take lately, in seconds."""
+        self._store_time_s = store_time_s
+
     def would_refuse(self, ex: Exchange) -> bool:
         """Returns whether a turn is refused unless its program is under way."""
         request = ex.request
@@ -93,8 +103,10 @@
             self._admissions.pop(service, None)
             return None
         admission = self._admissions.setdefault(service, ProgramAdmission())
-        admission.update(load.running, load.slots, now_s)
-        self._log(service, admission, load)
+        if load.slots:  # Requests are refused for another reason otherwise.
+            store_s = self._store_time_s()
+            admission.update(max(load.running / load.slots, store_s / SLOW_STORE_S), now_s)
+            self._log(service, admission, load, store_s)
         return admission
 
     def _is_urgent(self, ex: Exchange) -> bool:
@@ -102,7 +114,9 @@
             self._version, self._least_urgent = ex.table.version, _least_urgent(ex.table)
         return ex.route.priority < self._least_urgent.get(ex.service, ex.route.priority)
 
-    def _log(self, service: str, admission: ProgramAdmission, load: ProgramLoad) -> None:
+    def _log(
+        self, service: str, admission: ProgramAdmission, load: ProgramLoad, store_s: float
+    ) -> None:
         state = "part" if admission.refused_share(is_urgent=False) else "all"
         before, at_s = self._logged.get(service, ("all", 0.0))
         now_s = time.monotonic()
@@ -115,7 +129,8 @@
             state=state,
             running=round(load.running),
             slots=round(load.slots, 1),
-            age_ms=round(load.age_s * 1000) if load.age_s < float("inf") else -1,
+            age_ms=round(load.age_s * 1000) if load.age_s < math.inf else -1,
+            wait_ms=round(store_s * 1000),
         )
 
 
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/resumption.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/resumption.py
@@ -28,7 +28,7 @@
 LIST_CHECK_PERIOD_S = 0.05
 # Time after which a first event that the disks don't confirm is given up, if nothing shows that
 # they will: its caller can still be served elsewhere.
-MAX_ORIGIN_WAIT_S = 1.0
+MAX_ORIGIN_WAIT_S = 1.5
 
 
 async def adopt_origin(context: Context, ex: Exchange) -> bytes:
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/run.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/run.py
@@ -182,6 +182,7 @@
     loads = LoadExchange(settings.host, own_load, find_sources, find_roots, beliefs)
     quarantine.on_crash = loads.hurry
     fleet.set_other_demand(loads.others, loads.age_s)
+    fleet.programs.set_store_time(context.turns.store_time_s)
     fleet.limits.set_load(loads.limited_load)
     quotas.set_load(loads.tenant_load)
     if settings.load_shedding:
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/turn_store.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/turn_store.py
@@ -12,6 +12,7 @@
 from endiveworks.turns import messages
 from endiveworks.turns.ledger import Ledger, Spending, allocated_tokens, fits_budget, merge_ledgers
 from endiveworks.turns.records import Record, Reservation, Settlement, Turn, encode
+from endiveworks.turns.store_time import StoreTime
 from endiveworks.turns.view import View, all_disks, is_read_quorum, is_write_quorum
 from returns.result import Failure as Err
 from returns.result import Result, Success
@@ -48,6 +49,7 @@
         self._renewer = ChainRenewer(self._quorum)
         self._ledgers: OrderedDict[str, Ledger] = OrderedDict()
         self._background: set[asyncio.Task[None]] = set()
+        self._store_time = StoreTime()
 
     def adopt(self, view: View | None) -> None:
         """Switches to a view if it is newer than the current one."""
@@ -61,6 +63,10 @@
         """Returns the handlers for RPCs of other processes, by method name."""
         return {RELAY: self._quorum.links.relay_handler(self._quorum.is_in_use)}
 
+    def store_time_s(self) -> float:
+        """Returns how long writes to the disks take lately, in seconds."""
+        return self._store_time.recent_s(time.monotonic())
+
     def is_reachable(self) -> bool:
         """Tells whether the disks that replied to their latest call suffice to write and read."""
         return self._quorum.is_reachable()
@@ -224,7 +230,10 @@
             return is_write_quorum(view, folders) and (not program or is_read_quorum(view, folders))
 
         call = QuorumCall(messages.STORE, messages.Stored, build_message, has_quorum)
+        started_s = time.monotonic()
         result = await self._quorum.call(call, timeout_s)
+        now_s = time.monotonic()
+        self._store_time.record(now_s - started_s, now_s)
         return result.map(lambda replies: merge_ledgers(reply.spending for reply in replies))
 
     async def _fetch(self, turn: str, timeout_s: float) -> Result[list[messages.Fetched], Failure]:
--- a/packages/endiveworks/src/endiveworks/gateway/program_admission.py
+++ b/packages/endiveworks/src/endiveworks/gateway/program_admission.py
@@ -35,7 +35,7 @@
     """Load of one service, and the programs that were admitted here.
 
     Attributes:
-        load: Average load, in requests per slot.
+        load: Average load, as a multiple of what can be done.
     """
 
     def __init__(self) -> None:
@@ -44,19 +44,17 @@
         self._lasting_share = 1.0
         self._known: OrderedDict[str, None] = OrderedDict()
 
-    def update(self, running: float, slots: float, now_s: float) -> None:
+    def update(self, load: float, now_s: float) -> None:
         """Takes the current load into account.
 
         Args:
-            running: Requests of all entries at the replicas, as far as known.
-            slots: Requests that the usable replicas can run at once.
+            load: Requests of all entries at the replicas per slot, or the load of something else
+                that all programs need, whichever is higher.
             now_s: Monotonic time.
         """
-        if not slots:
-            return  # Requests are refused for another reason then.
         passed_s = math.inf if self._updated_s is None else now_s - self._updated_s
         self._updated_s = now_s
-        self.load += (running / slots - self.load) * (1.0 - math.exp(-passed_s / SMOOTHING_S))
+        self.load += (load - self.load) * (1.0 - math.exp(-passed_s / SMOOTHING_S))
         room = self._room()
         rate = RISE_PER_S if room > 0.0 else FALL_PER_S
         change = rate * min(passed_s, MAX_STEP_S) * room
--- a/tests/deployed/test_new_programs.py
+++ b/tests/deployed/test_new_programs.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 
 from endiveworks.gateway.outcomes import Sighting
+from endiveworks.turns.records import Reservation
 
 from tests.deployed.harness import DRAFT, TURN, Deployment, run, streams
 
@@ -133,6 +134,34 @@
         run(scenario)
 
 
+class TestSlowDisks:
+    """Guards against a full link to the disks that all programs go on filling."""
+
+    def test_new_programs_are_refused_while_writes_are_slow(self, tmp_path: Path) -> None:
+        async def scenario() -> None:
+            async with crowded(tmp_path, turns=0) as deployed:
+                await deployed.wait_for_disks()
+                assert set((await statuses(deployed)).values()) == {200}
+                deployed.fleet.programs.set_store_time(lambda: 0.7)
+                await asyncio.sleep(0.5)
+                others = [f"q{number}" for number in range(40)]
+                assert 503 in set((await statuses(deployed, DRAFT, others)).values())
+                assert set((await statuses(deployed)).values()) == {200}  # They are under way.
+
+        run(scenario)
+
+    def test_the_time_of_writes_counts_those_that_fail(self, tmp_path: Path) -> None:
+        async def scenario() -> None:
+            async with crowded(tmp_path, turns=0) as deployed:
+                await deployed.wait_for_disks()
+                deployed.cut_disks()
+                for number in range(3):
+                    await deployed.turns.reserve(Reservation("p", f"r{number}", 1, 9.0), 9, 0.8)
+                assert deployed.turns.store_time_s() > 0.4
+
+        run(scenario)
+
+
 class TestReplicasThatFail:
     """Guards against counting on replicas that other entries have found to fail."""
 
