--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/origin_paths.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/origin_paths.py
@@ -90,6 +90,8 @@
             region: The region.
             addresses: Addresses of the entries, in order of preference.
         """
+        if region != self._region:
+            self._paths.clear()  # What is far depends on it.
         self._region, self._relays = region, addresses
 
     def retain_only(self, disks: Sequence[Disk]) -> None:
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/program_rooms.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/program_rooms.py
@@ -19,8 +19,6 @@
 RETURN_S = 0.5
 MIN_READ_PERIOD_S = 0.02  # Time for which a load counts, as reading it looks at each replica.
 MIN_LOG_PERIOD_S = 1.0  # Time between two lines on the admission of one service.
-
-
 # Mean time of a write to the disks that counts as a load of 1. It is several times the usual one,
 # also across regions; a link to the disks is full then.
 SLOW_STORE_S = 0.4
