Refuse at once only beyond a load that bursts stay below, and for slow writes only if they last

Up to a load of 0.85 only the lasting share refuses programs now, and the time of writes is averaged over 2 s.

--- a/packages/endiveworks/src/endiveworks/gateway/program_admission.py
+++ b/packages/endiveworks/src/endiveworks/gateway/program_admission.py
@@ -17,6 +17,9 @@
 # Requests of all entries, as a share of the slots, that the refusals aim at. Beyond it replicas do
 # hardly more turns a second, only each of them more slowly.
 TARGET_LOAD = 0.75
+# Load from which programs are refused before it has lasted; a burst stays below it.
+FULL_LOAD = 0.85
+FULL_FACTOR = 2.0  # Share of the programs refused then, as a multiple of the excess.
 MIN_ADMITTED_SHARE = 0.1  # So many are admitted at any load, as the load may be an old one.
 # How fast the admitted share falls with a load beyond the target. Programs that were admitted ask
 # for more turns for some seconds, so a share that falls faster would swing.
@@ -55,21 +58,17 @@
         passed_s = math.inf if self._updated_s is None else now_s - self._updated_s
         self._updated_s = now_s
         self.load += (load - self.load) * (1.0 - math.exp(-passed_s / SMOOTHING_S))
-        room = self._room()
+        room = max(-1.0, (TARGET_LOAD - self.load) / TARGET_LOAD)
         rate = RISE_PER_S if room > 0.0 else FALL_PER_S
         change = rate * min(passed_s, MAX_STEP_S) * room
         self._lasting_share = min(1.0, max(MIN_ADMITTED_SHARE, self._lasting_share + change))
 
     def refused_share(self, is_urgent: bool) -> float:
         """Returns the share of new programs that are refused."""
-        admitted = self._lasting_share + min(0.0, self._room())
-        share = 1.0 - max(MIN_ADMITTED_SHARE, admitted)
+        excess = max(0.0, (self.load - FULL_LOAD) / FULL_LOAD)
+        share = 1.0 - max(MIN_ADMITTED_SHARE, self._lasting_share - FULL_FACTOR * excess)
         return share * URGENT_SHARE if is_urgent else share
 
-    def _room(self) -> float:
-        """Returns the part of the target that is free, -1 to 1; negative for a load beyond it."""
-        return max(-1.0, (TARGET_LOAD - self.load) / TARGET_LOAD)
-
     def would_refuse(self, program: str, is_urgent: bool) -> bool:
         """Returns whether a program is refused unless it is under way.
 
--- a/packages/endiveworks/src/endiveworks/turns/store_time.py
+++ b/packages/endiveworks/src/endiveworks/turns/store_time.py
@@ -2,7 +2,9 @@
 
 import math
 
-SMOOTHING_S = 0.5  # Time over which the times of writes are averaged.
+# Time over which the times of writes are averaged; longer than it takes to find another way to the
+# disks, or that one is lost, after which writes are as fast as before.
+SMOOTHING_S = 2.0
 HALF_LIFE_S = 1.0  # Half-life of the average while nothing is written.
 
 
