Don't count a disk that has kept all for exactly as long as a start may be old

The disk has kept all for just as long, so it counted, though it had forgotten the start; the rest of another version would have followed. The comparison is strict now, up to the longest time that disks report, which stands for all longer ones too.

Random examples of hypothesis rarely meet both instants, so a test of the decision holds it; it fails before the change.

--- a/packages/endiveworks/src/endiveworks/gateway/stream_origins.py
+++ b/packages/endiveworks/src/endiveworks/gateway/stream_origins.py
@@ -145,7 +145,12 @@
     if any(reply.is_partial for reply in replies.values()):
         return _CONTRADICTORY
     needed_s = max([window_s, *(start.age_s for start in candidates)])
-    reliable = [folder for folder, reply in replies.items() if reply.held_s >= needed_s]
+    # One that has held all for exactly as long may have begun just after a start was told.
+    reliable = [
+        folder
+        for folder, reply in replies.items()
+        if reply.held_s > needed_s or reply.held_s >= RETENTION_S
+    ]
     if not origins or not is_read_quorum(view, reliable):
         return _UNDECIDED
     return Verdict(origins[0], True)
--- a/packages/endiveworks/src/endiveworks/gateway/tests/test_stream_origins.py
+++ b/packages/endiveworks/src/endiveworks/gateway/tests/test_stream_origins.py
@@ -41,6 +41,10 @@
         assert verdict(a=holds(start(V1))) == Verdict(None, False)
         assert verdict(a=holds(start(V1)), b=holds()) == Verdict(V1, True)
 
+    def test_a_holder_that_began_as_a_start_may_have_been_told_does_not_count(self) -> None:
+        restarted = holds(start(V1), held_s=WINDOW_S)
+        assert verdict(a=restarted, b=holds()) == Verdict(None, False)
+
     def test_nothing_is_decided_where_nothing_is_known(self) -> None:
         assert verdict(a=holds(), b=holds()) == Verdict(None, False)
 
