Adopt views that a disk tells for streams too, and refuse streams only after two seconds without a confirmation

The log has 75 refusals "too few disks confirm where streams begin" from 8 s to 12 s; untouched, 18 callers leave there without an answer.

Entries whose way to the platform's store is cut hear of no change of the disks in use; turns learn the new view from a disk's reply, streams didn't, and no confirmation counts under an older view (by reading; the new test fails without it). And nothing confirmed for one second was taken for no way at all, though disks that were started again are back soon. It takes two seconds now, and callers are asked to return after about one. What was confirmed under an older view only is told again under the newer one.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/origin_exchange.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/origin_exchange.py
@@ -109,10 +109,8 @@
 
     def apply_state(self, state: ClusterState) -> None:
         """Takes over the disks in use, the processes and the replicas."""
-        if state.view is not None and (self._view is None or state.view.epoch > self._view.epoch):
-            self._view = state.view
-            self._paths.retain_only(all_disks(state.view))
-            self._telling.on_view()
+        if state.view is not None:
+            self.adopt_view(state.view)
         if state.members is not self._members:
             self._members = state.members
             own = self._members.get(self.host)
@@ -121,6 +119,14 @@
             self._paths.set_relays(region, relays)
         self._versions.update(state.replicas.values(), time.monotonic())
 
+    def adopt_view(self, view: View) -> None:
+        """Takes over the disks in use, unless newer ones are known."""
+        if self._view is not None and view.epoch <= self._view.epoch:
+            return
+        self._view = view
+        self._paths.retain_only(all_disks(view))
+        self._telling.on_view()
+
     def address(self, host: str) -> str:
         """Returns the address of a process as "ip:port"; empty if it is not known."""
         return self._members[host].address if host in self._members else ""
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/origin_telling.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/origin_telling.py
@@ -21,9 +21,9 @@
 MAX_RESEND_S = 0.25  # Upper bound of that time, which doubles each time, while an event waits.
 # The same if nothing waits. Tellings add up while a link is full, and must not fill it further.
 MAX_IDLE_RESEND_S = 4.0
-# If nothing that is told is confirmed for this time, the disks aren't reached on any way; several
-# relays have been tried by then.
-STALLED_AFTER_S = 1.0
+# If nothing that is told is confirmed for this time, the disks aren't reached on any way: several
+# relays have been tried, and disks that were only started again are back.
+STALLED_AFTER_S = 2.0
 MAX_OWN_STARTS = 5_000  # Starts that an entry keeps of its own streams; the oldest are dropped.
 
 
@@ -137,7 +137,9 @@
             self._unconfirmed_since_s = None
 
     def on_view(self) -> None:
-        """Takes note of a newer view, as other disks may not have confirmed what is told."""
+        """Takes note of a newer view, in which all that isn't confirmed yet is told again."""
+        for telling in self._by_number.values():
+            telling.held_by.clear()
         if self._unconfirmed_since_s is not None:
             self._unconfirmed_since_s = time.monotonic()
 
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/quorum.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/quorum.py
@@ -76,7 +76,11 @@
 
 
 class QuorumClient:
-    """Calls the disks of the newest known view and tracks which of them are reachable."""
+    """Calls the disks of the newest known view and tracks which of them are reachable.
+
+    Attributes:
+        on_view: Called with each newer view.
+    """
 
     def __init__(self, here: Location) -> None:
         self._here = here
@@ -88,6 +92,7 @@
         self._erased: set[str] = set()
         self._last_reply_s: dict[str, float] = {}
         self._tasks: set[asyncio.Task[Any]] = set()
+        self.on_view: Callable[[View], None] = lambda _: None
 
     def adopt(self, view: View | None) -> None:
         """Switches to a view if it is newer than the current one."""
@@ -101,6 +106,7 @@
         self.links.retain_only(in_use)
         self._unreachable &= {disk.address for disk in in_use}
         self._erased &= {disk.folder for disk in in_use}
+        self.on_view(view)
 
     def is_reachable(self) -> bool:
         """Tells whether the disks that replied to their latest call suffice to write and read."""
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/resumption.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/resumption.py
@@ -29,6 +29,8 @@
 # Time after which a first event that the disks don't confirm is given up, if nothing shows that
 # they will: its caller can still be served elsewhere.
 MAX_ORIGIN_WAIT_S = 1.5
+# Mean time after which a caller is asked to return while nobody can be told where streams begin.
+RETURN_S = 1.0
 
 
 async def adopt_origin(context: Context, ex: Exchange) -> bytes:
@@ -102,7 +104,8 @@
     if not ex.route.resumable or ex.request.resume_after is not None:
         return
     if not context.origins.may_begin(ex.service, resumable_s(ex.route.timeout_s)):
-        raise _refusal("too few disks confirm where streams begin")
+        reason = "too few disks confirm where streams begin"
+        raise HttpError(STATUS_UNAVAILABLE, reason, retry_after_s(RETURN_S, random.random()))
 
 
 async def wait_until_told(context: Context, ex: Exchange, response: Response) -> None:
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/run.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/run.py
@@ -83,6 +83,7 @@
 
     watcher = StateWatcher(kv, "", platform.decode_state, on_state, COALESCE_S, find_sources)
     origins = OriginExchange(settings.host, watcher.age_s)
+    turns.set_on_view(origins.adopt_view)
     quotas = Quotas(settings.quota_terms, metrics)
     context = Context(
         platform.dialect,
@@ -100,8 +101,12 @@
     watcher.start()
     callers = _caller_connections(settings, memory)
     server = await listen(settings.callers_address, gateway.handle, gateway.limits, callers, memory)
-    readiness = _readiness_handler(platform.dialect, gateway, callers)
-    await listen(settings.readiness_address, readiness, gateway.limits, CallerConnections())
+    await listen(
+        settings.readiness_address,
+        _readiness_handler(platform.dialect, gateway, callers),
+        gateway.limits,
+        CallerConnections(),
+    )
     await serve_metrics(
         settings.metrics_address, metrics, {EXPLAIN_PATH: explain_page(gateway.explain)}
     )
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/turn_store.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/turn_store.py
@@ -3,7 +3,7 @@
 import asyncio
 import time
 from collections import OrderedDict
-from collections.abc import Collection, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 
 from endiveworks.errors import Code, Failure
 from endiveworks.gateway.placement import Location
@@ -55,6 +55,10 @@
         """Switches to a view if it is newer than the current one."""
         self._quorum.adopt(view)
 
+    def set_on_view(self, on_view: Callable[[View], None]) -> None:
+        """Sets the function that is called with each newer view, also one that a disk tells."""
+        self._quorum.on_view = on_view
+
     def update_relays(self, members: Iterable[Member], host: str) -> None:
         """Selects the entries on other hosts as relays to the disks, those of this region first."""
         self._quorum.links.set_relays(relay_addresses(members, host, self._here.region))
--- a/tests/deployed/harness.py
+++ b/tests/deployed/harness.py
@@ -117,6 +117,7 @@
         self.quarantine = Quarantine()
         self.list_age_s: float | None = 0.0
         self.origins = OriginExchange(host, lambda: self.list_age_s)
+        self.turns.set_on_view(self.origins.adopt_view)
         self.transcripts = Transcripts(host)
         self.quotas = Quotas()
         self.stop_time = StopTime()
--- a/tests/deployed/test_entries_cut_off.py
+++ b/tests/deployed/test_entries_cut_off.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from endiveworks.gateway.stream_origins import RETENTION_S, StreamOrigin
+from endiveworks.turns.records import Reservation
 from endiveworks.turns.view import Disk
 from endiveworks_daemon.gateway.origin_paths import MAX_FORWARDED, OriginRelay
 from endiveworks_daemon.origin_datagrams import (
@@ -20,6 +21,7 @@
     encode_relayed,
 )
 from endiveworks_standins.site_replica import Script
+from returns.result import Success
 
 from tests.deployed.harness import DRAFT, TURN, Deployment, Entry, run, streams
 from tests.deployed.test_rejoined_streams import AFTER, begin, take_up
@@ -141,6 +143,25 @@
         run(scenario)
 
 
+class TestViewThatAnEntryHasNotHeardOf:
+    """Guards against first events that wait for disks in use whose view only a disk tells."""
+
+    def test_one_that_a_disk_tells_counts_for_streams_too(self, tmp_path: Path) -> None:
+        async def scenario() -> None:
+            async with deployment(tmp_path, streams("a", "b")) as deployed:
+                entry = await out_of_step(deployed)
+                await deployed.wait_for_disks()
+                assert deployed.view is not None
+                for disk in deployed.disks:
+                    disk.disk_store.adopt(deployed.view._replace(epoch=2))
+                reservation = Reservation("p", "r", 1, 9.0)
+                while not isinstance(await entry.turns.reserve(reservation, 9, 1.0), Success):
+                    await asyncio.sleep(0.05)
+                assert (await entry.send(DRAFT, b"p")).status == 200
+
+        run(scenario)
+
+
 class TestStartsThatNobodyConfirms:
     """Guards against datagrams that fill a full link further, which then stays full."""
 
