Call the paths to disks by one name, and say when no program is refused

Cause: read again, origin_paths.py has classes of paths and docstrings of ways, and two docstrings of program_rooms.py leave out that nothing is refused there where load shedding is on. One private function and docstrings change, no behaviour.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/origin_exchange.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/origin_exchange.py
@@ -251,7 +251,7 @@
             return
         if datagram.kind not in (TOLD, ANSWER) or self._relay.return_reply(datagram):
             return
-        self._record_way(datagram, addr)
+        self._record_path(datagram, addr)
         if datagram.kind == TOLD:
             self._telling.accept(datagram)
         elif datagram.number in self._questions:
@@ -263,7 +263,7 @@
             question.replies[datagram.folder] = reply
             question.changed.set()
 
-    def _record_way(self, datagram: Datagram, addr: Address) -> None:
+    def _record_path(self, datagram: Datagram, addr: Address) -> None:
         for disk in all_disks(self._view) if self._view else ():
             if disk.folder == datagram.folder:
                 self._paths.record_reply(disk, addr)
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/origin_paths.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/origin_paths.py
@@ -1,7 +1,7 @@
-"""Ways of datagrams to disk processes: straight, and through other entries while that fails.
+"""Paths of datagrams to disk processes: direct, and over other entries while that fails.
 
 An entry that is cut off from the disks holds its streams back until they know where these begin.
-Another entry may reach them, and any of them may be cut off as well, so a way that brings no reply
+Another entry may reach them, and any of them may be cut off as well, so a path that brings no reply
 is given up soon.
 """
 
@@ -26,7 +26,7 @@
     parse_address,
 )
 
-# Without a reply for this time a way is taken for cut: several round trips within a region.
+# Without a reply for this time a path is taken for cut: several round trips within a region.
 SILENT_AFTER_S = 0.06
 # The same for a disk in another region; replies take about as long while the link there is full,
 # which the relays of this region use as well.
@@ -40,14 +40,14 @@
 
 
 class _Path:
-    """What is known of the ways to one disk.
+    """What is known of the paths to one disk.
 
     Args:
-        silent_after_s: Time without a reply after which a way is taken for cut.
+        silent_after_s: Time without a reply after which a path is taken for cut.
 
     Attributes:
         silent_since_s: When the first datagram after the last direct reply was sent; None for none.
-        relay: Relay of the last reply; empty if that came straight, or the relay fell silent.
+        relay: Relay of the last reply; empty if that came directly, or the relay fell silent.
         relay_silent_since_s: The same as silent_since_s, for this relay.
         tried_relays: Relays that were tried since the last reply.
     """
@@ -60,18 +60,18 @@
         self.tried_relays = 0
 
     def is_direct_silent(self, now_s: float) -> bool:
-        """Returns whether the direct way seems cut."""
+        """Returns whether the direct path seems cut."""
         since_s = self.silent_since_s
         return since_s is not None and now_s - since_s >= self._silent_after_s
 
     def is_relay_silent(self, now_s: float) -> bool:
-        """Returns whether the way over the relay seems cut; it is longer than the direct one."""
+        """Returns whether the path over the relay seems cut; it is longer than the direct one."""
         since_s = self.relay_silent_since_s
         return since_s is not None and now_s - since_s >= 2 * self._silent_after_s
 
 
 class OriginPaths:
-    """Sends datagrams to disks on the ways that work.
+    """Sends datagrams to disks on the paths that work.
 
     Args:
         send_to: Sends bytes to an address.
@@ -95,12 +95,12 @@
         self._region, self._relays = region, addresses
 
     def retain_only(self, disks: Sequence[Disk]) -> None:
-        """Forgets the ways to all disks except the given ones."""
+        """Forgets the paths to all disks except the given ones."""
         addresses = {disk.address for disk in disks}
         self._paths = {key: path for key, path in self._paths.items() if key in addresses}
 
     def send(self, datagram: Datagram, disk: Disk, is_awaited: bool) -> None:
-        """Sends a datagram straight, which shows when that way works again, and over relays.
+        """Sends a datagram directly, which shows when that path works again, and over relays.
 
         Args:
             datagram: The datagram.
@@ -126,7 +126,7 @@
             self._send_to(relayed, parse_address(relay))
 
     def record_reply(self, disk: Disk, address: Address) -> None:
-        """Records on which way a reply of a disk came.
+        """Records on which path a reply of a disk came.
 
         Args:
             disk: The disk.
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/origin_telling.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/origin_telling.py
@@ -21,7 +21,7 @@
 MAX_RESEND_S = 0.25  # Upper bound of that time, which doubles each time, while an event waits.
 # The same if nothing waits. Tellings add up while a link is full, and must not fill it further.
 MAX_IDLE_RESEND_S = 4.0
-# If nothing that is told is confirmed for this time, the disks aren't reached on any way: several
+# If nothing that is told is confirmed for this time, the disks aren't reached on any path: several
 # relays have been tried, and disks that were only started again are back.
 STALLED_AFTER_S = 2.0
 MAX_OWN_STARTS = 5_000  # Starts that an entry keeps of its own streams; the oldest are dropped.
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/program_rooms.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/program_rooms.py
@@ -42,7 +42,8 @@
     """Admission of new programs, by service.
 
     Args:
-        load_of: Returns the load of a service; None if its requests are no programs' turns.
+        load_of: Returns the load of a service; None if no program is refused there, as it has no
+            engines or load shedding is on.
     """
 
     def __init__(self, load_of: Callable[[str], ProgramLoad | None]) -> None:
@@ -91,7 +92,7 @@
         raise HttpError(STATUS_UNAVAILABLE, "there is too little room for new programs", wait_s)
 
     def _read_load(self, service: str) -> ProgramAdmission | None:
-        """Returns the admission to a service with its load; None if it has no programs."""
+        """Returns the admission to a service with its load; None if none is refused."""
         now_s = time.monotonic()
         if now_s - self._read_s.get(service, -math.inf) < MIN_READ_PERIOD_S:
             return self._admissions.get(service)
