Write records without needless copies, and tell the size of the live ones

Two of these copies are gone, and the request is dropped once it is written. The store also tells the size of the records that it holds, which a log needs that discards old ones.

--- a/packages/endiveworks/src/endiveworks/journal/file_log.py
+++ b/packages/endiveworks/src/endiveworks/journal/file_log.py
@@ -14,6 +14,7 @@
 from .copy_state import Append, CopyState, Request, Reset, Seal, Trim
 from .log_sequencer import sequenced_log
 from .store import Store, open_store
+from .writer import SEGMENT_BYTES
 
 _FIRST_GENERATION = 1
 
@@ -32,9 +33,11 @@
     store: Store
 
 
-def open_journal(data_dir: Path, deployment: str) -> Result[Journal, Failure]:
-    """Opens the data folder of a host; see open_store for the failures."""
-    return open_store(data_dir, deployment).map(_journal)
+def open_journal(
+    data_dir: Path, deployment: str, segment_bytes: int = SEGMENT_BYTES
+) -> Result[Journal, Failure]:
+    """Opens the data folder of a host; see open_store for the arguments and failures."""
+    return open_store(data_dir, deployment, segment_bytes=segment_bytes).map(_journal)
 
 
 def _journal(store: Store) -> Journal:
--- a/packages/endiveworks/src/endiveworks/journal/frames.py
+++ b/packages/endiveworks/src/endiveworks/journal/frames.py
@@ -67,8 +67,10 @@
 def encode(frame: Frame, batch_start: int) -> bytes:
     """Encodes a frame; batch_start is the offset of the first frame in its batch."""
     header = _HEADER.pack(frame.kind, frame.partition, frame.epoch, frame.log_index, batch_start)
-    payload = header + frame.body
-    return _PREFIX.pack(MAGIC, len(payload), xxhash.xxh64_intdigest(payload)) + payload
+    digest = xxhash.xxh64(header)
+    digest.update(frame.body)
+    prefix = _PREFIX.pack(MAGIC, len(header) + len(frame.body), digest.intdigest())
+    return b"".join((prefix, header, frame.body))
 
 
 def decode(data: bytes, offset: int = 0) -> LocatedFrame | None:
--- a/packages/endiveworks/src/endiveworks/journal/segments.py
+++ b/packages/endiveworks/src/endiveworks/journal/segments.py
@@ -49,7 +49,7 @@
     """A write that failed before the sync, for example because the disk is full."""
 
 
-def write_all(write_calls: WriteCalls, fd: int, offset: int, data: bytes) -> None:
+def write_all(write_calls: WriteCalls, fd: int, offset: int, data: bytes | bytearray) -> None:
     """Writes data at an offset and syncs it.
 
     Raises:
--- a/packages/endiveworks/src/endiveworks/journal/store.py
+++ b/packages/endiveworks/src/endiveworks/journal/store.py
@@ -43,6 +43,7 @@
         partitions: Returns the partitions that this host has copies of.
         fetch: Reads records starting at an index, up to a number of bytes but at least one record.
         used_bytes: Returns the total size of all segments.
+        live_bytes: Returns the size of the records that the copies hold.
         close: Completes queued requests and releases the files.
     """
 
@@ -52,6 +53,7 @@
     partitions: Callable[[], tuple[int, ...]]
     fetch: Callable[[int, int, int], Result[FetchedRecords, Failure]]
     used_bytes: Callable[[], int]
+    live_bytes: Callable[[], int]
     close: Callable[[], None]
 
 
@@ -108,11 +110,15 @@
         with shared.lock:
             return sum(os.fstat(fd).st_size for fd in shared.fds.values())
 
+    def live_bytes() -> int:
+        with shared.lock:
+            return sum(shared.record_index.live_bytes.values())
+
     def close() -> None:
         writer.stop()
         _close_files(shared, lock)
 
-    return Store(folder, writer.submit, state, partitions, fetch, used_bytes, close)
+    return Store(folder, writer.submit, state, partitions, fetch, used_bytes, live_bytes, close)
 
 
 def _close_files(shared: SharedState, lock: int) -> None:
--- a/packages/endiveworks/src/endiveworks/journal/writer.py
+++ b/packages/endiveworks/src/endiveworks/journal/writer.py
@@ -72,6 +72,7 @@
             requests, stopping = self._next_requests()
             if requests:
                 self._commit(requests)
+                requests.clear()  # The records would stay in memory until the next request.
                 self._compact_if_due()
             if stopping:
                 return
@@ -131,7 +132,7 @@
     def _write(self, batch: Batch) -> Failure | None:
         fd = self._shared.fds[self._segment]
         try:
-            segments.write_all(self._write_calls, fd, self._end_offset, bytes(batch.data))
+            segments.write_all(self._write_calls, fd, self._end_offset, batch.data)
         except segments.WriteError as exc:
             return self._roll_back(fd, exc)
         except OSError as exc:
@@ -193,7 +194,7 @@
             batch.add(Frame(Kind.STATE, partition, state.epoch, state.first_index, body))
         fd = segments.create_segment(self._shared.data_dir, number)
         try:
-            segments.write_all(self._write_calls, fd, 0, bytes(batch.data))
+            segments.write_all(self._write_calls, fd, 0, batch.data)
         except OSError:
             os.close(fd)
             segments.segment_path(self._shared.data_dir, number).unlink()
