Bound the calls and replies that a process holds for its peers

Cause: a process read every call that its peers sent, and buffered every reply for those that did not read, without any bound. A turn of 4 MiB was held up to eight times over on its way to a disk.

Change: long calls are read, and long replies sent, while no more than 6 MiB of them are pending; a single longer one is served alone. Short ones are never kept waiting, so checks of a peer go through. A peer that takes in nothing of a reply for 5 s, or does not finish a call within 15 s, is cut off. Frames are written and decoded without copies of their payload.

The tests of TestPendingBytes fail on the code before: 24 MiB of calls were under way at once, and a peer that did not read was waited for.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/change_log.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/change_log.py
@@ -126,7 +126,7 @@
     def handlers(self) -> dict[str, Handler]:
         """Returns the RPC handlers by method name."""
 
-        async def read_changes(message: bytes) -> bytes:
+        async def read_changes(message: memoryview) -> bytes:
             request = msgspec.msgpack.decode(message, type=ReadChanges)
             return msgspec.msgpack.encode(await self.read(request))
 
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/disks/disk_store.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/disks/disk_store.py
@@ -64,7 +64,7 @@
         if view is not None and (self.view is None or view.epoch > self.view.epoch):
             self.view = view
 
-    async def store(self, message: bytes) -> bytes:
+    async def store(self, message: memoryview) -> bytes:
         """Handles Store; replies once the records are synced."""
         self.last_store_s = time.monotonic()
         req = msgspec.msgpack.decode(message, type=messages.Store)
@@ -74,7 +74,7 @@
         spending = list(spending_of(self.state, req.program)) if req.program else []
         return msgspec.msgpack.encode(messages.Stored(self.folder, None, spending))
 
-    async def fetch(self, message: bytes) -> bytes:
+    async def fetch(self, message: memoryview) -> bytes:
         """Handles Fetch."""
         req = msgspec.msgpack.decode(message, type=messages.Fetch)
         if self._is_stale(req.epoch):
@@ -84,7 +84,7 @@
         chain = list(chain_of(self.state, req.turn, req.known))
         return msgspec.msgpack.encode(messages.Fetched(self.folder, None, chain))
 
-    async def list_held(self, message: bytes) -> bytes:
+    async def list_held(self, message: memoryview) -> bytes:
         """Handles ListHeld; replies once the view is synced.
 
         Raises:
@@ -96,7 +96,7 @@
         ledgers = [encode(record) for record in ledger_records(self.state)]
         return msgspec.msgpack.encode(messages.Held(self.folder, list(self.state.turns), ledgers))
 
-    async def read_turns(self, message: bytes) -> bytes:
+    async def read_turns(self, message: memoryview) -> bytes:
         """Handles ReadTurns; the reply ends once it reaches PAGE_BYTES."""
         req = msgspec.msgpack.decode(message, type=messages.ReadTurns)
         page: list[bytes] = []
@@ -111,7 +111,7 @@
                 break
         return msgspec.msgpack.encode(messages.TurnsRead(self.folder, page))
 
-    async def ping(self, message: bytes) -> bytes:
+    async def ping(self, message: memoryview) -> bytes:
         """Handles Ping."""
         msgspec.msgpack.decode(message, type=messages.Ping)
         return msgspec.msgpack.encode(messages.Pong(self.folder))
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/disk_links.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/disk_links.py
@@ -17,7 +17,7 @@
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
-from ..rpc import Handler, RpcClient
+from ..rpc import Handler, RpcClient, encoded
 
 RELAY = "turns.relay"
 
@@ -120,7 +120,7 @@
             return Err(Failure(Code.UNREACHABLE, method, disk.host, "no relay is available"))
         relay = self._relay_by_disk.get(disk.address, self._relays[0])
         sent_s = time.monotonic()
-        request = RelayRequest(disk.address, method, msgspec.msgpack.encode(message), timeout_s)
+        request = RelayRequest(disk.address, method, encoded(message), timeout_s)
         relayed = await self._client(relay).call(RELAY, request, RelayReply, timeout_s)
         reply = relayed.unwrap() if isinstance(relayed, Success) else None
         if reply is None or reply.disk_reply is None:
@@ -146,7 +146,7 @@
             is_disk: Tells whether an address is that of a disk in use; no other address is called.
         """
 
-        async def relay(message: bytes) -> bytes:
+        async def relay(message: memoryview) -> bytes:
             request = msgspec.msgpack.decode(message, type=RelayRequest)
             if not is_disk(request.address):
                 return msgspec.msgpack.encode(RelayReply(None, "no disk in use has this address"))
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/load_exchange.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/load_exchange.py
@@ -217,7 +217,7 @@
     def handlers(self) -> dict[str, Handler]:
         """Returns the RPC handlers by method name."""
 
-        async def share(message: bytes) -> bytes:
+        async def share(message: memoryview) -> bytes:
             report = msgspec.msgpack.decode(message, type=LoadReport)
             reports = self._regions if report.is_region else self._children
             reports[report.host] = _Known(report.load, time.monotonic())
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/transcripts.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/transcripts.py
@@ -144,7 +144,7 @@
     def handlers(self) -> dict[str, Handler]:
         """Returns the RPC handlers by method name."""
 
-        async def take(message: bytes) -> bytes:
+        async def take(message: memoryview) -> bytes:
             request = msgspec.msgpack.decode(message, type=TakeEvents)
             return msgspec.msgpack.encode(TakenEvents(self.take(*request)))
 
--- a/tests/deployed/test_rpc.py
+++ b/tests/deployed/test_rpc.py
@@ -1,8 +1,10 @@
 """RPC clients on connections that stop delivering data without an error."""
 
 import asyncio
+from typing import NamedTuple
 
 import msgspec
+import pytest
 from endiveworks.turns.messages import PING, Ping, Pong
 from endiveworks_daemon import rpc
 from returns.result import Success
@@ -58,3 +60,122 @@
             server.close()
 
         asyncio.run(asyncio.wait_for(scenario(), 30))
+
+
+class Echo(NamedTuple):
+    """A message, or a reply, with a payload."""
+
+    data: bytes
+
+
+class TestPendingBytes:
+    """A process read all calls that peers sent at once, and buffered all replies (review/7)."""
+
+    CALLS = 24
+    PAYLOAD = b"x" * 1024 * 1024
+
+    def test_long_calls_are_taken_on_one_after_the_other(self) -> None:
+        running = {"now": 0, "peak": 0}
+
+        async def slow(message: memoryview) -> bytes:
+            running["now"] += len(message)
+            running["peak"] = max(running["peak"], running["now"])
+            await asyncio.sleep(0.05)
+            running["now"] -= len(message)
+            return await _pong(message)
+
+        async def scenario() -> None:
+            server = await rpc.serve("127.0.0.1:0", {PING: _pong, "slow": slow})
+            clients = [rpc.RpcClient(server.address) for _ in range(self.CALLS)]
+            calls = [
+                asyncio.create_task(client.call("slow", Echo(self.PAYLOAD), Pong, 20.0))
+                for client in clients
+            ]
+            checker = rpc.RpcClient(server.address)
+            for _ in range(5):
+                assert await _ping(checker)  # Isn't kept waiting by them.
+                await asyncio.sleep(0.05)
+            assert all(isinstance(reply, Success) for reply in await asyncio.gather(*calls))
+            assert running["peak"] <= rpc.MAX_PENDING_BYTES
+            for client in (*clients, checker):
+                client.close()
+            server.close()
+
+        asyncio.run(asyncio.wait_for(scenario(), 60))
+
+    def test_a_single_call_longer_than_that_is_served(self) -> None:
+        async def scenario() -> None:
+            async def echo(message: memoryview) -> bytes:
+                return bytes(message)
+
+            server = await rpc.serve("127.0.0.1:0", {"echo": echo})
+            client = rpc.RpcClient(server.address)
+            sent = Echo(b"x" * (rpc.MAX_PENDING_BYTES + 1))
+            assert (await client.call("echo", sent, Echo, 20.0)).unwrap() == sent
+            client.close()
+            server.close()
+
+        asyncio.run(asyncio.wait_for(scenario(), 60))
+
+    @pytest.mark.parametrize("size", [0, 255, 256, 65_535, 65_536])
+    def test_payloads_of_every_length_class_arrive(self, size: int) -> None:
+        async def scenario() -> None:
+            async def echo(message: memoryview) -> bytes:
+                return bytes(message)
+
+            server = await rpc.serve("127.0.0.1:0", {"echo": echo})
+            client = rpc.RpcClient(server.address)
+            sent = Echo(b"x" * size)
+            assert (await client.call("echo", sent, Echo, 20.0)).unwrap() == sent
+            client.close()
+            server.close()
+
+        asyncio.run(asyncio.wait_for(scenario(), 60))
+
+    def test_a_peer_that_does_not_read_a_reply_is_cut_off(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(rpc, "SEND_TIMEOUT_S", 0.2)
+
+        async def scenario() -> None:
+            async def reply(message: memoryview) -> bytes:
+                return msgspec.msgpack.encode(Echo(b"x" * rpc.MAX_PENDING_BYTES))
+
+            server = await rpc.serve("127.0.0.1:0", {PING: _pong, "long": reply})
+            ip, _, port = server.address.rpartition(":")
+            reader, writer = await asyncio.open_connection(ip, int(port), limit=1024)
+            call = msgspec.msgpack.encode((1, "long", b""))
+            writer.write(len(call).to_bytes(4, "little") + call)
+            client = rpc.RpcClient(server.address)
+            # Its reply waits until the other one has been given up.
+            found = await client.call("long", Ping("a"), Echo, 20.0)
+            assert len(found.unwrap().data) == rpc.MAX_PENDING_BYTES
+            with pytest.raises((ConnectionResetError, asyncio.IncompleteReadError)):
+                await reader.readexactly(rpc.MAX_PENDING_BYTES)
+            writer.close()
+            client.close()
+            server.close()
+
+        asyncio.run(asyncio.wait_for(scenario(), 60))
+
+    def test_a_call_that_does_not_arrive_gives_its_room_back(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(rpc, "RECEIVE_TIMEOUT_S", 0.2)
+
+        async def scenario() -> None:
+            async def echo(message: memoryview) -> bytes:
+                return bytes(message)
+
+            server = await rpc.serve("127.0.0.1:0", {"echo": echo})
+            ip, _, port = server.address.rpartition(":")
+            _, writer = await asyncio.open_connection(ip, int(port))
+            writer.write(rpc.MAX_PENDING_BYTES.to_bytes(4, "little") + b"begun")
+            client = rpc.RpcClient(server.address)
+            sent = Echo(self.PAYLOAD)
+            assert (await client.call("echo", sent, Echo, 20.0)).unwrap() == sent
+            writer.close()
+            client.close()
+            server.close()
+
+        asyncio.run(asyncio.wait_for(scenario(), 60))
