Bound an entry's cache of ledgers by their entries

Cause: the cache was bounded by the number of programs, 20,000, but a ledger has an entry for each turn of its program, and callers decide how many turns that is.

Change: the entries of all cached ledgers are counted as well, 40,000 at most; the ledgers that were not used for longest go first. A ledger that is not cached is read from the disks, as before.

TestBounds fails on the code before, which has no such bound.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/turn_store.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/turn_store.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import time
-from collections import OrderedDict
 from collections.abc import Callable, Collection, Iterable, Sequence
 
 from endiveworks.errors import Code, Failure
@@ -20,12 +19,11 @@
 from ..rpc import Handler
 from .chain_renewal import ChainRenewer
 from .disk_links import RELAY
+from .ledger_cache import LedgerCache
 from .quorum import RPC_TIMEOUT_S, QuorumCall, QuorumClient
 from .relays import relay_addresses
 from .turn_cache import TurnCache
 
-# Programs whose ledger is cached; several times the number on a busy day.
-MAX_CACHED_LEDGERS = 20_000
 # Attempts to write a settlement; if all fail, the reservation keeps counting against the budget.
 MAX_SETTLE_ATTEMPTS = 5
 SETTLE_RETRY_S = 0.5  # Pause between attempts to write a settlement in the background.
@@ -47,7 +45,7 @@
         self._quorum = QuorumClient(here)
         self._turns = TurnCache()
         self._renewer = ChainRenewer(self._quorum)
-        self._ledgers: OrderedDict[str, Ledger] = OrderedDict()
+        self._ledgers = LedgerCache()
         self._background: set[asyncio.Task[None]] = set()
         self._store_time = StoreTime()
 
@@ -91,14 +89,14 @@
         """
         if program not in self._ledgers and not is_new:
             return False
-        return allocated_tokens(self._ledgers.get(program, {})) + HEADROOM_TURNS * tokens <= budget
+        return allocated_tokens(self._ledgers.get(program)) + HEADROOM_TURNS * tokens <= budget
 
     def has_other_turns(self, program: str, turn: str) -> bool:
         """Returns whether a program has spent or reserved tokens for other turns, as far as known.
 
         All is known once `reserve` has returned for the turn.
         """
-        return allocated_tokens(self._ledgers.get(program, {}), excluded_turn=turn) > 0
+        return allocated_tokens(self._ledgers.get(program), excluded_turn=turn) > 0
 
     async def reserve(
         self, reservation: Reservation, budget: int, timeout_s: float
@@ -110,12 +108,12 @@
         """
         program, turn = reservation.program, reservation.turn
         # Counts at once for other turns of the program in this process, before any disk replies.
-        self._merge_ledger(program, {turn: Spending(turn, reservation.tokens, False)})
+        self._ledgers.merge(program, {turn: Spending(turn, reservation.tokens, False)})
         stored = await self._store([reservation], program, timeout_s)
         if not isinstance(stored, Success):
             return Err(stored.failure())
         ledger = stored.unwrap()
-        self._merge_ledger(program, ledger)
+        self._ledgers.merge(program, ledger)
         return Success(fits_budget(ledger, reservation.turn, reservation.tokens, budget))
 
     async def commit(
@@ -132,14 +130,14 @@
             await asyncio.sleep(COMMIT_RETRY_S)
             stored = await self._store(records, "", deadline_s - time.monotonic())
         if settlement is not None:
-            self._record_settlement(settlement)
+            self._ledgers.settle(settlement)
         self._turns.add(turn)
         self._renewer.record(turn)
         return Success(None)
 
     def settle(self, settlement: Settlement) -> None:
         """Replaces a reservation with the tokens generated, in the background."""
-        self._record_settlement(settlement)
+        self._ledgers.settle(settlement)
         task = asyncio.create_task(self._settle(settlement))
         self._background.add(task)
         task.add_done_callback(self._background.discard)
@@ -210,18 +208,6 @@
             detail=str(stored.failure()),
         )
 
-    def _record_settlement(self, settlement: Settlement) -> None:
-        cached = self._ledgers.get(settlement.program)
-        if cached is not None:
-            cached[settlement.turn] = Spending(settlement.turn, settlement.tokens, True)
-
-    def _merge_ledger(self, program: str, ledger: Ledger) -> None:
-        cached = self._ledgers.get(program, {})
-        self._ledgers[program] = merge_ledgers([cached.values(), ledger.values()])
-        self._ledgers.move_to_end(program)
-        if len(self._ledgers) > MAX_CACHED_LEDGERS:
-            self._ledgers.popitem(last=False)
-
     async def _store(
         self, records: Sequence[Record], program: str, timeout_s: float
     ) -> Result[Ledger, Failure]:
