Keep the bytes of turns in the disk's log, and ask for room before a turn runs

Two or three disks grew beyond 170 MB after 7.7 to 9.8 s and were killed, 120 times together, since they read the same turns again at each start. 16 ordinary turns were whole after the first end, 393 were not.

Evidence: the peaks of 203 to 218 MB beside 41 turns of 4 MiB, two thirds of them on each disk.

Change: - The state of a disk holds where each record is. Prompts and outputs are read from the log, once for each turn that a reader lacks. Long turns, first turns and the turns of one tenant or address are admitted up to a smaller share, so that others have room. - An entry asks a write quorum for room with the reservation of tokens, or by itself, and waits for it before a replica gets the turn, unless the turn is short and the disks have told of ample room. What is refused gets 503 with the time until enough turns expire, at most 30 s, and leaves nothing on the disks. What was answered is never dropped. - A write that finds the disk full is repeated instead of ending the process; damaged files that were moved aside are removed when they take a quarter of the disk; a disk doesn't join with more than it can keep. Gauges, a counter and a log line tell how much is taken, and by whom.

One test changed its start: a turn without a budget whose disks have just gone is refused now, so it lets the entry learn of ample room first, and asserts the same. The test that records recreate the state now takes them from the state's records; what is written again and read after a restart is asserted in TestLog.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/disks/catch_up.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/disks/catch_up.py
@@ -119,7 +119,11 @@
                 return False
             continue
         failures = 0
-        await disk_store.persist(reply.unwrap().records)
+        page = reply.unwrap().records
+        if not disk_store.fits(sum(map(len, page))):
+            logs.logger("turns").error("catch_up_no_room", amount=len(missing))
+            return False
+        await disk_store.persist(page)
         remaining = [turn_id for turn_id in missing if turn_id not in disk_store.state.turns]
         if len(remaining) == len(missing):
             # These turns have expired at the member since it listed them.
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/disks/run.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/disks/run.py
@@ -36,7 +36,8 @@
     """
     if settings.data_dir is None:
         raise OSError("data_dir is not configured")
-    opened = open_disk_store(settings.data_dir)
+    metrics = Metrics("", settings.host)
+    opened = open_disk_store(settings.data_dir, settings.memory_mb, settings.disk_mb, metrics)
     if not isinstance(opened, Success):
         raise OSError(str(opened.failure()))
     disk_store = opened.unwrap()
@@ -64,7 +65,7 @@
 
     server = await rpc.serve(settings.peer_address, handlers(disk_store))
     await origins.start(settings.peer_address)
-    await serve_metrics(settings.metrics_address, Metrics("", settings.host))
+    await serve_metrics(settings.metrics_address, metrics)
     registrar = Registrar(kv, LEASE_S, stop.set, random.Random())
     watcher = StateWatcher(kv, "", platform.decode_state, on_state, COALESCE_S, find_sources)
     watcher.start()
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/app.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/app.py
@@ -148,7 +148,8 @@
         if not route.sticky:
             request = request._replace(affinity_key="")
         service = pick_service(route, random.random())
-        await self._serve(Exchange(request, received.body, route, service, table), responder)
+        ex = Exchange(request, received.body, route, service, table, received.caller)
+        await self._serve(ex, responder)
 
     async def _wait_until_configured(self) -> None:
         """Waits for a moment after the start, rather than sending the caller away for longer."""
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/callers.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/callers.py
@@ -217,6 +217,8 @@
         received = await self._requests.read_request()
         if received is None:
             return False
+        peer = self._writer.get_extra_info("peername")
+        received = received._replace(caller=str(peer[0]) if peer else "")
         responder = Responder(
             self._conn,
             self._writer,
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/exchange.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/exchange.py
@@ -42,6 +42,7 @@
         route: The route that matches it.
         service: The service picked from the route's shares.
         table: The configuration in force when it arrived.
+        caller: IP number of the caller; empty if it is not known.
 
     Attributes:
         deadline_s: Monotonic time at which the request times out.
@@ -62,13 +63,21 @@
     """
 
     def __init__(
-        self, request: Request, body: bytes, route: Route, service: str, table: RoutingTable
+        self,
+        request: Request,
+        body: bytes,
+        route: Route,
+        service: str,
+        table: RoutingTable,
+        caller: str = "",
     ) -> None:
         self.request = request
         self.body = body
         self.route = route
         self.service = service
         self.table = table
+        # Whose turns the request's are, as far as one sender may take room from others.
+        self.sender = request.tenant or caller
         self.arrived_s = time.monotonic()
         timeout_s = route.timeout_s
         if request.remaining_s is not None:
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/quorum.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/quorum.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Collection, Coroutine, Sequence
+from collections.abc import Callable, Collection, Coroutine, Mapping, Sequence
 from typing import Any, Generic, NamedTuple, Protocol, TypeVar
 
+import msgspec
 from endiveworks.errors import Code, Failure
 from endiveworks.gateway.placement import Location
 from endiveworks.telemetry import logs
@@ -54,6 +55,10 @@
         has_quorum: Tells whether replies of these folders suffice.
         is_sufficient: Tells whether one reply suffices alone; None if none does. Otherwise one disk
             is asked first, and more only if its reply doesn't suffice or is late.
+        refused_s: Returns the time after which a disk that refused may accept; 0 if it accepted.
+        is_final: Whether a disk's refusal ends the call. Otherwise other disks are called instead.
+        preferred: Folders of the disks that are called first.
+        on_reply: Called with each reply of a disk of the view.
     """
 
     method: str
@@ -61,6 +66,10 @@
     build_message: Callable[[View], object]
     has_quorum: Callable[[View, Collection[str]], bool]
     is_sufficient: Callable[[_R], bool] | None = None
+    refused_s: Callable[[_R], float] = lambda _: 0.0
+    is_final: bool = False
+    preferred: Collection[str] = ()
+    on_reply: Callable[[_R], None] = lambda _: None
 
     def suffices(self, reply: _R) -> bool:
         """Tells whether a reply suffices alone."""
@@ -167,15 +176,14 @@
         self, view: View, call: QuorumCall[_R], deadline_s: float
     ) -> Result[list[_R], Failure] | View:
         replies: dict[str, _R] = {}
-        paths = self._paths(view)
+        refusals: dict[str, float] = {}
+        paths = self._paths(view, call.preferred)
+        message = msgspec.msgpack.encode(call.build_message(view))  # All disks get the same bytes.
         pending: dict[asyncio.Task[Result[_R, Failure]], Disk] = {}
         while not call.has_quorum(view, replies):
-            expected = {*replies, *(disk.folder for disk in pending.values())}
-            while paths and not call.has_quorum(view, expected):
-                if pending and not replies and call.is_sufficient is not None:
-                    break  # Such replies are long; several would share a link between regions.
-                expected.add(paths[0].disk.folder)
-                self._start_call(pending, paths.pop(0), view, call, deadline_s)
+            for path in _needed_paths(view, call, paths, replies, pending.values()):
+                paths.remove(path)
+                self._start_call(pending, path, call, message, deadline_s)
             remaining_s = deadline_s - time.monotonic()
             if not pending or remaining_s <= 0:
                 break
@@ -184,10 +192,10 @@
                 timeout=min(remaining_s, self._hedge_s(pending.values())),
                 return_when=asyncio.FIRST_COMPLETED,
             )
-            path = None if done else self._path_to_hedge(paths, pending.values())
-            if path is not None:
-                paths.remove(path)
-                self._start_call(pending, path, view, call, deadline_s)
+            hedge = None if done else self._path_to_hedge(paths, pending.values())
+            if hedge is not None:
+                paths.remove(hedge)
+                self._start_call(pending, hedge, call, message, deadline_s)
             for task in done:
                 disk = pending.pop(task)
                 reply = self._accept_reply(disk, task.result())
@@ -197,24 +205,23 @@
                     return reply.newer_view
                 if call.suffices(reply):
                     return Success([reply])
-                replies[disk.folder] = reply
-                paths = [path for path in paths if path.disk.folder not in replies]
+                paths = [path for path in paths if path.disk.folder != disk.folder]
+                _record_reply(call, disk, reply, replies, refusals)
+            if refusals and call.is_final:
+                break
         else:
             return Success(list(replies.values()))
-        hosts = [disk.host for disk in all_disks(view) if disk.folder not in replies]
-        detail = f"no reply from {', '.join(hosts)} at epoch {view.epoch}"
-        return Err(Failure(Code.UNREACHABLE, call.method, hosts[0] if hosts else "", detail))
+        return Err(_failure(call.method, view, replies, refusals))
 
     def _start_call(
         self,
         pending: dict[asyncio.Task[Result[_R, Failure]], Disk],
         path: Path,
-        view: View,
         call: QuorumCall[_R],
+        message: bytes,
         deadline_s: float,
     ) -> None:
         timeout_s = min(RPC_TIMEOUT_S, max(0.0, deadline_s - time.monotonic()))
-        message = call.build_message(view)
         task: asyncio.Task[Result[_R, Failure]] = asyncio.create_task(
             path.call(path.disk, call.method, message, call.reply_type, timeout_s)
         )
@@ -249,9 +256,9 @@
             self._erased.add(disk.folder)
             logs.logger("turns").warning("disk_erased", peer=disk.host)
 
-    def _paths(self, view: View) -> list[Path]:
+    def _paths(self, view: View, preferred: Collection[str]) -> list[Path]:
         """Returns the paths in the order to try: each disk once, then each again via a relay."""
-        ranked = self._ranked(view)
+        ranked = self._ranked(view, preferred)
         paths = [Path(disk, self.links.call, False) for disk in ranked]
         if self.links.has_relays():
             paths += [Path(disk, self.links.call_via_relay, True) for disk in ranked]
@@ -274,13 +281,14 @@
         is_near = path.disk.region == self._here.region
         return is_near and time.monotonic() - last_reply_s > LINK_LOST_AFTER_S
 
-    def _ranked(self, view: View) -> list[Disk]:
+    def _ranked(self, view: View, preferred: Collection[str] = ()) -> list[Disk]:
         now_s = time.monotonic()
         members = {disk.folder for disk in view.members}
 
-        def rank(disk: Disk) -> tuple[bool, bool, bool, bool]:
+        def rank(disk: Disk) -> tuple[bool, bool, bool, bool, bool]:
             return (
                 self._suspected_until_s.get(disk.address, 0.0) > now_s,
+                disk.folder not in preferred,
                 # A joining disk lacks most records, and is busy with reading them.
                 disk.folder not in members,
                 disk.region != self._here.region,
@@ -299,3 +307,60 @@
             if disk.address not in self._suspected_until_s:
                 logs.logger("turns").warning("disk_suspected", peer=disk.host, reason=reason)
             self._suspected_until_s[disk.address] = until_s
+
+
+def _needed_paths(
+    view: View,
+    call: QuorumCall[_R],
+    paths: Sequence[Path],
+    replies: Collection[str],
+    pending: Collection[Disk],
+) -> list[Path]:
+    """Returns the paths on which a quorum may reply, besides the replies and the pending calls."""
+    expected = {*replies, *(disk.folder for disk in pending)}
+    needed: list[Path] = []
+    for path in paths:
+        if call.has_quorum(view, expected):
+            break
+        if (pending or needed) and not replies and call.is_sufficient is not None:
+            break  # Such replies are long; several would share a link between regions.
+        expected.add(path.disk.folder)
+        needed.append(path)
+    return needed
+
+
+def _record_reply(
+    call: QuorumCall[_R],
+    disk: Disk,
+    reply: _R,
+    replies: dict[str, _R],
+    refusals: dict[str, float],
+) -> None:
+    """Counts a disk's reply as one that accepts the call, by folder, or refuses it, by host."""
+    call.on_reply(reply)
+    refused_s = call.refused_s(reply)
+    if refused_s:
+        refusals[disk.host] = refused_s
+    else:
+        replies[disk.folder] = reply
+
+
+def _failure(
+    method: str, view: View, folders: Collection[str], refusals: Mapping[str, float]
+) -> Failure:
+    """Returns the failure of a call.
+
+    Args:
+        method: Method of the call.
+        view: The view in which it was made.
+        folders: Folders that replied.
+        refusals: Time after which each host that refused may accept it, in seconds.
+    """
+    if refusals:
+        hosts = ", ".join(refusals)
+        detail = "there is too little room for turns"
+        wait_s = min(refusals.values())
+        return Failure(Code.OVERLOADED, method, hosts, detail, True, wait_s)
+    silent = [disk.host for disk in all_disks(view) if disk.folder not in folders]
+    detail = f"no reply from {', '.join(silent)} at epoch {view.epoch}"
+    return Failure(Code.UNREACHABLE, method, silent[0] if silent else "", detail)
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/responder.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/responder.py
@@ -25,6 +25,7 @@
         body: Body; empty if the request is refused.
         refused_for_s: Time after which the caller may come back, if there is no memory for the
             request, whose body was not received; None if it is complete.
+        caller: IP number of the caller; empty if it is not known.
     """
 
     method: str
@@ -32,6 +33,7 @@
     headers: list[tuple[bytes, bytes]]
     body: bytes
     refused_for_s: float | None = None
+    caller: str = ""
 
 
 class CallerDisconnectedError(Exception):
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/stream.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/stream.py
@@ -1,14 +1,12 @@
 """Serves requests with event streams: conversation history, token budgets and stream resumption."""
 
 import asyncio
-import random
-from collections.abc import Awaitable
 
 from endiveworks.errors import Failure
 from endiveworks.gateway.events import Event, EventSplitter
 from endiveworks.gateway.memory_budget import Claim
-from endiveworks.gateway.request_queue import retry_after_s
 from endiveworks.turns.records import Reservation, Settlement, Turn
+from endiveworks.turns.room import RoomRequest
 from returns.result import Result, Success
 
 from .admission import STATUS_UNAVAILABLE, refuse_on_arrival
@@ -17,6 +15,7 @@
 from .context import Context
 from .exchange import Exchange, HttpError
 from .held_memory import Item
+from .prompt import build_prompt
 from .resumption import (
     adopt_origin,
     check_version,
@@ -37,17 +36,20 @@
     send_with_retries,
 )
 from .transcripts import Transcript
+from .turn_room import (
+    DISKS_UNAVAILABLE_RETRY_S,
+    ReservationFuture,
+    disk_error,
+    hold_room,
+    is_refused,
+    room_request,
+)
 from .upstreams import ResponseError
 
 STATUS_BUDGET_SPENT = 402
-STATUS_TURN_NOT_FOUND = 404
 STATUS_OK = 200
-# Within this time unresponsive disks are replaced, or the load balancer picks another entry.
-DISKS_UNAVAILABLE_RETRY_S = 1.0
 MAX_RESUMES = 3  # If a stream fails more often, the request itself is the likely cause.
 
-ReservationFuture = Awaitable[Result[bool, Failure]]
-
 
 class _NoMemoryError(ResponseError):
     """Raised if a stream can't go on for want of memory of this process."""
@@ -116,51 +118,39 @@
     reservation: Reservation | None,
 ) -> int:
     may_refuse = context.fleet.programs.would_refuse(ex)
+    room = room_request(ex)
     if reservation is None:
         if may_refuse:
             context.fleet.programs.refuse(ex, is_under_way=False)
-        body = await _build_prompt(context, ex, responder)
-        return await _serve_events(context, ex, responder, body, stream, None)
+        try:
+            await hold_room(context, ex, room)
+            body = await build_prompt(context, ex, responder)
+            return await _serve_events(context, ex, responder, body, stream, None)
+        finally:
+            context.turns.forget_room(room.turn)
     sends_early = not may_refuse and _may_send_early(context, ex, reservation)
-    reservation_fut = asyncio.ensure_future(_reserve(context, ex, reservation))
+    sends_early = sends_early and context.turns.has_ample_room(room.size)
+    reservation_fut = asyncio.ensure_future(_reserve(context, ex, reservation, room))
     committed = False
     try:
         if may_refuse:
             await _await_reservation(reservation_fut, ex)
             others = context.turns.has_other_turns(reservation.program, reservation.turn)
             context.fleet.programs.refuse(ex, others)
-        body = await _build_prompt(context, ex, responder)
+        body = await build_prompt(context, ex, responder)
         if not sends_early:
             await _await_reservation(reservation_fut, ex)
         status = await _serve_events(context, ex, responder, body, stream, reservation_fut)
         committed = ex.route.retains_turns and status == STATUS_OK
         return status
     finally:
-        if not committed:
+        if not committed and not is_refused(reservation_fut):
             context.turns.settle(_settlement(reservation, stream.tokens()))
+        context.turns.forget_room(room.turn)
         if not reservation_fut.done():
             reservation_fut.cancel()
 
 
-async def _build_prompt(context: Context, ex: Exchange, responder: Responder) -> bytes:
-    """Returns the body for the replica: the preceding turns in order, then the new input."""
-    if not ex.route.retains_turns or not ex.request.previous_turn:
-        return ex.body
-    with ex.waits_for_disks("history"):
-        read = await context.turns.read_chain(ex.scoped(ex.request.previous_turn), ex.remaining_s())
-    if not isinstance(read, Success):
-        raise HttpError(STATUS_UNAVAILABLE, str(read.failure()), DISKS_UNAVAILABLE_RETRY_S)
-    chain = read.unwrap()
-    if chain is None:
-        raise HttpError(STATUS_TURN_NOT_FOUND, "the previous turn does not exist")
-    size = sum(len(turn.prompt) + len(turn.output) for turn in chain) + len(ex.body)
-    if not responder.account.claim(Item.RESPONSE, size, Claim.BEHIND):
-        wait_s = retry_after_s(responder.account.retry_wait_s(size), random.random())
-        raise HttpError(STATUS_UNAVAILABLE, "too little memory is free", wait_s)
-    parts = [part for turn in chain for part in (turn.prompt, turn.output)]
-    return b"".join([*parts, ex.body])
-
-
 def _reservation(ex: Exchange) -> Reservation | None:
     program = ex.request.program
     if program is None or program.budget_tokens is None:
@@ -183,9 +173,9 @@
 
 
 async def _reserve(
-    context: Context, ex: Exchange, reservation: Reservation
+    context: Context, ex: Exchange, reservation: Reservation, room: RoomRequest
 ) -> Result[bool, Failure]:
-    return await context.turns.reserve(reservation, _budget_tokens(ex), ex.remaining_s())
+    return await context.turns.reserve(reservation, _budget_tokens(ex), ex.remaining_s(), room)
 
 
 def _may_send_early(context: Context, ex: Exchange, reservation: Reservation) -> bool:
@@ -210,8 +200,7 @@
     with ex.waits_for_disks("reservation"):
         reserved = await reservation_fut
     if not isinstance(reserved, Success):
-        status = STATUS_BAD_GATEWAY if ex.may_have_run else STATUS_UNAVAILABLE
-        raise HttpError(status, str(reserved.failure()), DISKS_UNAVAILABLE_RETRY_S)
+        raise disk_error(ex, reserved.failure())
     if not reserved.unwrap():
         status = STATUS_BAD_GATEWAY if ex.may_have_run else STATUS_BUDGET_SPENT
         raise HttpError(status, "the token budget of the program is exhausted")
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/turn_store.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/turn_store.py
@@ -3,20 +3,24 @@
 import asyncio
 import time
 from collections.abc import Callable, Collection, Iterable, Sequence
+from contextlib import AsyncExitStack
+from typing import NamedTuple
 
 from endiveworks.errors import Code, Failure
+from endiveworks.gateway.memory_budget import ORDINARY_BYTES
 from endiveworks.gateway.placement import Location
 from endiveworks.members.member import Member
 from endiveworks.telemetry import logs
 from endiveworks.turns import messages
 from endiveworks.turns.ledger import Ledger, Spending, allocated_tokens, fits_budget, merge_ledgers
 from endiveworks.turns.records import Record, Reservation, Settlement, Turn, encode
+from endiveworks.turns.room import RoomRequest
 from endiveworks.turns.store_time import StoreTime
 from endiveworks.turns.view import View, all_disks, is_read_quorum, is_write_quorum
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
-from ..rpc import Handler
+from ..rpc import MAX_FRAME_BYTES, Handler
 from .chain_renewal import ChainRenewer
 from .disk_links import RELAY
 from .ledger_cache import LedgerCache
@@ -24,6 +28,9 @@
 from .relays import relay_addresses
 from .turn_cache import TurnCache
 
+# Share of the room on disks up to which ordinary turns are sent without waiting until room is held.
+AMPLE_SHARE = 0.5
+ROOM_TOLD_S = 5.0  # Time for which it counts what a disk has told of its room.
 # Attempts to write a settlement; if all fail, the reservation keeps counting against the budget.
 MAX_SETTLE_ATTEMPTS = 5
 SETTLE_RETRY_S = 0.5  # Pause between attempts to write a settlement in the background.
@@ -33,6 +40,18 @@
 HEADROOM_TURNS = 4
 
 
+class _ToldRoom(NamedTuple):
+    """What a disk has told of its room.
+
+    Attributes:
+        used_share: Share of it that is taken.
+        at_s: Monotonic time at which it was told.
+    """
+
+    used_share: float
+    at_s: float
+
+
 class TurnStore:
     """Reads and writes turns and ledgers on a quorum of disks; holds only a cache of them itself.
 
@@ -46,12 +65,21 @@
         self._turns = TurnCache()
         self._renewer = ChainRenewer(self._quorum)
         self._ledgers = LedgerCache()
+        self._told_rooms: dict[str, _ToldRoom] = {}
+        # Folders of the disks that hold room for turns under way.
+        self._holders: dict[str, frozenset[str]] = {}
+        # Held while a long turn or chain is transferred, whose message takes several times its
+        # size of memory.
+        self._long_transfer = asyncio.Lock()
         self._background: set[asyncio.Task[None]] = set()
         self._store_time = StoreTime()
 
     def adopt(self, view: View | None) -> None:
         """Switches to a view if it is newer than the current one."""
         self._quorum.adopt(view)
+        folders = {disk.folder for disk in all_disks(view)} if view else set()
+        for folder in self._told_rooms.keys() - folders:
+            del self._told_rooms[folder]
 
     def set_on_view(self, on_view: Callable[[View], None]) -> None:
         """Sets the function that is called with each newer view, also one that a disk tells."""
@@ -98,37 +126,81 @@
         """
         return allocated_tokens(self._ledgers.get(program), excluded_turn=turn) > 0
 
+    def has_ample_room(self, size: int) -> bool:
+        """Tells whether disks have so much room that a turn can be sent before it is held.
+
+        Args:
+            size: Bytes that are to be stored.
+        """
+        if size > ORDINARY_BYTES or self._quorum.view is None:
+            return False
+        since_s = time.monotonic() - ROOM_TOLD_S
+        folders = [folder for folder, told in self._told_rooms.items() if told.at_s >= since_s]
+        return is_write_quorum(self._quorum.view, folders) and all(
+            self._told_rooms[folder].used_share <= AMPLE_SHARE for folder in folders
+        )
+
+    async def hold_room(self, room: RoomRequest, timeout_s: float) -> Result[None, Failure]:
+        """Holds room for a turn on disks; code OVERLOADED means that there is none."""
+        stored = await self._store([], "", timeout_s, room)
+        return stored.map(lambda _: None)
+
     async def reserve(
-        self, reservation: Reservation, budget: int, timeout_s: float
+        self,
+        reservation: Reservation,
+        budget: int,
+        timeout_s: float,
+        room: RoomRequest | None = None,
     ) -> Result[bool, Failure]:
         """Reserves tokens of a program's budget; the result tells whether they fit.
 
         Unless this returns a failure, the reservation counts whether it fits or not; the caller
-        must settle one that doesn't fit with zero tokens.
+        must settle one that doesn't fit with zero tokens. With code OVERLOADED there is no room on
+        the disks, and nothing is to be settled.
+
+        Args:
+            reservation: The tokens.
+            budget: Tokens that all turns of the program may generate together.
+            timeout_s: Time limit in seconds.
+            room: Room that the turn needs; None for none.
         """
         program, turn = reservation.program, reservation.turn
         # Counts at once for other turns of the program in this process, before any disk replies.
         self._ledgers.merge(program, {turn: Spending(turn, reservation.tokens, False)})
-        stored = await self._store([reservation], program, timeout_s)
+        stored = await self._store([reservation], program, timeout_s, room)
         if not isinstance(stored, Success):
+            if stored.failure().code is Code.OVERLOADED:
+                self._withdraw(reservation)
             return Err(stored.failure())
         ledger = stored.unwrap()
         self._ledgers.merge(program, ledger)
         return Success(fits_budget(ledger, reservation.turn, reservation.tokens, budget))
 
+    def _withdraw(self, reservation: Reservation) -> None:
+        """Gives back a reservation for which there is no room, at the disks that have stored it."""
+        unused = Settlement(reservation.program, reservation.turn, 0, reservation.retention_s)
+        if self._holders.get(reservation.turn):
+            self.settle(unused)
+        else:
+            self._ledgers.settle(unused)
+
     async def commit(
         self, turn: Turn, settlement: Settlement | None, timeout_s: float
     ) -> Result[None, Failure]:
         """Makes a turn and its settlement durable; its response must not be completed earlier."""
         records: list[Record] = [turn] if settlement is None else [turn, settlement]
         deadline_s = time.monotonic() + timeout_s
-        stored = await self._store(records, "", timeout_s)
-        while not isinstance(stored, Success):
-            # The response is already generated, so waiting for the disks to recover is worthwhile.
-            if time.monotonic() + COMMIT_RETRY_S >= deadline_s:
-                return Err(stored.failure())
-            await asyncio.sleep(COMMIT_RETRY_S)
+        async with AsyncExitStack() as stack:
+            if len(turn.prompt) + len(turn.output) > ORDINARY_BYTES:
+                await stack.enter_async_context(self._long_transfer)
             stored = await self._store(records, "", deadline_s - time.monotonic())
+            while not isinstance(stored, Success):
+                # The response is already generated, so waiting until disks recover is worthwhile.
+                if time.monotonic() + COMMIT_RETRY_S >= deadline_s:
+                    return Err(stored.failure())
+                await asyncio.sleep(COMMIT_RETRY_S)
+                stored = await self._store(records, "", deadline_s - time.monotonic())
+        self._holders.pop(turn.turn, None)
         if settlement is not None:
             self._ledgers.settle(settlement)
         self._turns.add(turn)
@@ -137,6 +209,7 @@
 
     def settle(self, settlement: Settlement) -> None:
         """Replaces a reservation with the tokens generated, in the background."""
+        self._holders.pop(settlement.turn, None)
         self._ledgers.settle(settlement)
         task = asyncio.create_task(self._settle(settlement))
         self._background.add(task)
@@ -147,6 +220,10 @@
         while self._background:
             await asyncio.wait(set(self._background))
 
+    def forget_room(self, turn: str) -> None:
+        """Forgets where room is held for a turn that has ended without being stored."""
+        self._holders.pop(turn, None)
+
     async def read_chain(
         self, turn: str, timeout_s: float
     ) -> Result[tuple[Turn, ...] | None, Failure]:
@@ -209,17 +286,39 @@
         )
 
     async def _store(
-        self, records: Sequence[Record], program: str, timeout_s: float
+        self,
+        records: Sequence[Record],
+        program: str,
+        timeout_s: float,
+        room: RoomRequest | None = None,
     ) -> Result[Ledger, Failure]:
-        encoded = [encode(record) for record in records]
-
         def build_message(view: View) -> messages.Store:
-            return messages.Store(view.epoch, encoded, program)
+            encoded = [encode(record) for record in records]
+            return messages.Store(view.epoch, encoded, program, room)
 
         def has_quorum(view: View, folders: Collection[str]) -> bool:
             return is_write_quorum(view, folders) and (not program or is_read_quorum(view, folders))
 
-        call = QuorumCall(messages.STORE, messages.Stored, build_message, has_quorum)
+        def on_reply(reply: messages.Stored) -> None:
+            self._told_rooms[reply.folder] = _ToldRoom(reply.used_share, time.monotonic())
+            if room is not None and not reply.refused_s:
+                holders = self._holders.get(room.turn, frozenset())
+                self._holders[room.turn] = holders | {reply.folder}
+
+        holders: Collection[str] = ()
+        for record in records:
+            holders = holders or self._holders.get(record.turn, ())
+        call = QuorumCall(
+            messages.STORE,
+            messages.Stored,
+            build_message,
+            has_quorum,
+            refused_s=lambda reply: reply.refused_s,
+            # Another disk may be in another region, whose link a long turn would fill.
+            is_final=room is not None and room.size > ORDINARY_BYTES,
+            preferred=holders,
+            on_reply=on_reply,
+        )
         started_s = time.monotonic()
         result = await self._quorum.call(call, timeout_s)
         now_s = time.monotonic()
@@ -231,7 +330,7 @@
         known_ids = self._turns.known_ids()
 
         def build_message(view: View) -> messages.Fetch:
-            return messages.Fetch(view.epoch, turn, known_ids)
+            return messages.Fetch(view.epoch, turn, known_ids, MAX_FRAME_BYTES)
 
         def is_sufficient(reply: messages.Fetched) -> bool:
             return bool(reply.chain)
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/platform_adapter.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/platform_adapter.py
@@ -32,6 +32,7 @@
         max_key_age_s: Age of the configuration from which no API key is accepted; None if keys are
             accepted until a newer configuration is read.
         memory_mb: Memory in megabytes above which a process is killed; 0 if it is not limited.
+        disk_mb: Size of the disk in megabytes; 0 if it is not limited.
         max_fds: Most file descriptors of a process; 0 if they are not limited.
         slow_readers: Whether replicas end if they hold more requests than their memory takes, so
             that what is sent to them at once is bounded.
@@ -53,6 +54,7 @@
     quota_terms: QuotaTerms = QuotaTerms()
     max_key_age_s: float | None = None
     memory_mb: float = 0.0
+    disk_mb: float = 0.0
     max_fds: int = 0
     slow_readers: bool = False
     load_shedding: bool = False
--- a/packages/endiveworks/src/endiveworks/turns/messages.py
+++ b/packages/endiveworks/src/endiveworks/turns/messages.py
@@ -4,8 +4,13 @@
 
 from .ledger import Spending
 from .records import Turn
+from .room import RoomRequest
 from .view import View
 
+# Bytes of turns in one message, beyond which it holds only one more. A page takes a sixth of a
+# second on the link between regions.
+PAGE_BYTES = 256 * 1024
+
 STORE = "turns.store"
 FETCH = "turns.fetch"
 LIST_HELD = "turns.list_held"
@@ -20,11 +25,13 @@
         epoch: Epoch of the view that the sender uses.
         records: Encoded records.
         program: Program whose ledger the reply is to contain; empty for none.
+        room: Room that must be there for the records to be stored; None for none.
     """
 
     epoch: int
     records: list[bytes]
     program: str = ""
+    room: RoomRequest | None = None
 
 
 class Stored(NamedTuple):
@@ -35,30 +42,49 @@
         newer_view: A view newer than the sender's if the request was refused because of it; else
             None.
         spending: The program's spending, as stored on this disk.
+        refused_s: Time after which there may be room, if nothing was stored for want of it; 0 if
+            the records were stored.
+        used_share: Share of the disk's room that is taken.
     """
 
     folder: str
     newer_view: View | None
     spending: list[Spending]
+    refused_s: float = 0.0
+    used_share: float = 0.0
 
 
 class Fetch(NamedTuple):
     """Request for a turn and its ancestors, except those that the reader has cached.
 
     Without a turn, the retention of the turns in known starts again.
+
+    Attributes:
+        epoch: Epoch of the view that the sender uses.
+        turn: Id of the turn; empty for none.
+        known: Ids of the turns that the reader has cached.
+        max_bytes: Bytes of turns that the reader has memory for.
     """
 
     epoch: int
     turn: str
     known: list[str]
+    max_bytes: int = PAGE_BYTES
 
 
 class Fetched(NamedTuple):
-    """Reply to Fetch: the chain, newest turn first. See Stored for the other fields."""
+    """Reply to Fetch. See Stored for the other fields.
+
+    Attributes:
+        chain: The newest part of the chain, newest turn first. Empty if the turn isn't held, or if
+            the reader has too little memory for it.
+        chain_bytes: Bytes of the chain as far as this disk holds it without a gap.
+    """
 
     folder: str
     newer_view: View | None
     chain: list[Turn]
+    chain_bytes: int = 0
 
 
 class ListHeld(NamedTuple):
--- a/packages/endiveworks/src/endiveworks/turns/records.py
+++ b/packages/endiveworks/src/endiveworks/turns/records.py
@@ -23,6 +23,16 @@
     retention_s: float
 
 
+class TurnParts(NamedTuple):
+    """A turn whose prompt and output are parts of its encoded record; fields as in Turn."""
+
+    turn: str
+    parent: str
+    prompt: memoryview
+    output: memoryview
+    retention_s: float
+
+
 class Reservation(NamedTuple):
     """Tokens reserved from a program's budget for a turn.
 
@@ -55,6 +65,11 @@
     b"r": Reservation,
     b"s": Settlement,
 }
+_PARTS_KINDS: dict[type, type[TurnParts] | type[Reservation] | type[Settlement]] = {
+    Turn: TurnParts,
+    Reservation: Reservation,
+    Settlement: Settlement,
+}
 _TAGS = {kind: tag for tag, kind in _KINDS.items()}
 
 
@@ -69,8 +84,27 @@
     Raises:
         ValueError: The bytes are not a valid record.
     """
-    kind = _KINDS.get(data[:1])
-    if kind is None:
-        raise ValueError(f"unknown record type {data[:1]!r}")
-    record: Record = msgspec.msgpack.decode(data[1:], type=kind)
+    record: Record = msgspec.msgpack.decode(data[1:], type=_kind(data))
     return record
+
+
+def decode_parts(data: bytes | memoryview) -> TurnParts | Reservation | Settlement:
+    """Decodes a record without a copy of a turn's prompt and output.
+
+    Raises:
+        ValueError: The bytes are not a valid record.
+    """
+    parts_kind = _PARTS_KINDS[_kind(data)]
+    return msgspec.msgpack.decode(memoryview(data)[1:], type=parts_kind)
+
+
+def turn_bytes(encoded: bytes | memoryview) -> memoryview:
+    """Returns the part of a turn's record that a message with the turn contains."""
+    return memoryview(encoded)[1:]
+
+
+def _kind(data: bytes | memoryview) -> type[Turn] | type[Reservation] | type[Settlement]:
+    kind = _KINDS.get(bytes(data[:1]))
+    if kind is None:
+        raise ValueError(f"unknown record type {bytes(data[:1])!r}")
+    return kind
--- a/packages/endiveworks/src/endiveworks/turns/tests/test_disk.py
+++ b/packages/endiveworks/src/endiveworks/turns/tests/test_disk.py
@@ -7,7 +7,11 @@
     apply,
     chain_of,
     expire,
-    records,
+    ledger_records,
+    move_ledger,
+    move_turn,
+    oldest_index,
+    place,
     spending_of,
 )
 from endiveworks.turns.ledger import Spending, allocated_tokens, fits_budget, merge_ledgers
@@ -67,7 +71,7 @@
     def test_a_turn_never_changes(self) -> None:
         state = state_of(turn("a"))
         assert not apply(state, turn("a")._replace(output=b"other\n"), NOW_S)
-        assert chain_of(state, "a")[0].output == b"out\n"
+        assert chain_of(state, "a")[0].record == encode(turn("a"))
 
 
 class TestExpiry:
@@ -112,6 +116,58 @@
 
     def test_the_records_recreate_the_state(self) -> None:
         state = state_of(turn("a"), turn("b", "a"), Settlement("p", "a", 23, 60.0))
-        recreated = state_of(*records(state))
-        assert chain_of(recreated, "b") == chain_of(state, "b")
+        turns = [decode(bytes(stored.record or b"")) for stored in state.turns.values()]
+        recreated = state_of(*turns, *ledger_records(state))
+        chains = [
+            [(stored.turn, stored.record) for stored in chain_of(found, "b")]
+            for found in (recreated, state)
+        ]
+        assert chains[0] == chains[1] and len(chains[0]) == 2
         assert spending_of(recreated, "p") == spending_of(state, "p")
+
+
+class TestSizes:
+    def test_what_was_applied_and_expired_takes_nothing(self) -> None:
+        state = state_of(turn("a"), Reservation("p", "a", 9, 60.0), Settlement("p", "a", 5, 60.0))
+        assert (state.memory_bytes > 0, state.log_bytes > 0, state.record_count) == (True, True, 2)
+        expire(state, NOW_S + 61.0 + EXPIRY_MARGIN_S)
+        assert (state.memory_bytes, state.log_bytes, state.record_count) == (0, 0, 0)
+
+    def test_a_sender_is_charged_for_its_turns_until_they_expire(self) -> None:
+        state = DiskState()
+        apply(state, turn("a"), NOW_S, sender="acme")
+        assert state.sender_bytes["acme"] == state.log_bytes
+        expire(state, NOW_S + 61.0 + EXPIRY_MARGIN_S)
+        assert not state.sender_bytes
+
+
+class TestPlaces:
+    NONE = 100
+
+    def state(self) -> DiskState:
+        """Returns a state of two turns and a ledger between them."""
+        state = DiskState()
+        records = [turn("a"), Reservation("p", "a", 9, 60.0), turn("b")]
+        for log_index, record in enumerate(records, 1):
+            apply(state, record, NOW_S)
+            place(state, record, log_index)
+        return state
+
+    def test_the_oldest_record_is_that_of_a_turn_or_a_ledger(self) -> None:
+        state = self.state()
+        assert oldest_index(state, self.NONE) == 1
+        move_turn(state, state.turns["a"], 4, b"")
+        assert oldest_index(state, self.NONE) == 2
+        move_ledger(state, "p", 5)
+        assert oldest_index(state, self.NONE) == 3
+
+    def test_a_later_record_of_a_ledger_does_not_replace_its_older_ones(self) -> None:
+        state = self.state()
+        move_turn(state, state.turns["a"], 4, b"")
+        reservation = Reservation("p", "b", 9, 60.0)
+        apply(state, reservation, NOW_S)
+        place(state, reservation, 5)
+        assert oldest_index(state, self.NONE) == 2
+
+    def test_an_empty_state_needs_no_record(self) -> None:
+        assert oldest_index(DiskState(), self.NONE) == self.NONE
--- a/tests/deployed/harness.py
+++ b/tests/deployed/harness.py
@@ -58,12 +58,22 @@
 
 
 class RunningDisk:
-    """A disk that a test can stop or erase while it runs."""
+    """A disk that a test can stop or erase while it runs.
 
-    def __init__(self, name: str, folder: Path) -> None:
+    Args:
+        name: Its name.
+        folder: Its data folder.
+        memory_mb: Memory of its process in megabytes; 0 for no limit.
+        disk_mb: Its size in megabytes; 0 for no limit.
+    """
+
+    def __init__(
+        self, name: str, folder: Path, memory_mb: float = 0.0, disk_mb: float = 0.0
+    ) -> None:
         self.name = name
         self.path = folder
-        self.disk_store: DiskStore = open_disk_store(folder).unwrap()
+        self._limits = (memory_mb, disk_mb)
+        self.disk_store: DiskStore = open_disk_store(folder, *self._limits).unwrap()
         self.address = ""
         self.server: rpc.RpcServer | None = None
 
@@ -86,7 +96,7 @@
     async def restart(self) -> None:
         """Ends the process with what it knows, and starts another one on its folder."""
         self.stop()
-        self.disk_store = open_disk_store(self.path).unwrap()
+        self.disk_store = open_disk_store(self.path, *self._limits).unwrap()
         await self.start()
 
     def disk(self) -> Disk:
@@ -193,6 +203,7 @@
         versions: Software versions of replicas by name; "v1" for the others.
         memory_mb: Memory of the entry in megabytes; 0 for no limit.
         slow_readers: Whether the memory of replicas is bounded as well.
+        disk_mb: Size of each disk in megabytes; 0 for no limit.
         route: Settings that replace those of the default routes.
 
     Attributes:
@@ -209,10 +220,12 @@
         versions: Mapping[str, str] | None = None,
         memory_mb: float = 0.0,
         slow_readers: bool = True,
+        disk_mb: float = 0.0,
         **route: Any,
     ) -> None:
         super().__init__("entry-0", memory_mb, slow_readers)
         self._folder = folder
+        self._disk_mb = disk_mb
         self.replicas = {name: SiteReplica(script) for name, script in replicas.items()}
         self.versions = dict(versions or {})
         self.unlisted: Collection[str] = ()
@@ -227,7 +240,7 @@
     async def __aenter__(self) -> "Deployment":
         self._stack = AsyncExitStack()
         for name in ("d1", "d2", "d3"):
-            disk = RunningDisk(name, self._folder / name)
+            disk = RunningDisk(name, self._folder / name, disk_mb=self._disk_mb)
             await disk.start()
             self._stack.callback(disk.stop)
             self.disks.append(disk)
--- a/tests/deployed/test_streams.py
+++ b/tests/deployed/test_streams.py
@@ -71,6 +71,8 @@
     def test_a_response_whose_turn_cannot_be_stored_is_incomplete(self, tmp_path: Path) -> None:
         async def scenario() -> None:
             async with Deployment(tmp_path, {"llm/a": streams("x")}, timeout_ms=500) as deployed:
+                # The entry knows of ample room, so it sends the next turn without asking for it.
+                assert (await deployed.send(TURN, b"zero", **turn("t0"))).complete
                 for disk in deployed.disks[1:]:
                     disk.stop()
                 reply = await deployed.send(TURN, b"one", **turn("t1"))
