Claim memory for a long chain before it is read, and read it in parts

Cause: a disk sent a chain whole in one message, and the entry held it as a frame, as turns and as the prompt joined from them before it claimed any memory. A chain beyond 32 MB passed the limit of a frame, which closed the connection, so that the disk counted as unreachable for all requests.

Change: a disk sends a page of a chain and tells the size of the rest. An entry claims memory for all of a long chain, and for the prompt, before it reads on; without it the request is refused with 503 before anything is sent, never with 404. One long turn or chain is transferred at a time.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/held_memory.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/held_memory.py
@@ -111,6 +111,10 @@
         """Adds bytes of a response if there is room and it takes only its part of the memory."""
         return self.resize(Item.RESPONSE, self._items[Item.RESPONSE] + size)
 
+    def release(self, item: Item, size: int) -> None:
+        """Takes bytes off an item."""
+        self.set(item, self._items[item] - size)
+
     def claim(self, item: Item, size: int, claim: Claim) -> bool:
         """Adds bytes to an item if there is room; returns whether there was."""
         if not self.is_limited:
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/turn_store.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/turn_store.py
@@ -20,7 +20,7 @@
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
-from ..rpc import MAX_FRAME_BYTES, Handler
+from ..rpc import Handler
 from .chain_renewal import ChainRenewer
 from .disk_links import RELAY
 from .ledger_cache import LedgerCache
@@ -52,6 +52,30 @@
     at_s: float
 
 
+class _ChainMemory:
+    """Memory for a long chain, which is claimed before its turns are read.
+
+    Args:
+        claim: Takes memory for bytes; returns whether there was any.
+    """
+
+    def __init__(self, claim: Callable[[int], bool]) -> None:
+        self._claim = claim
+        self._unread = 0
+
+    def cover(self, size: int) -> bool:
+        """Claims what is missing for the unread part of a chain; returns whether there was any."""
+        missing = size - self._unread
+        if missing > 0 and not self._claim(missing):
+            return False
+        self._unread = max(self._unread, size)
+        return True
+
+    def record_read(self, size: int) -> None:
+        """Notes that bytes of the chain have been read."""
+        self._unread = max(0, self._unread - size)
+
+
 class TurnStore:
     """Reads and writes turns and ledgers on a quorum of disks; holds only a cache of them itself.
 
@@ -225,16 +249,24 @@
         self._holders.pop(turn, None)
 
     async def read_chain(
-        self, turn: str, timeout_s: float
+        self, turn: str, timeout_s: float, claim: Callable[[int], bool] = lambda _: True
     ) -> Result[tuple[Turn, ...] | None, Failure]:
-        """Returns a turn and all its predecessors, oldest first; None if the turn doesn't exist."""
+        """Returns a turn and all its predecessors, oldest first; None if the turn doesn't exist.
+
+        Args:
+            turn: Id of the turn.
+            timeout_s: Time limit of each read in seconds.
+            claim: Takes memory for bytes of a long chain before they are read; returns whether
+                there was any. If not, the result is a failure with code OVERLOADED.
+        """
         chain: list[Turn] = []
         fetched: dict[str, Turn] = {}
+        memory = _ChainMemory(claim)
         turn_id = turn
         while turn_id:
             found = fetched.get(turn_id) or self._turns.get(turn_id)
             if found is None:
-                result = await self._fetch(turn_id, timeout_s)
+                result = await self._fetch_claimed(turn_id, timeout_s, memory)
                 if not isinstance(result, Success):
                     return Err(result.failure())
                 replies = result.unwrap()
@@ -325,15 +357,34 @@
         self._store_time.record(now_s - started_s, now_s)
         return result.map(lambda replies: merge_ledgers(reply.spending for reply in replies))
 
-    async def _fetch(self, turn: str, timeout_s: float) -> Result[list[messages.Fetched], Failure]:
+    async def _fetch_claimed(
+        self, turn: str, timeout_s: float, memory: "_ChainMemory"
+    ) -> Result[list[messages.Fetched], Failure]:
+        """Returns the replies of disks on a turn and its ancestors, if there is memory for them."""
+        result = await self._fetch(turn, messages.PAGE_BYTES, timeout_s)
+        replies = result.value_or([])
+        size = max((reply.chain_bytes for reply in replies), default=0)
+        if size > messages.PAGE_BYTES and not memory.cover(size):
+            detail = f"there is too little memory for a chain of {size} bytes"
+            return Err(Failure(Code.OVERLOADED, "turns.chain", "", detail, not_run=True))
+        if size and not any(reply.chain for reply in replies):
+            async with self._long_transfer:
+                result = await self._fetch(turn, size, timeout_s)
+        for reply in result.value_or([]):
+            memory.record_read(sum(map(_size, reply.chain)))
+        return result
+
+    async def _fetch(
+        self, turn: str, max_bytes: int, timeout_s: float
+    ) -> Result[list[messages.Fetched], Failure]:
         """Caches a turn and its ancestors as far as a disk holds them; returns the replies."""
         known_ids = self._turns.known_ids()
 
         def build_message(view: View) -> messages.Fetch:
-            return messages.Fetch(view.epoch, turn, known_ids, MAX_FRAME_BYTES)
+            return messages.Fetch(view.epoch, turn, known_ids, max_bytes)
 
         def is_sufficient(reply: messages.Fetched) -> bool:
-            return bool(reply.chain)
+            return bool(reply.chain) or reply.chain_bytes > 0
 
         call = QuorumCall(
             messages.FETCH, messages.Fetched, build_message, is_read_quorum, is_sufficient
@@ -343,3 +394,7 @@
             for fetched in reply.chain:
                 self._turns.add(fetched)
         return result
+
+
+def _size(turn: Turn) -> int:
+    return len(turn.prompt) + len(turn.output)
--- a/tests/crowds/site.py
+++ b/tests/crowds/site.py
@@ -4,6 +4,7 @@
 import json
 import os
 import time
+from collections.abc import Mapping
 from pathlib import Path
 
 from endiveworks_standins.site_caller import (
@@ -13,7 +14,14 @@
     write_request,
 )
 from endiveworks_standins.site_config import operator_config
-from endiveworks_standins.site_replica import Arrival, SiteReplica, buffered_response
+from endiveworks_standins.site_replica import (
+    Arrival,
+    SiteReplica,
+    buffered_response,
+    chunk,
+    event,
+    stream_head,
+)
 from endiveworks_standins.site_store import SiteStore
 
 from tests.soak.hosts import ZONES, Host
@@ -42,29 +50,54 @@
     return True
 
 
+async def _stream(arrival: Arrival, writer: asyncio.StreamWriter) -> bool:
+    size = str(len(arrival.body))
+    writer.write(stream_head(arrival) + chunk(event(1, size)) + chunk(b""))
+    return True
+
+
 class CrowdedSite:
     """A small deployment whose entry has little memory and few descriptors.
 
     Args:
         folder: Folder for settings, logs and data.
         contracts: Terms in force, as the settings name them.
+        memory_mb: Memory of the entry, in megabytes.
+        disk_limits: Limits of the processes with disks, by their names in the settings.
 
     Attributes:
         entry: The process that serves callers.
+        disks: The processes that keep turns.
     """
 
-    def __init__(self, folder: Path, contracts: tuple[str, ...] = ()) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        contracts: tuple[str, ...] = (),
+        memory_mb: int = MEMORY_MB,
+        disk_limits: Mapping[str, int] | None = None,
+    ) -> None:
         folder.mkdir(exist_ok=True)
         pid = os.getpid()
         net = f"127.{1 + pid % _NETWORKS}.{1 + pid // _NETWORKS % _NETWORKS}"
         self._store = SiteStore()
-        self._replicas = {name: SiteReplica(_answer) for name in (TURNS_REPLICA, PLAIN_REPLICA)}
-        limits = {"memory_mb": MEMORY_MB, "max_fds": MAX_FDS}
+        self._replicas = {
+            TURNS_REPLICA: SiteReplica(_stream),
+            PLAIN_REPLICA: SiteReplica(_answer),
+        }
+        limits = {"memory_mb": memory_mb, "max_fds": MAX_FDS}
         self.entry = Host(
             "entry-0", f"{net}.1", folder, self._store.address, False, limits, contracts
         )
-        self._disks = [
-            Host(f"disk-{number}", f"{net}.{number + 2}", folder, self._store.address, True)
+        self.disks = [
+            Host(
+                f"disk-{number}",
+                f"{net}.{number + 2}",
+                folder,
+                self._store.address,
+                True,
+                disk_limits,
+            )
             for number in range(3)
         ]
         self._beating: asyncio.Task[None] | None = None
@@ -75,7 +108,7 @@
         for replica in self._replicas.values():
             await replica.start()
         self._beating = asyncio.create_task(self._beat())
-        for host in (self.entry, *self._disks):
+        for host in (self.entry, *self.disks):
             await host.start()
         assert await self.ask(SMALL, timeout_s=START_S) is not None
         return self
@@ -83,7 +116,7 @@
     async def __aexit__(self, *_: object) -> None:
         if self._beating is not None:
             self._beating.cancel()
-        for host in (self.entry, *self._disks):
+        for host in (self.entry, *self.disks):
             host.stop()
         for replica in self._replicas.values():
             replica.stop()
@@ -102,20 +135,23 @@
             await asyncio.sleep(max(wait_s, MIN_PAUSE_S))
         return None
 
-    async def send(self, target: str, body: bytes = b"", chunk_bytes: int = 0) -> Response | None:
+    async def send(
+        self, target: str, body: bytes = b"", chunk_bytes: int = 0, **more: str
+    ) -> Response | None:
         """Sends a request on a new connection; returns None if there was no response.
 
         Args:
             target: Its path.
             body: Its body.
             chunk_bytes: Size of the chunks in which the body is sent; 0 to send it with a length.
+            more: Further headers, with underscores for dashes.
         """
         ip, _, port = self.entry.front.rpartition(":")
         writer = None
         try:
             async with asyncio.timeout(TIMEOUT_MS / 1000):
                 reader, writer = await asyncio.open_connection(ip, int(port))
-                named = {"Deadline_Ms": str(TIMEOUT_MS)}
+                named = {"Deadline_Ms": str(TIMEOUT_MS)} | more
                 if chunk_bytes:
                     write_chunked_request(writer, target, body, chunk_bytes, named)
                 else:
