Keep a part of a sender's room for turns that continue others

One sender's first turns could take all of its share of a disk's room, after which its programs under way were refused as well. First turns now take nine tenths of a sender's share, as they do of the room. The test of senders asserts both; it failed on the code before for the turn that continues another one.

--- a/packages/endiveworks/src/endiveworks/turns/room.py
+++ b/packages/endiveworks/src/endiveworks/turns/room.py
@@ -36,7 +36,7 @@
 # Share of the room up to which turns of LONG_TURN_BYTES and more are admitted.
 LONG_TURN_SHARE = 0.5
 LONG_TURN_BYTES = 512 * 1024
-# Share of the room up to which turns that continue no other one are admitted.
+# Share of the room, and of a sender's, up to which turns that continue no other one are admitted.
 FIRST_TURN_SHARE = 0.9
 SENDER_SHARE = 0.75  # Share of the room that the turns of one sender may take.
 # Bounds of the time after which a refused sender is asked to return. Room that is held for turns
@@ -132,8 +132,7 @@
         if req.turn in self._holds:
             return 0.0
         need = _need(req.size)
-        share = admitted_share(req.size, req.is_first)
-        missing = self._missing(need, share, req.sender)
+        missing = self._missing(req, need)
         if missing.memory > 0 or missing.log > 0:
             return self._wait_s(missing, now_s)
         self._holds[req.turn] = _Hold(need, req.sender, now_s + req.hold_s)
@@ -172,15 +171,17 @@
     def _admitted(self) -> RoomLimits:
         return RoomLimits(*(limit * ADMITTED_SHARE for limit in self.limits))
 
-    def _missing(self, need: _Need, share: float, sender: str) -> _Need:
+    def _missing(self, req: RoomRequest, need: _Need) -> _Need:
         """Returns how much must be given back before there is room."""
-        admitted = self._admitted()
+        admitted, sender = self._admitted(), req.sender
+        share = admitted_share(req.size, req.is_first)
         memory = self._state.memory_bytes + self._held.memory + need.memory
         log = self._state.log_bytes + self._held.log + need.log
         missing_log = log - admitted.log_bytes * share
         if sender:
             taken = self._state.sender_bytes.get(sender, 0) + self._held_of(sender) + need.log
-            missing_log = max(missing_log, taken - admitted.log_bytes * SENDER_SHARE)
+            sender_share = SENDER_SHARE * (FIRST_TURN_SHARE if req.is_first else 1.0)
+            missing_log = max(missing_log, taken - admitted.log_bytes * sender_share)
         missing_memory = memory - admitted.memory_bytes * share
         return _Need(
             math.ceil(missing_memory) if missing_memory > 0 else 0,
--- a/packages/endiveworks/src/endiveworks/turns/tests/test_room.py
+++ b/packages/endiveworks/src/endiveworks/turns/tests/test_room.py
@@ -77,8 +77,9 @@
     def test_one_sender_leaves_room_for_the_others(self, room: Room, state: DiskState) -> None:
         fill(room, state, SMALL, "acme")
         assert room.used_share() <= SENDER_SHARE + 0.01
-        assert room.request(ask(-1, SMALL, "acme", False), NOW_S) > 0
-        assert room.request(ask(-1, SMALL, "other"), NOW_S) == 0.0
+        assert room.request(ask(-1, SMALL, "acme"), NOW_S) > 0
+        assert room.request(ask(-1, SMALL, "acme", False), NOW_S) == 0.0
+        assert room.request(ask(-2, SMALL, "other"), NOW_S) == 0.0
 
     def test_turns_under_way_count_for_their_sender(self, room: Room, state: DiskState) -> None:
         fill(room, state, LONG // 10, "acme", stored=False)
