Bound what programs take at the own interface

Change: the bytes of programs count as they are applied. A call that is repeated gets its answer all the same. Programs closed long ago make room also while nothing is written, which was when they were dropped.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/caller_memory.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/caller_memory.py
@@ -5,7 +5,7 @@
 
 from endiveworks.gateway.memory_budget import BYTES_PER_MB, Claim, claim_of, has_room
 
-# Share of the host's memory that callers may take if no setting says how much.
+# Share of the host's memory that callers, or programs, may take if no setting says how much.
 DEFAULT_SHARE = 0.25
 # Share of callers' memory that requests and responses may take; the rest is for connections,
 # threads and the allocator.
@@ -20,10 +20,23 @@
     Args:
         caller_memory_mb: Memory for callers in megabytes; 0 for the default.
     """
-    if caller_memory_mb:
-        return caller_memory_mb * BYTES_PER_MB * HELD_SHARE
+    return _memory_bytes(caller_memory_mb) * HELD_SHARE
+
+
+def program_memory_bytes(program_memory_mb: int) -> float:
+    """Returns the memory for programs in bytes.
+
+    Args:
+        program_memory_mb: The same in megabytes; 0 for the default.
+    """
+    return _memory_bytes(program_memory_mb)
+
+
+def _memory_bytes(megabytes: int) -> float:
+    if megabytes:
+        return megabytes * BYTES_PER_MB
     host_bytes = os.sysconf("SC_PAGE_SIZE") * os.sysconf("SC_PHYS_PAGES")
-    return host_bytes * DEFAULT_SHARE * HELD_SHARE
+    return host_bytes * DEFAULT_SHARE
 
 
 class CallerMemory:
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/entry.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/entry.py
@@ -8,6 +8,7 @@
 from endiveworks.links.client import Peers
 from endiveworks.links.link_share import LinkShare
 from endiveworks.members.member import Member
+from endiveworks.programs.memory import ProgramMemory
 from endiveworks.programs.owner import Owner
 from endiveworks.programs.plan import Upstreams
 from endiveworks.settings.flags import Values
@@ -16,6 +17,7 @@
 from endiveworks.wire.gen import Executor as ExecutorThrift
 from endiveworks.wire.gen import Owner as OwnerThrift
 
+from .caller_memory import program_memory_bytes
 from .callers import serve_callers
 from .copy_links import CopyLinks
 from .deployment import Deployment, make_deployment
@@ -59,10 +61,15 @@
     )
     metrics = Metrics(cfg.text("statsd"), cfg.text("host"))
     instrumented = instrument_upstreams(_traced_links(cfg, deployment, links), metrics)
-    owner = Owner(instrumented, deployment.bundle, program_observer(metrics))
+    owner = Owner(
+        instrumented,
+        deployment.bundle,
+        program_observer(metrics),
+        ProgramMemory(program_memory_bytes(cfg.integer("program_memory_mb"))),
+    )
     LoadPoller(peers, origin, deployment.members, selector).start()
     PrefixLeaseRenewer(owner, peers, origin, deployment.members).start()
-    start_idle_expiry(owner, cfg.number("program_idle_s"))
+    start_idle_expiry(owner, cfg.number("program_idle_s"), metrics)
     entries = Peers(OwnerThrift.Client)
     store = open_folder(cfg.text("data_dir"), deployment.kv)
     copies = CopyLinks(deployment.identity, store, deployment.members, entries, share)
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/options.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/options.py
@@ -86,6 +86,12 @@
         "Entry: memory that callers may take, in megabytes; 0 for a quarter of the host's.",
         between(0, 2**20),
     )
+    flags.define_integer(
+        "program_memory_mb",
+        0,
+        "Entry: memory that programs may take, in megabytes; 0 for a quarter of the host's.",
+        between(0, 2**20),
+    )
     flags.define_integer(
         "max_header_bytes", 16384, "Entry: largest request headers.", between(1024, 2**20)
     )
--- a/packages/endiveworks/src/endiveworks/programs/decide.py
+++ b/packages/endiveworks/src/endiveworks/programs/decide.py
@@ -9,6 +9,7 @@
 
 from ..config.bundle import Service, TenantSettings
 from ..errors import Code, Failure
+from .memory import ProgramMemory
 from .records import (
     Call,
     CallClaimed,
@@ -23,6 +24,7 @@
 
 CLAIM_STEP = "programs.claim"
 _ANY_TENANT = "*"
+UNLIMITED = ProgramMemory()
 
 
 class OpenCommand(NamedTuple):
@@ -59,7 +61,11 @@
 
 
 def open_program(
-    partition: Partition, req: OpenCommand, program: str, services: Mapping[str, Service]
+    partition: Partition,
+    req: OpenCommand,
+    program: str,
+    services: Mapping[str, Service],
+    memory: ProgramMemory = UNLIMITED,
 ) -> Result[Decision, Failure]:
     """Opens a program under a new id, unless its idempotency key was used before."""
     step = "programs.open"
@@ -84,6 +90,9 @@
         refusal = _check_parent(partition, req)
         if refusal is not None:
             return Err(refusal)
+    no_room = memory.refuse_program(req.tenant)
+    if no_room is not None:
+        return Err(no_room)
     budget = req.budget_tokens or limit
     opened = ProgramOpened(
         program, req.tenant, class_name, req.parent, budget, req.request_key, req.at_s
@@ -92,7 +101,10 @@
 
 
 def start_call(
-    partition: Partition, req: StartCommand, services: Mapping[str, Service]
+    partition: Partition,
+    req: StartCommand,
+    services: Mapping[str, Service],
+    memory: ProgramMemory = UNLIMITED,
 ) -> Result[Decision, Failure]:
     """Accepts the next call of a program, or returns the existing call that is repeated."""
     step = "programs.start"
@@ -118,6 +130,9 @@
     if reserved > available:
         detail = f"the call may need {reserved} tokens and {available} are left"
         return _refuse(Code.BUDGET_EXCEEDED, step, detail)
+    no_room = memory.refuse_call(req.tenant, len(req.body), program.stored_bytes)
+    if no_room is not None:
+        return Err(no_room)
     started = CallStarted(
         program=req.program,
         call=req.call,
--- a/packages/endiveworks/src/endiveworks/programs/owner.py
+++ b/packages/endiveworks/src/endiveworks/programs/owner.py
@@ -22,7 +22,8 @@
     open_program,
     start_call,
 )
-from .partition import PartitionActor, commit, query, start_actor
+from .memory import ProgramMemory
+from .partition import PartitionActor, RemoveClosed, commit, query, start_actor
 from .plan import CallContext, Upstreams
 from .queries import ProgramStatus, ended_call, history_of, running_calls, status_of, stored_stream
 from .records import Call, ProgramClosed, ProgramOpened
@@ -54,6 +55,7 @@
         upstreams: Functions that reach the upstream processes.
         bundle: Returns the current configuration.
         on_closed: Called for each program that is closed.
+        memory: Bounds what the programs take; None for no bound.
     """
 
     def __init__(
@@ -61,7 +63,9 @@
         upstreams: Upstreams,
         bundle: Callable[[], Bundle],
         on_closed: Callable[[ProgramOpened, ProgramClosed], None] = lambda opened, closed: None,
+        memory: ProgramMemory | None = None,
     ) -> None:
+        self.memory = memory or ProgramMemory()
         self._upstreams = upstreams
         self._bundle = bundle
         self._on_closed = on_closed
@@ -71,7 +75,7 @@
 
     def add_partition(self, partition: int, epoch: int, opened: OpenedLog) -> Result[None, Failure]:
         """Starts to serve a partition and completes the calls that were running in it."""
-        started = start_actor(partition, epoch, opened)
+        started = start_actor(partition, epoch, opened, self.memory)
         if not isinstance(started, Success):
             return Err(started.failure())
         owned = _OwnedPartition(epoch, started.unwrap())
@@ -109,7 +113,9 @@
         req = open_command(tenant, body, time.time())
         services = self._bundle().services
         ref = owned.unwrap().ref
-        decided = commit(ref, lambda state: open_program(state, req, program, services))
+        decided = commit(
+            ref, lambda state: open_program(state, req, program, services, self.memory)
+        )
         if not isinstance(decided, Success):
             return Err(decided.failure())
 
@@ -151,6 +157,13 @@
             if isinstance(decided, Success):
                 self._cancel_closed(partition, decided.unwrap())
 
+    def remove_closed(self) -> None:
+        """Removes programs that were closed long ago."""
+        with self._lock:
+            owned = tuple(self._partitions.values())
+        for partition in owned:
+            partition.ref.tell(RemoveClosed())
+
     def list_open_programs(self, limit: int) -> list[ProgramStatus]:
         """Returns up to limit programs that are not closed, in no particular order."""
 
@@ -183,7 +196,8 @@
         if not isinstance(owned, Success):
             return Err(owned.failure())
         decided = commit(
-            owned.unwrap().ref, lambda state: start_call(state, start.unwrap(), bundle.services)
+            owned.unwrap().ref,
+            lambda state: start_call(state, start.unwrap(), bundle.services, self.memory),
         )
         if not isinstance(decided, Success):
             return Err(decided.failure())
--- a/packages/endiveworks/src/endiveworks/programs/partition.py
+++ b/packages/endiveworks/src/endiveworks/programs/partition.py
@@ -13,8 +13,9 @@
 from ..journal.api import Log, OpenedLog
 from ..journal.entries import DamagedLogError
 from .decide import Decision
+from .memory import ProgramMemory
 from .records import Record, decode, encode
-from .state import Partition, apply, snapshot
+from .state import Partition, apply, remove_closed, snapshot
 
 T = TypeVar("T")
 Decide = Callable[[Partition], Result[Decision, Failure]]
@@ -35,6 +36,10 @@
     select: Callable[[Partition], Any]
 
 
+class RemoveClosed(NamedTuple):
+    """Message that requests the removal of programs closed long ago, without a snapshot."""
+
+
 class Committed(NamedTuple):
     """A decision, and the future that completes once all records it depends on are stored."""
 
@@ -66,8 +71,14 @@
 
     use_daemon_thread = True
 
-    def __init__(self, partition: int, epoch: int, log: Log, state: Partition) -> None:
+    def __init__(
+        self, partition: int, epoch: int, log: Log, state: Partition, memory: ProgramMemory
+    ) -> None:
         super().__init__()
+        self._memory = memory
+        for tenant, size in state.tenant_bytes.items():
+            memory.add(tenant, size)
+        state.on_bytes = memory.add
         self._partition = partition
         self._epoch = epoch
         self._log = log
@@ -75,13 +86,18 @@
         self._last_append: DurableFuture = _completed()
 
     def on_receive(self, message: Any) -> Any:
-        """Handles a Commit or a Query."""
+        """Handles a Commit, a Query or a RemoveClosed."""
         if isinstance(message, Commit):
             return self._commit(message.decide)
+        if isinstance(message, RemoveClosed):
+            remove_closed(self._state, time.time() - _CLOSED_RETENTION_S)
+            return None
         return self._query(message.select)
 
     def on_stop(self) -> None:
         """Finishes the pending appends."""
+        for tenant, size in self._state.tenant_bytes.items():
+            self._memory.add(tenant, -size)
         self._log.close()
 
     def _commit(self, decide: Decide) -> Result[Committed | Refused, Failure]:
@@ -120,7 +136,7 @@
 
     def _snapshot(self) -> None:
         records = snapshot(self._state, time.time() - _CLOSED_RETENTION_S)
-        self._log.snapshot([encode(record) for record in records])
+        self._log.snapshot(encode(record) for record in records)
 
     def _append_failure(self) -> Failure | None:
         if not self._last_append.done():
@@ -134,9 +150,16 @@
 
 
 def start_actor(
-    partition: int, epoch: int, opened: OpenedLog
+    partition: int, epoch: int, opened: OpenedLog, memory: ProgramMemory | None = None
 ) -> Result[pykka.ActorRef[PartitionActor], Failure]:
-    """Rebuilds a partition from its log and starts its actor."""
+    """Rebuilds a partition from its log and starts its actor.
+
+    Args:
+        partition: Number of the partition.
+        epoch: Epoch at which it was opened.
+        opened: Its log.
+        memory: Counts what its programs take; None for no bound.
+    """
     state = Partition()
     try:
         for data in opened.records:
@@ -146,7 +169,9 @@
             apply(state, outcome.unwrap())
     except DamagedLogError as exc:
         return Err(exc.failure)
-    return Success(PartitionActor.start(partition, epoch, opened.log, state))
+    return Success(
+        PartitionActor.start(partition, epoch, opened.log, state, memory or ProgramMemory())
+    )
 
 
 def commit(ref: "pykka.ActorRef[PartitionActor]", decide: Decide) -> Result[Decision, Failure]:
--- a/packages/endiveworks/src/endiveworks/programs/state.py
+++ b/packages/endiveworks/src/endiveworks/programs/state.py
@@ -1,5 +1,7 @@
 """State of the programs of one partition, rebuilt from the records of its log."""
 
+from collections.abc import Callable, Sequence
+
 from ..engines.chat_format import completion_message, parse_messages
 from .records import (
     CHAT,
@@ -15,6 +17,12 @@
     Record,
 )
 
+# Memory of one item beside its bytes.
+_PROGRAM_BYTES = 2048
+_CALL_BYTES = 1536
+_CLAIM_BYTES = 512
+_MESSAGE_BYTES = 64
+
 
 class Program:
     """One program: its calls in order and its budget.
@@ -29,6 +37,7 @@
         messages: The history: each message as JSON, oldest first.
         attempts: Number of attempts dispatched for all its calls.
         last_upstream: Host of the upstream process that ran the last chat.
+        stored_bytes: Bytes that it takes in memory.
     """
 
     def __init__(self, opened: ProgramOpened) -> None:
@@ -41,6 +50,7 @@
         self.messages: list[bytes] = []
         self.attempts = 0
         self.last_upstream = ""
+        self.stored_bytes = 0
 
     @property
     def next_call(self) -> int:
@@ -68,11 +78,15 @@
     Attributes:
         programs: Programs by id.
         opened_keys: Program opened under each idempotency key of a tenant.
+        tenant_bytes: Bytes that the programs of each tenant take in memory.
+        on_bytes: Called with a tenant and the bytes by which its programs grow.
     """
 
     def __init__(self) -> None:
         self.programs: dict[str, Program] = {}
         self.opened_keys: dict[tuple[str, str], str] = {}
+        self.tenant_bytes: dict[str, int] = {}
+        self.on_bytes: Callable[[str, int], None] = lambda tenant, size: None
 
     def with_ancestors(self, program: str) -> tuple[Program, ...]:
         """Returns the program and its ancestors; the budget of each limits the program."""
@@ -111,21 +125,29 @@
         closed_before_s: Programs closed before this time, in seconds since the Unix epoch, are
             removed.
     """
+    remove_closed(partition, closed_before_s)
+    return [_snapshot_of(program) for program in partition.programs.values()]
+
+
+def remove_closed(partition: Partition, closed_before_s: float) -> None:
+    """Removes programs closed before a time, in seconds since the Unix epoch."""
     for name, program in list(partition.programs.items()):
         if program.closed is not None and program.closed.at_s < closed_before_s:
             _remove(partition, name)
-    return [_snapshot_of(program) for program in partition.programs.values()]
 
 
 def _open(partition: Partition, program: Program) -> None:
     opened = program.opened
     partition.programs[opened.program] = program
+    _add_bytes(partition, program, _size_of(program))
     if opened.request_key:
         partition.opened_keys[opened.tenant, opened.request_key] = opened.program
 
 
 def _start(partition: Partition, record: CallStarted) -> None:
-    partition.programs[record.program].calls[record.call] = Call(record)
+    program = partition.programs[record.program]
+    program.calls[record.call] = Call(record)
+    _add_bytes(partition, program, _CALL_BYTES + len(record.body))
     _charge(partition, record.program, record.reserved_tokens)
 
 
@@ -134,11 +156,14 @@
     call = program.calls[record.call]
     program.calls[record.call] = call._replace(claims=(*call.claims, record))
     program.attempts = record.attempt
+    _add_bytes(partition, program, _CLAIM_BYTES)
     _charge(partition, record.program, record.reserved_tokens)
 
 
 def _release(partition: Partition, record: CallReleased) -> None:
-    call = partition.programs[record.program].calls.pop(record.call)
+    program = partition.programs[record.program]
+    call = program.calls.pop(record.call)
+    _add_bytes(partition, program, -_call_bytes(call))
     _charge(partition, record.program, record.spent_tokens - call.reserved_tokens)
 
 
@@ -151,22 +176,27 @@
     started = call.started
     if record.outcome is Outcome.DONE and started.operation == CHAT and program.closed is None:
         program.history_tokens = used
-        program.messages += parse_messages(started.body)
-        program.messages.append(completion_message(record.response))
+        messages = [*parse_messages(started.body), completion_message(record.response)]
+        program.messages += messages
+        _add_bytes(partition, program, _messages_bytes(messages))
         program.last_upstream = record.upstream
     # The body is no longer needed: the history holds the messages, and the digest distinguishes a
     # repeat from another request.
-    program.calls[record.call] = Call(started._replace(body=b""), (), record)
+    ended = program.calls[record.call] = Call(started._replace(body=b""), (), record)
+    _add_bytes(partition, program, _call_bytes(ended) - _call_bytes(call))
 
 
 def _close(partition: Partition, record: ProgramClosed) -> None:
     program = partition.programs[record.program]
     program.closed = record
+    _add_bytes(partition, program, -_messages_bytes(program.messages))
     program.messages = []
 
 
 def _remove(partition: Partition, name: str) -> None:
-    opened = partition.programs.pop(name).opened
+    program = partition.programs.pop(name)
+    _add_bytes(partition, program, -program.stored_bytes)
+    opened = program.opened
     partition.opened_keys.pop((opened.tenant, opened.request_key), None)
 
 
@@ -197,6 +227,31 @@
     return program
 
 
+def _add_bytes(partition: Partition, program: Program, size: int) -> None:
+    tenant = program.opened.tenant
+    program.stored_bytes += size
+    left = partition.tenant_bytes.get(tenant, 0) + size
+    if left:
+        partition.tenant_bytes[tenant] = left
+    else:
+        partition.tenant_bytes.pop(tenant, None)
+    partition.on_bytes(tenant, size)
+
+
+def _size_of(program: Program) -> int:
+    calls = sum(_call_bytes(call) for call in program.calls.values())
+    return _PROGRAM_BYTES + calls + _messages_bytes(program.messages)
+
+
+def _call_bytes(call: Call) -> int:
+    response = len(call.ended.response) if call.ended is not None else 0
+    return _CALL_BYTES + len(call.started.body) + len(call.claims) * _CLAIM_BYTES + response
+
+
+def _messages_bytes(messages: Sequence[bytes]) -> int:
+    return sum(map(len, messages)) + len(messages) * _MESSAGE_BYTES
+
+
 def _charge(partition: Partition, program: str, tokens: int) -> None:
     for found in partition.with_ancestors(program):
         found.budget_tokens -= tokens
--- a/packages/endiveworks/src/endiveworks/settings/shared.py
+++ b/packages/endiveworks/src/endiveworks/settings/shared.py
@@ -22,6 +22,7 @@
     "max_body_bytes",
     "max_callers",
     "caller_memory_mb",
+    "program_memory_mb",
     "max_header_bytes",
     "request_s",
     "caller_silence_s",
--- a/tests/crowds/test_own_interface.py
+++ b/tests/crowds/test_own_interface.py
@@ -28,6 +28,7 @@
 ANSWER_TIMEOUT_S = 60.0
 START_S = 60.0
 PAUSE_S = 0.2
+MAX_PROGRAMS = 1000  # Several times those that fit.
 HEADERS = (
     "Host: x",
     f"Endive-Tenant: {TENANT}",
@@ -155,3 +156,31 @@
         body = start + b"x" * (BODY_BYTES - len(start) - 2) + b'"}'
         reply = shop.send("/v1/services/shop/order", body, call, chunk_bytes)
         assert reply is not None and reply.status == 200
+
+
+class TestPrograms:
+    """Programs were kept until the process was out of memory, by whatever callers sent."""
+
+    def test_programs_without_room_are_refused_and_those_open_go_on(self, tmp_path: Path) -> None:
+        with Fleet(tmp_path) as fleet:
+            fleet.start_kv()
+            fleet.publish(SERVICES)
+            fleet.start_upstream("up-shop", EAST, "shop", fleet.start_plain("shop"))
+            flags = (*FLAGS, "--program_memory_mb=1")
+            shop = Shop(fleet, fleet.start_entry("entry-1", EAST, *flags))
+            assert shop.order()
+            programs: list[str] = []
+            for _ in range(MAX_PROGRAMS):
+                reply = shop.send("/v1/programs", b'{"service": "shop"}', {})
+                assert reply is not None
+                if reply.status != 201:
+                    break
+                programs.append(json.loads(reply.body)["id"])
+            assert reply.status == 503 and int(reply.headers["Retry-After"]) >= 10
+            assert json.loads(reply.body)["code"] == "overloaded"
+            assert programs
+            call = {"Endive-Program": programs[0], "Endive-Call": "1"}
+            first = shop.send("/v1/services/shop/order", b'{"item": "x"}', call)
+            again = shop.send("/v1/services/shop/order", b'{"item": "x"}', call)
+            assert first is not None and again is not None
+            assert (first.status, again.status, first.body) == (200, 200, again.body)
