Admit as much as a joining disk can hold for the tolerance, and document the room

A disk admitted half of what it can keep, though all turns together are only 1.5 times what one of three disks has, and 1.67 times of five. It now admits two thirds and three fifths, and needed records may take 0.68 of the disk in place of 0.55, as records are written again at 1.25 times what is needed.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/disks/disk_records.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/disks/disk_records.py
@@ -23,10 +23,10 @@
 
 # Records that are needed are written again, so that those before them can be discarded, when the
 # log holds this many times what is needed, and so much more.
-MAX_LOG_RATIO = 1.5
-SPARE_LOG_BYTES = 4 * 1024 * 1024
+MAX_LOG_RATIO = 1.25
+SPARE_LOG_BYTES = 4 * 1024 * 1024  # Bytes that the log may hold beside MAX_LOG_RATIO.
 MAX_COUNT_RATIO = 2.0  # A settlement replaces its reservation, which stays in the log.
-SPARE_RECORDS = 2_000
+SPARE_RECORDS = 2_000  # Records that the log may hold beside MAX_COUNT_RATIO.
 REWRITE_BYTES = 256 * 1024  # Records that are written again at once; a longer one alone.
 # Records whose write failed that are kept to be written again, before others are taken on.
 MAX_UNWRITTEN_BYTES = 8 * 1024 * 1024
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/disks/disk_store.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/disks/disk_store.py
@@ -244,6 +244,7 @@
     data_dir: Path,
     memory_mb: float = 0.0,
     disk_mb: float = 0.0,
+    tolerance: int = 1,
     metrics: Metrics | None = None,
 ) -> Result[DiskStore, Failure]:
     """Opens the data folder and replays its log; a corrupt folder is moved aside and replaced.
@@ -252,6 +253,7 @@
         data_dir: The data folder.
         memory_mb: Memory of the process in megabytes; 0 if it is not limited.
         disk_mb: Size of the disk in megabytes; 0 if it is not limited.
+        tolerance: Disks that may be lost at once.
         metrics: Receives gauges and counters; None for none.
     """
     result = open_turn_log(data_dir, disk_mb)
@@ -270,7 +272,7 @@
         return Err(view.failure())
     left_mb = disk_mb - remove_if_large(data_dir, disk_mb)
     state = _replay(log)
-    room = Room(state, room_limits(memory_mb, left_mb))
+    room = Room(state, room_limits(memory_mb, left_mb), tolerance)
     disk_store = DiskStore(data_dir, DiskRecords(log, state), room, log.is_new, metrics)
     disk_store.adopt(view.unwrap())
     return Success(disk_store)
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/disks/room_report.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/disks/room_report.py
@@ -5,7 +5,7 @@
 from endiveworks.telemetry import logs
 from endiveworks.telemetry.metrics import Metrics
 from endiveworks.turns.disk import DiskState
-from endiveworks.turns.room import ADMITTED_SHARE, Room
+from endiveworks.turns.room import Room
 
 # Room counts as regained when nobody was refused for this long.
 REGAINED_AFTER_S = 10.0
@@ -58,7 +58,7 @@
 
     def _log(self, event: str, **fields: object) -> None:
         largest = self._state.sender_bytes.most_common(1)
-        limit = self._room.limits.log_bytes * ADMITTED_SHARE
+        limit = self._room.admitted.log_bytes
         logs.logger("turns").warning(
             event,
             used_share=round(self._room.used_share(), 3),
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/disks/run.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/disks/run.py
@@ -37,7 +37,9 @@
     if settings.data_dir is None:
         raise OSError("data_dir is not configured")
     metrics = Metrics("", settings.host)
-    opened = open_disk_store(settings.data_dir, settings.memory_mb, settings.disk_mb, metrics)
+    opened = open_disk_store(
+        settings.data_dir, settings.memory_mb, settings.disk_mb, settings.tolerance, metrics
+    )
     if not isinstance(opened, Success):
         raise OSError(str(opened.failure()))
     disk_store = opened.unwrap()
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/disks/turn_log.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/disks/turn_log.py
@@ -18,7 +18,7 @@
 _FIRST_EPOCH = 1
 # Segments of a disk. A segment is deleted as a whole, so their size is a part of the overhead.
 SEGMENTS_OF_DISK = 32
-MIN_SEGMENT_BYTES = 1024 * 1024
+MIN_SEGMENT_BYTES = 1024 * 1024  # Least size of a segment on a small disk.
 # Kinds of entries that hold a record; earlier versions wrote some as part of a snapshot.
 _RECORD_KINDS = (b"r", b"p")
 
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/turn_room.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/turn_room.py
@@ -14,9 +14,8 @@
 
 # Within this time unresponsive disks are replaced, or the load balancer picks another entry.
 DISKS_UNAVAILABLE_RETRY_S = 1.0
-# Bytes of output that are expected of a token, or of a turn that names no number of tokens.
-OUTPUT_BYTES_PER_TOKEN = 8
-UNKNOWN_OUTPUT_BYTES = 4 * 1024
+OUTPUT_BYTES_PER_TOKEN = 8  # Bytes of output that are expected of a token.
+UNKNOWN_OUTPUT_BYTES = 4 * 1024  # Bytes that are expected of a turn that names no tokens.
 ROOM_MARGIN_S = 1.0  # Time beyond a turn's deadline for which room is held for it.
 RETURN_SPREAD = 0.25  # Share of the time until there is room by which callers return later.
 
--- a/packages/endiveworks/src/endiveworks/turns/disk.py
+++ b/packages/endiveworks/src/endiveworks/turns/disk.py
@@ -14,10 +14,10 @@
 EXPIRY_MARGIN_S = 60.0
 # Longer chains are cut off, so that a corrupt record can't cause an endless loop.
 MAX_CHAIN = 10_000
-# Memory of one item, with its entries in the containers and in the index of the log.
+# Memory of a turn, with its entries in the containers and in the index of the log.
 TURN_MEMORY_BYTES = 600
-SPENDING_MEMORY_BYTES = 300
-LEDGER_MEMORY_BYTES = 700
+SPENDING_MEMORY_BYTES = 300  # Memory of what one turn has spent, in a ledger.
+LEDGER_MEMORY_BYTES = 700  # Memory of the ledger of a program, without its entries.
 # Bytes of a record in the log beside the prompt and the output of a turn.
 RECORD_OVERHEAD_BYTES = 200
 
--- a/packages/endiveworks/src/endiveworks/turns/room.py
+++ b/packages/endiveworks/src/endiveworks/turns/room.py
@@ -4,8 +4,9 @@
 a replica runs it. Each disk decides for itself, and holds the room that it has granted until the
 turn is stored or settled.
 
-New turns take at most ADMITTED_SHARE of what a disk can keep. Every turn is on more than half of
-the disks, so all turns together fit on each disk, and a disk that joins can copy them.
+New turns take at most a part of what a disk can keep: of `2 * tolerance + 1` disks, `tolerance + 1`
+have each turn, so all turns together take up to `2 - 1 / (tolerance + 1)` times what one disk has.
+They still fit on one disk, and a disk that joins can copy them.
 """
 
 import itertools
@@ -28,20 +29,18 @@
 MIN_STATE_BYTES = 8 * BYTES_PER_MB
 # Share of the disk that needed records may take; the rest is for records that are no longer needed
 # and for the segment that is written.
-LOG_SHARE = 0.55
-ADMITTED_SHARE = 0.5  # See the module's description.
+LOG_SHARE = 0.68
 # A turn of up to this size may take the last of the room. The longer a turn, the more must stay
 # free, so that those who send long ones leave room for the others.
 SMALL_TURN_BYTES = 16 * 1024
 # Share of the room up to which turns of LONG_TURN_BYTES and more are admitted.
 LONG_TURN_SHARE = 0.5
-LONG_TURN_BYTES = 512 * 1024
+LONG_TURN_BYTES = 512 * 1024  # See LONG_TURN_SHARE.
 # Share of the room, and of a sender's, up to which turns that continue no other one are admitted.
 FIRST_TURN_SHARE = 0.9
 SENDER_SHARE = 0.75  # Share of the room that the turns of one sender may take.
-# Bounds of the time after which a refused sender is asked to return. Room that is held for turns
-# under way may be free long before a stored turn expires.
-MIN_WAIT_S = 1.0
+MIN_WAIT_S = 1.0  # Least time after which a refused sender is asked to return.
+# Longest such time. Room that is held for turns under way may be free before a turn expires.
 MAX_WAIT_S = 30.0
 MAX_LOOKAHEAD = 4096  # Turns that are looked at to tell when enough room is free again.
 
@@ -118,11 +117,18 @@
     Args:
         state: State of the disk.
         limits: The most that it may take.
+        tolerance: Disks that may be lost at once.
+
+    Attributes:
+        limits: The most that the state may take.
+        admitted: The most that it may take with turns that room is asked for.
     """
 
-    def __init__(self, state: DiskState, limits: RoomLimits) -> None:
+    def __init__(self, state: DiskState, limits: RoomLimits, tolerance: int = 1) -> None:
         self._state = state
         self.limits = limits
+        part = (tolerance + 1) / (2 * tolerance + 1)
+        self.admitted = RoomLimits(*(limit * part for limit in limits))
         self._holds: dict[str, _Hold] = {}
         self._held = _Need(0, 0)
 
@@ -158,7 +164,7 @@
 
     def used_share(self) -> float:
         """Returns the share of the room that is taken or held; 0 without limits."""
-        admitted = self._admitted()
+        admitted = self.admitted
         used = _Need(
             self._state.memory_bytes + self._held.memory, self._state.log_bytes + self._held.log
         )
@@ -168,12 +174,9 @@
         """Returns the bytes of the log that are held for turns under way."""
         return self._held.log
 
-    def _admitted(self) -> RoomLimits:
-        return RoomLimits(*(limit * ADMITTED_SHARE for limit in self.limits))
-
     def _missing(self, req: RoomRequest, need: _Need) -> _Need:
         """Returns how much must be given back before there is room."""
-        admitted, sender = self._admitted(), req.sender
+        admitted, sender = self.admitted, req.sender
         share = admitted_share(req.size, req.is_first)
         memory = self._state.memory_bytes + self._held.memory + need.memory
         log = self._state.log_bytes + self._held.log + need.log
--- a/packages/endiveworks/src/endiveworks/turns/tests/test_room.py
+++ b/packages/endiveworks/src/endiveworks/turns/tests/test_room.py
@@ -6,7 +6,6 @@
 from endiveworks.turns.disk import EXPIRY_MARGIN_S, DiskState, apply, expire
 from endiveworks.turns.records import Turn
 from endiveworks.turns.room import (
-    ADMITTED_SHARE,
     MAX_WAIT_S,
     SENDER_SHARE,
     Room,
@@ -89,7 +88,7 @@
 class TestHolds:
     def test_room_is_held_for_turns_under_way(self, room: Room, state: DiskState) -> None:
         admitted = fill(room, state, LONG, stored=False)
-        assert admitted * LONG <= LOG_BYTES * ADMITTED_SHARE
+        assert admitted * LONG <= room.admitted.log_bytes
 
     def test_a_repeated_request_holds_nothing_more(self, room: Room) -> None:
         room.request(ask(1, SMALL), NOW_S)
@@ -119,7 +118,7 @@
     def test_memory_is_limited_by_the_number_of_turns(self, state: DiskState) -> None:
         room = Room(state, RoomLimits(memory_bytes=1_000_000))
         admitted = fill(room, state, 0)
-        assert 0 < admitted < 1_000_000 * ADMITTED_SHARE / 600
+        assert 0 < admitted < room.admitted.memory_bytes / 600
 
     def test_without_limits_nothing_is_refused(self, state: DiskState) -> None:
         room = Room(state, room_limits(0, 0))
@@ -128,11 +127,13 @@
 
 
 class TestLimits:
-    def test_a_joining_disk_has_room_for_all_turns(self, state: DiskState) -> None:
-        """Each turn is on 2 of 3 disks, so all of them are 1.5 times what one admits."""
-        room = Room(state, RoomLimits(log_bytes=LOG_BYTES))
-        admitted = fill(room, state, SMALL, stored=True)
-        for number in range(admitted, admitted + admitted // 2):
+    @pytest.mark.parametrize("tolerance", [0, 1, 2, 5])
+    def test_a_joining_disk_has_room_for_all_turns(self, state: DiskState, tolerance: int) -> None:
+        """All disks are as full as they may be, and each turn is on no more than is needed."""
+        room = Room(state, RoomLimits(log_bytes=LOG_BYTES), tolerance)
+        admitted = fill(room, state, SMALL)
+        of_all = admitted * (2 * tolerance + 1) // (tolerance + 1)
+        for number in range(admitted, of_all):
             assert room.fits(SMALL)
             apply(state, Turn(f"u{number}", "", b"x" * SMALL, b"", RETENTION_S), NOW_S)
 
