--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/exchange.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/exchange.py
@@ -8,6 +8,7 @@
 
 import xxhash
 from endiveworks.gateway.messages import Request
+from endiveworks.gateway.names import bounded_name
 from endiveworks.gateway.outcomes import Source
 from endiveworks.gateway.request_queue import QueuedRequest
 from endiveworks.gateway.routes import Route, RouteType, RoutingTable
@@ -119,12 +120,15 @@
     def _hash(self, body: bytes) -> str:
         request = self.request
         head = f"{request.method} {request.hostname} {request.target}\n"
-        digest = xxhash.xxh3_64(self.scoped(head).encode())
+        digest = xxhash.xxh3_64(self._with_tenant(head).encode())
         digest.update(body)
         return digest.hexdigest()
 
     def scoped(self, name: str) -> str:
         """Returns a name that no other tenant's request has, for state kept between requests."""
+        return self._with_tenant(bounded_name(name))
+
+    def _with_tenant(self, name: str) -> str:
         tenant = self.request.tenant
         return f"{tenant}\n{name}" if tenant and name else name
 
--- a/tests/deployed/test_disk_room.py
+++ b/tests/deployed/test_disk_room.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import pytest
+from endiveworks.gateway.names import MAX_NAME_CHARS
 from endiveworks.journal import segments
 from endiveworks.turns.disk import chain_of, expire, renew, spending_of
 from endiveworks.turns.records import Settlement, Turn, decode, encode
@@ -279,3 +280,25 @@
         small.close()
         assert not aside.exists()
         assert RunningDisk("d1", tmp_path, disk_mb=20.0).disk_store.room.limits.log_bytes > limit
+
+
+class TestLongNames:
+    def test_a_turn_with_a_long_id_is_kept_under_a_short_one(self, tmp_path: Path) -> None:
+        """Ids of up to 16 kB took memory on the disks for as long as their turns were kept."""
+
+        async def scenario() -> None:
+            async with Deployment(tmp_path, {"llm/a": streams("x")}) as deployed:
+                long_id, program = "i" * 8_000, "p" * 6_000
+                named = PROGRAM | {"Program_Id": program}
+                reply = await deployed.send(TURN, b"one", **turn(long_id, **named))
+                assert (reply.complete, reply.headers["request-id"]) == (True, long_id)
+                assert deployed.replicas["llm/a"].arrivals[-1].headers["request-id"] == long_id
+                reply = await deployed.send(TURN, b"two", **turn("t2", long_id, **named))
+                assert reply.complete
+                assert deployed.replicas["llm/a"].arrivals[-1].body == b"onex\ntwo"
+                for disk in deployed.disks:
+                    state = disk.disk_store.state
+                    names = [*state.turns, *state.programs]
+                    assert max(map(len, names), default=0) <= MAX_NAME_CHARS
+
+        run(scenario)
