Bound the origins of streams that a disk keeps by their number

Cause: 20,000 requests were kept with up to six attempts each, which callers decide: 60 MB when full, measured by filling it, and 20 MB with one attempt each.

Change: 24,000 starts at most; the oldest requests go first and count as missing, as before. The memory beside a disk's state counts with them now, 85 MB in place of 75.

The test fails on the code before, which keeps 120,000. tests/crowds also replaces a disk while long turns fill all of them: it reads what the others have within its memory and its disk, and the turns that were answered go on.

--- a/packages/endiveworks/src/endiveworks/gateway/origin_memory.py
+++ b/packages/endiveworks/src/endiveworks/gateway/origin_memory.py
@@ -13,6 +13,7 @@
 
 # Requests whose starts one process keeps at most; the oldest are dropped.
 MAX_REQUESTS = 20_000
+MAX_STARTS = 24_000  # Starts of all requests; the oldest requests are dropped.
 # Attempts of one request that are kept; a reply with all of them fits in a datagram.
 MAX_ATTEMPTS = 6
 FIRST_EPOCH = 1  # Epoch of the first view of a deployment.
@@ -45,6 +46,7 @@
         self._is_joining = False
         self._epoch = 0
         self._requests: OrderedDict[bytes, _Request] = OrderedDict()
+        self._starts = 0
 
     def __len__(self) -> int:
         """Returns the number of requests."""
@@ -91,13 +93,15 @@
         told = request.told.get(start.attempt)
         if told is not None and told[0].number > start.number:
             return
+        self._starts -= len(request.told)
         request.told[start.attempt] = (start, now_s)
         if len(request.told) > MAX_ATTEMPTS:
             self._drop_expired_attempts(request, now_s)
         if len(request.told) > MAX_ATTEMPTS:
             del request.told[start.attempt]
             request.is_partial = True
-        if len(self._requests) > MAX_REQUESTS:
+        self._starts += len(request.told)
+        while len(self._requests) > MAX_REQUESTS or self._starts > MAX_STARTS:
             self._drop_oldest()
 
     def reply(self, key: bytes, now_s: float) -> HolderReply:
@@ -126,6 +130,7 @@
     def _drop_oldest(self) -> None:
         """Drops a request that isn't expired, after which older ones count as missing."""
         _, dropped = self._requests.popitem(last=False)
+        self._starts -= len(dropped.told)
         if self._complete_since_s is not None:
             self._complete_since_s = max(self._complete_since_s, dropped.told_s)
 
@@ -133,4 +138,5 @@
         while self._requests:
             if now_s - next(iter(self._requests.values())).told_s <= RETENTION_S:
                 return
-            self._requests.popitem(last=False)
+            _, expired = self._requests.popitem(last=False)
+            self._starts -= len(expired.told)
--- a/packages/endiveworks/src/endiveworks/gateway/tests/test_origin_memory.py
+++ b/packages/endiveworks/src/endiveworks/gateway/tests/test_origin_memory.py
@@ -1,6 +1,11 @@
 """What a disk process keeps of where streams began, and the time for which it counts."""
 
-from endiveworks.gateway.origin_memory import MAX_ATTEMPTS, MAX_REQUESTS, OriginMemory
+from endiveworks.gateway.origin_memory import (
+    MAX_ATTEMPTS,
+    MAX_REQUESTS,
+    MAX_STARTS,
+    OriginMemory,
+)
 from endiveworks.gateway.stream_origins import RETENTION_S, StreamOrigin, StreamStart
 from endiveworks.turns.view import Disk, View
 
@@ -52,6 +57,20 @@
         kept.keep(b"k", start("one-more"), 101.0)
         assert kept.reply(b"k", 101.0).is_partial
 
+    def test_requests_with_many_attempts_take_no_more_memory(self) -> None:
+        """They took 60 MB of a disk's process, three times as much as others."""
+        kept = memory("a", True, (FIRST, 100.0))
+        for number in range(MAX_REQUESTS):
+            for attempt in range(MAX_ATTEMPTS):
+                kept.keep(str(number).encode(), start(f"r{attempt}"), 101.0 + number / 1e4)
+        assert len(kept) == MAX_STARTS // MAX_ATTEMPTS
+        newest = kept.reply(str(MAX_REQUESTS - 1).encode(), 104.0)
+        assert len(newest.starts) == MAX_ATTEMPTS
+        assert newest.held_s < RETENTION_S  # What was dropped counts as missing.
+        late_s = 200.0 + RETENTION_S
+        kept.keep(b"late", start(), late_s)
+        assert (len(kept), kept._starts) == (1, 1)
+
     def test_what_was_dropped_for_want_of_room_counts_as_missing(self) -> None:
         kept = memory("a", True, (FIRST, 100.0))
         for number in range(MAX_REQUESTS):
--- a/packages/endiveworks/src/endiveworks/turns/room.py
+++ b/packages/endiveworks/src/endiveworks/turns/room.py
@@ -22,9 +22,9 @@
 )
 
 BYTES_PER_MB = 1_000_000  # The settings count in decimal megabytes.
-# Memory of a disk process beside its state: the interpreter and the links, messages and writes
-# under way, and the list of everything that a joining disk asks for.
-BASE_MEMORY_BYTES = 75 * BYTES_PER_MB
+# Memory of a disk process beside its state: 25 MB for the interpreter and the links, 20 MB for the
+# origins of streams, and messages and writes under way, with the list that a joining disk asks for.
+BASE_MEMORY_BYTES = 85 * BYTES_PER_MB
 # State on machines whose memory hardly exceeds the base.
 MIN_STATE_BYTES = 8 * BYTES_PER_MB
 # Share of the disk that needed records may take; the rest is for records that are no longer needed
--- a/tests/crowds/test_turns.py
+++ b/tests/crowds/test_turns.py
@@ -164,6 +164,37 @@
         assert max(usage.memory_mb for usage in usages) <= DISK_PROCESS_MB, usages
 
 
+class TestLoss:
+    def test_a_disk_is_replaced_while_all_are_full(self, tmp_path: Path) -> None:
+        """The new disk reads all that the others have, beside the client that fills them."""
+
+        async def scenario() -> None:
+            async with started(tmp_path) as site:
+                answered: list[str] = []
+                with contextlib.ExitStack() as stack:
+                    usages = [
+                        stack.enter_context(watched(lambda disk=disk: disk.pid, f"{disk.ip}:7380"))
+                        for disk in site.disks
+                    ]
+                    async with running(send_long_turns, site, answered):
+                        await asyncio.sleep(CROWD_S / 2)
+                        await site.disks[0].wipe()
+                        await asyncio.sleep(CROWD_S)
+                    for previous in (answered[0], answered[-1]):
+                        end_s = time.monotonic() + 20.0
+                        while not (await send_turn(site, next(_names), previous, b"more"))[0]:
+                            assert time.monotonic() < end_s, previous
+                            await asyncio.sleep(0.2)
+                assert [disk.unasked for disk in site.disks] == [[]] * len(site.disks)
+                assert max(usage.memory_mb for usage in usages) <= DISK_PROCESS_MB, usages
+                for disk in site.disks:
+                    assert disk.data is not None
+                    size = sum(path.stat().st_size for path in disk.data.glob("*.wal"))
+                    assert size <= DISK_MB * 1e6
+
+        asyncio.run(scenario())
+
+
 class TestCalm:
     def test_one_turn_of_the_longest_length_and_a_chain_of_some_are_served(
         self, tmp_path: Path
