--- a/tests/deployed/test_disk_room.py
+++ b/tests/deployed/test_disk_room.py
@@ -47,7 +47,11 @@
 class TestRefusals:
     """Disks kept every turn in memory until their processes were killed for it (review/7)."""
 
-    @pytest.mark.parametrize("named", [{}, PROGRAM], ids=["without a budget", "with a budget"])
+    @pytest.mark.parametrize(
+        "named",
+        [{}, PROGRAM, PROGRAM | {"Token_Budget": "100000"}],
+        ids=["without a budget", "with a short budget", "with an ample budget"],
+    )
     def test_a_turn_without_room_is_refused_before_a_replica_runs_it(
         self, tmp_path: Path, named: dict[str, str]
     ) -> None:
