Count the objects of turns in an entry's cache

Cause: the cache of 24 MB counted prompts and outputs only. A client with turns of a few bytes could have it hold a million of them, with some 400 bytes of objects each (computed).

The test fails on the code before, which keeps all.

--- a/tests/deployed/test_turn_reads.py
+++ b/tests/deployed/test_turn_reads.py
@@ -110,6 +110,16 @@
         run(scenario)
 
 
+class TestShortTurns:
+    def test_their_objects_count_for_the_cache(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """A cache for 24 MB of prompts and outputs held a million turns of a few bytes."""
+        monkeypatch.setattr(cache_module, "MAX_CACHE_BYTES", 10 * cache_module.TURN_OBJECT_BYTES)
+        cache = cache_module.TurnCache()
+        for number in range(100):
+            cache.add(Turn(f"t{number}", "", b"", b"", 60.0))
+        assert cache.known_ids() == [f"t{number}" for number in range(90, 100)]
+
+
 class TestReadsAfterARestart:
     """A process that has cached nothing yet, as after a loss of power of all processes."""
 
