Refuse a chain whose turns continue each other

A disk walked 10,000 steps for each read.

Change: an entry gives up, with 503 before anything is sent, at a turn that the chain contains already; a disk stops there.

TestTurnsThatContinueEachOther doesn't end on the code before; test_a_chain_stops_before_a_turn_that_it_contains reads 10,000 there.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/disks/disk_store.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/disks/disk_store.py
@@ -145,7 +145,7 @@
         chain = chain_of(self.state, req.turn, req.known)
         page = [self._records.read(stored) for stored in _first_page(chain, req.max_bytes)]
         turns = [msgspec.Raw(turn_bytes(data)) for data in page]
-        size = sum(stored.size for stored in chain)
+        size = sum(stored.log_bytes for stored in chain)
         return msgspec.msgpack.encode(_EncodedFetched(self.folder, None, turns, size))
 
     async def list_held(self, message: memoryview) -> bytes:
@@ -296,7 +296,7 @@
     page: list[StoredTurn] = []
     size = 0
     for stored in chain:
-        size += stored.size
+        size += stored.log_bytes
         if size > max_bytes or (page and size > messages.PAGE_BYTES):
             break
         page.append(stored)
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/turn_store.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/turn_store.py
@@ -12,6 +12,7 @@
 from endiveworks.members.member import Member
 from endiveworks.telemetry import logs
 from endiveworks.turns import messages
+from endiveworks.turns.disk import RECORD_OVERHEAD_BYTES
 from endiveworks.turns.ledger import Ledger, Spending, allocated_tokens, fits_budget, merge_ledgers
 from endiveworks.turns.records import Record, Reservation, Settlement, Turn, encode
 from endiveworks.turns.room import RoomRequest
@@ -262,8 +263,13 @@
         chain: list[Turn] = []
         fetched: dict[str, Turn] = {}
         memory = _ChainMemory(claim)
+        seen: set[str] = set()
         turn_id = turn
         while turn_id:
+            if turn_id in seen:
+                detail = f"the turns before {turn} continue each other"
+                return Err(Failure(Code.CORRUPT, "turns.chain", "", detail, not_run=True))
+            seen.add(turn_id)
             found = fetched.get(turn_id) or self._turns.get(turn_id)
             if found is None:
                 result = await self._fetch_claimed(turn_id, timeout_s, memory)
@@ -371,7 +377,7 @@
             async with self._long_transfer:
                 result = await self._fetch(turn, size, timeout_s)
         for reply in result.value_or([]):
-            memory.record_read(sum(map(_size, reply.chain)))
+            memory.record_read(sum(map(_log_bytes, reply.chain)))
         return result
 
     async def _fetch(
@@ -396,5 +402,6 @@
         return result
 
 
-def _size(turn: Turn) -> int:
-    return len(turn.prompt) + len(turn.output)
+def _log_bytes(turn: Turn) -> int:
+    """Returns what a turn counts for in the size of a chain that a disk tells."""
+    return len(turn.prompt) + len(turn.output) + RECORD_OVERHEAD_BYTES
--- a/packages/endiveworks/src/endiveworks/turns/disk.py
+++ b/packages/endiveworks/src/endiveworks/turns/disk.py
@@ -191,7 +191,8 @@
     """Returns a turn and its ancestors, newest first.
 
     The chain stops before the first turn in known, which the reader has cached, and before a turn
-    that is missing here, so that the reader can query another disk for it.
+    that is missing here, so that the reader can query another disk for it. It also stops before a
+    turn that it contains: callers name the turns, and those of two disks may name each other.
     """
     stop = set(known)
     chain: list[StoredTurn] = []
@@ -200,6 +201,7 @@
         if stored is None:
             break
         chain.append(stored)
+        stop.add(turn)
         turn = stored.parent
     return tuple(chain)
 
--- a/packages/endiveworks/src/endiveworks/turns/messages.py
+++ b/packages/endiveworks/src/endiveworks/turns/messages.py
@@ -78,7 +78,7 @@
     Attributes:
         chain: The newest part of the chain, newest turn first. Empty if the turn isn't held, or if
             the reader has too little memory for it.
-        chain_bytes: Bytes of the chain as far as this disk holds it without a gap.
+        chain_bytes: Bytes of the chain on this disk, as far as it holds it without a gap.
     """
 
     folder: str
--- a/packages/endiveworks/src/endiveworks/turns/tests/test_disk.py
+++ b/packages/endiveworks/src/endiveworks/turns/tests/test_disk.py
@@ -68,6 +68,10 @@
     def test_a_chain_stops_before_a_missing_turn(self) -> None:
         assert [t.turn for t in chain_of(state_of(turn("c", "b")), "c")] == ["c"]
 
+    def test_a_chain_stops_before_a_turn_that_it_contains(self) -> None:
+        state = state_of(turn("a", "c"), turn("b", "a"), turn("c", "b"))
+        assert [t.turn for t in chain_of(state, "c")] == ["c", "b", "a"]
+
     def test_a_turn_never_changes(self) -> None:
         state = state_of(turn("a"))
         assert not apply(state, turn("a")._replace(output=b"other\n"), NOW_S)
--- a/tests/deployed/test_turn_reads.py
+++ b/tests/deployed/test_turn_reads.py
@@ -120,6 +120,27 @@
         assert cache.known_ids() == [f"t{number}" for number in range(90, 100)]
 
 
+class TestTurnsThatContinueEachOther:
+    @pytest.mark.parametrize("length", [1, 3])
+    def test_a_chain_without_an_end_is_refused(self, tmp_path: Path, length: int) -> None:
+        """An entry followed it without end, until its memory was used up (review/10)."""
+
+        async def scenario() -> None:
+            async with Deployment(tmp_path, {"llm/a": streams("x")}) as deployed:
+                names = [f"t{number}" for number in range(length)]
+                for name, parent in zip(names, [names[-1], *names], strict=False):
+                    for disk in deployed.disks:
+                        apply(disk.disk_store.state, stored(name, parent), time.time())
+                for reader in (reader_of(deployed), deployed.turns):
+                    for _ in range(2):  # From the disks, and from the cache.
+                        found = await reader.read_chain(names[-1], TIMEOUT_S)
+                        assert "continue each other" in str(found.failure())
+                refused = await deployed.send("/turns/x", b"x", Previous_Turn=names[-1])
+                assert (refused.status, deployed.replicas["llm/a"].arrivals) == (503, [])
+
+        run(scenario)
+
+
 class TestReadsAfterARestart:
     """A process that has cached nothing yet, as after a loss of power of all processes."""
 
