Refuse a turn that is longer than a message to a disk

Cause: a turn of more than 32 MB, by its prompt where a configuration allows such bodies or by its output where memory isn't limited, was sent to the disks, which closed the connection for the length of its frame, at each attempt, for all requests of the entry. Seen with a lower limit in the test.

Change: a turn holds 24 MiB at most. A longer prompt is refused with 413 before a replica runs it; a stream whose output passes the limit breaks off, as without memory for it. Also the bytes held for a sender are counted as they are held, in place of a walk over all holds, and a partition that moves while closed programs are removed doesn't end that thread.

The test fails on the code before: the long prompt runs and isn't kept, and the disks count as suspected.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/stream.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/stream.py
@@ -5,7 +5,7 @@
 from endiveworks.errors import Failure
 from endiveworks.gateway.events import Event, EventSplitter
 from endiveworks.gateway.memory_budget import Claim
-from endiveworks.turns.records import Reservation, Settlement, Turn
+from endiveworks.turns.records import MAX_TURN_BYTES, Reservation, Settlement, Turn
 from endiveworks.turns.room import RoomRequest
 from returns.result import Result, Success
 
@@ -48,6 +48,7 @@
 
 STATUS_BUDGET_SPENT = 402
 STATUS_OK = 200
+STATUS_TOO_LARGE = 413
 MAX_RESUMES = 3  # If a stream fails more often, the request itself is the likely cause.
 
 
@@ -119,6 +120,8 @@
 ) -> int:
     may_refuse = context.fleet.programs.would_refuse(ex)
     room = room_request(ex)
+    if room.size > MAX_TURN_BYTES:
+        raise HttpError(STATUS_TOO_LARGE, "the turn is too long to be kept")
     if reservation is None:
         if may_refuse:
             context.fleet.programs.refuse(ex, is_under_way=False)
@@ -299,7 +302,8 @@
                 await responder.start(STATUS_OK, without_content_length(response.head.headers))
             record_event_sent(context, ex, response)
             if ex.route.retains_turns:
-                if not responder.account.is_fair(len(stream.transcript.output) + len(event.data)):
+                size = len(stream.transcript.output) + len(event.data)
+                if not responder.account.is_fair(size) or len(ex.body) + size > MAX_TURN_BYTES:
                     raise _NoMemoryError("there is too little memory for the output of the turn")
                 await responder.account.wait_for_room(Item.RESPONSE, len(event.data), Claim.FLOWING)
             stream.record_event(event)
--- a/packages/endiveworks/src/endiveworks/programs/owner.py
+++ b/packages/endiveworks/src/endiveworks/programs/owner.py
@@ -1,5 +1,6 @@
 """Manages the programs of the partitions that this host owns, and runs their calls."""
 
+import contextlib
 import itertools
 import threading
 import time
@@ -162,7 +163,8 @@
         with self._lock:
             owned = tuple(self._partitions.values())
         for partition in owned:
-            partition.ref.tell(RemoveClosed())
+            with contextlib.suppress(pykka.ActorDeadError):  # It has moved to another host.
+                partition.ref.tell(RemoveClosed())
 
     def list_open_programs(self, limit: int) -> list[ProgramStatus]:
         """Returns up to limit programs that are not closed, in no particular order."""
--- a/packages/endiveworks/src/endiveworks/turns/records.py
+++ b/packages/endiveworks/src/endiveworks/turns/records.py
@@ -4,6 +4,9 @@
 
 import msgspec
 
+# Prompt and output of one turn, which is sent in one message.
+MAX_TURN_BYTES = 24 * 1024 * 1024
+
 
 class Turn(NamedTuple):
     """A completed turn; immutable.
--- a/packages/endiveworks/src/endiveworks/turns/room.py
+++ b/packages/endiveworks/src/endiveworks/turns/room.py
@@ -11,6 +11,7 @@
 
 import itertools
 import math
+from collections import Counter
 from typing import NamedTuple
 
 from .disk import (
@@ -131,6 +132,7 @@
         self.admitted = RoomLimits(*(limit * part for limit in limits))
         self._holds: dict[str, _Hold] = {}
         self._held = _Need(0, 0)
+        self._held_by: Counter[str] = Counter()  # Bytes of the log, by sender.
 
     def request(self, req: RoomRequest, now_s: float) -> float:
         """Holds room for a turn; returns 0, or the time after which there may be room."""
@@ -142,6 +144,7 @@
         if missing.memory > 0 or missing.log > 0:
             return self._wait_s(missing, now_s)
         self._holds[req.turn] = _Hold(need, req.sender, now_s + req.hold_s)
+        self._held_by[req.sender] += need.log
         self._held = _Need(self._held.memory + need.memory, self._held.log + need.log)
         return 0.0
 
@@ -152,6 +155,9 @@
             return ""
         need = hold.need
         self._held = _Need(self._held.memory - need.memory, self._held.log - need.log)
+        self._held_by[hold.sender] -= need.log
+        if not self._held_by[hold.sender]:
+            del self._held_by[hold.sender]
         return hold.sender
 
     def fits(self, size: int) -> bool:
@@ -182,7 +188,7 @@
         log = self._state.log_bytes + self._held.log + need.log
         missing_log = log - admitted.log_bytes * share
         if sender:
-            taken = self._state.sender_bytes.get(sender, 0) + self._held_of(sender) + need.log
+            taken = self._state.sender_bytes[sender] + self._held_by[sender] + need.log
             sender_share = SENDER_SHARE * (FIRST_TURN_SHARE if req.is_first else 1.0)
             missing_log = max(missing_log, taken - admitted.log_bytes * sender_share)
         missing_memory = memory - admitted.memory_bytes * share
@@ -191,9 +197,6 @@
             math.ceil(missing_log) if missing_log > 0 else 0,
         )
 
-    def _held_of(self, sender: str) -> int:
-        return sum(hold.need.log for hold in self._holds.values() if hold.sender == sender)
-
     def _wait_s(self, missing: _Need, now_s: float) -> float:
         """Returns the time until the oldest turns that take what is missing have expired."""
         memory, log, until_s = missing.memory, missing.log, now_s
--- a/tests/deployed/test_disk_room.py
+++ b/tests/deployed/test_disk_room.py
@@ -12,9 +12,11 @@
 from endiveworks.turns.disk import chain_of, expire, renew, spending_of
 from endiveworks.turns.records import Settlement, Turn, decode, encode
 from endiveworks.turns.room import MAX_WAIT_S, RoomRequest
+from endiveworks_daemon import rpc
 from endiveworks_daemon.disks import disk_records as records_module
 from endiveworks_daemon.disks import disk_store as disk_store_module
 from endiveworks_daemon.disks.catch_up import catch_up
+from endiveworks_daemon.gateway import stream as stream_module
 from endiveworks_daemon.gateway.turn_room import RETURN_SPREAD
 
 from tests.deployed.harness import TURN, Deployment, RunningDisk, run, streams
@@ -286,6 +288,30 @@
         assert RunningDisk("d1", tmp_path, disk_mb=20.0).disk_store.room.limits.log_bytes > limit
 
 
+class TestLongestTurns:
+    @pytest.mark.parametrize("is_output", [False, True], ids=["prompt", "output"])
+    def test_a_turn_longer_than_a_message_closes_no_connection(
+        self, tmp_path: Path, monkeypatch: pytest.MonkeyPatch, is_output: bool
+    ) -> None:
+        """The disks closed the connection to the entry, at each attempt to store it."""
+        monkeypatch.setattr(stream_module, "MAX_TURN_BYTES", 10_000)
+        monkeypatch.setattr(rpc, "MAX_FRAME_BYTES", 12_000)
+        long = "y" * 20_000
+
+        async def scenario() -> None:
+            output = long if is_output else "x"
+            async with Deployment(tmp_path, {"llm/a": streams(output)}) as deployed:
+                reply = await deployed.send(TURN, b"x" if is_output else long.encode())
+                assert (reply.status, reply.complete) == (
+                    (200, False) if is_output else (413, True)
+                )
+                assert len(deployed.replicas["llm/a"].arrivals) == int(is_output)
+                assert deployed.turns.is_reachable()
+                assert not deployed.turns._quorum._suspected_until_s
+
+        run(scenario)
+
+
 class TestLongNames:
     def test_a_turn_with_a_long_id_is_kept_under_a_short_one(self, tmp_path: Path) -> None:
         """Ids of up to 16 kB took memory on the disks for as long as their turns were kept."""
