Limit the turns of one program, and the ledgers that an entry caches

Cause: a ledger grows with each turn of its program while the program goes on, and each of its turns reads it whole, so that the work grows with the square of what one caller sends. The entries of all ledgers are bounded by the room of the disk only, some 50,000.

Change: a program has 10,000 turns in its ledger at most, as many as a chain is followed; further ones are refused for want of room until it has been idle for its retention. An entry caches 10,000 ledgers with 30,000 entries, in place of 20,000 and 40,000, so that all its caches fit beside what it holds.

The test of a program's turns fails on the code before.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/disks/disk_store.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/disks/disk_store.py
@@ -222,7 +222,8 @@
         elif not self._records.is_writable:
             refused_s, size = UNWRITABLE_RETRY_S, req.room.size
         else:
-            refused_s, size = self.room.request(req.room, time.time()), req.room.size
+            refused_s = self.room.request(req.room, time.time(), req.program)
+            size = req.room.size
         if refused_s:
             sender = req.room.sender if req.room else ""
             self._report.record_refusal(size, sender, refused_s, time.monotonic())
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/ledger_cache.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/ledger_cache.py
@@ -6,8 +6,8 @@
 from endiveworks.turns.records import Settlement
 
 # Programs whose ledger is cached; several times the number on a busy day.
-MAX_CACHED_LEDGERS = 20_000
-MAX_CACHED_SPENDINGS = 40_000  # Entries of all cached ledgers.
+MAX_CACHED_LEDGERS = 10_000
+MAX_CACHED_SPENDINGS = 30_000  # Entries of all cached ledgers.
 
 
 class LedgerCache:
--- a/packages/endiveworks/src/endiveworks/turns/room.py
+++ b/packages/endiveworks/src/endiveworks/turns/room.py
@@ -40,6 +40,8 @@
 # Share of the room, and of a sender's, up to which turns that continue no other one are admitted.
 FIRST_TURN_SHARE = 0.9
 SENDER_SHARE = 0.75  # Share of the room that the turns of one sender may take.
+# Turns in the ledger of one program, which each of its turns reads whole.
+MAX_PROGRAM_TURNS = 10_000
 MIN_WAIT_S = 1.0  # Least time after which a refused sender is asked to return.
 # Longest such time. Room that is held for turns under way may be free before a turn expires.
 MAX_WAIT_S = 30.0
@@ -134,11 +136,20 @@
         self._held = _Need(0, 0)
         self._held_by: Counter[str] = Counter()  # Bytes of the log, by sender.
 
-    def request(self, req: RoomRequest, now_s: float) -> float:
-        """Holds room for a turn; returns 0, or the time after which there may be room."""
+    def request(self, req: RoomRequest, now_s: float, program: str = "") -> float:
+        """Holds room for a turn; returns 0, or the time after which there may be room.
+
+        Args:
+            req: What the turn needs.
+            now_s: Current time.
+            program: The program in whose ledger the turn is entered; empty for none.
+        """
         self._drop_expired(now_s)
         if req.turn in self._holds:
             return 0.0
+        ledger = self._state.programs.get(program)
+        if ledger is not None and len(ledger.spending) >= MAX_PROGRAM_TURNS:
+            return MAX_WAIT_S
         need = _need(req.size)
         missing = self._missing(req, need)
         if missing.memory > 0 or missing.log > 0:
--- a/packages/endiveworks/src/endiveworks/turns/tests/test_room.py
+++ b/packages/endiveworks/src/endiveworks/turns/tests/test_room.py
@@ -4,8 +4,9 @@
 
 import pytest
 from endiveworks.turns.disk import EXPIRY_MARGIN_S, DiskState, apply, expire
-from endiveworks.turns.records import Turn
+from endiveworks.turns.records import Settlement, Turn
 from endiveworks.turns.room import (
+    MAX_PROGRAM_TURNS,
     MAX_WAIT_S,
     SENDER_SHARE,
     Room,
@@ -104,6 +105,15 @@
         assert room.request(ask(admitted + 1, LONG), NOW_S + 6.0) == 0.0
 
 
+class TestLedgers:
+    def test_a_program_has_a_limited_number_of_turns(self, room: Room, state: DiskState) -> None:
+        """Each turn of a program reads the whole ledger."""
+        for number in range(MAX_PROGRAM_TURNS):
+            apply(state, Settlement("p", f"t{number}", 1, RETENTION_S), NOW_S)
+        assert room.request(ask(-1, SMALL), NOW_S, "p") > 0
+        assert room.request(ask(-1, SMALL), NOW_S, "q") == 0.0
+
+
 class TestRefusals:
     def test_the_wait_is_the_time_until_enough_turns_expire(
         self, room: Room, state: DiskState
