Send turns early again as soon as one disk has told of its room

Cause: an entry sent a turn before its reservation was on disk only while a whole write quorum had told of its room within 5 s. While disks are lost, replaced or far, fewer have, so that turns waited for reservations over the link between regions.

TestAmpleRoom fails on the code before for the single disk.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/turn_store.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/turn_store.py
@@ -31,7 +31,9 @@
 
 # Share of the room on disks up to which ordinary turns are sent without waiting until room is held.
 AMPLE_SHARE = 0.5
-ROOM_TOLD_S = 5.0  # Time for which it counts what a disk has told of its room.
+# Time for which it counts what a disk has told of its room. One disk tells of the others: each turn
+# is on most of them.
+ROOM_TOLD_S = 10.0
 # Attempts to write a settlement; if all fail, the reservation keeps counting against the budget.
 MAX_SETTLE_ATTEMPTS = 5
 SETTLE_RETRY_S = 0.5  # Pause between attempts to write a settlement in the background.
@@ -157,13 +159,10 @@
         Args:
             size: Bytes that are to be stored.
         """
-        if size > ORDINARY_BYTES or self._quorum.view is None:
-            return False
         since_s = time.monotonic() - ROOM_TOLD_S
-        folders = [folder for folder, told in self._told_rooms.items() if told.at_s >= since_s]
-        return is_write_quorum(self._quorum.view, folders) and all(
-            self._told_rooms[folder].used_share <= AMPLE_SHARE for folder in folders
-        )
+        recent = [told for told in self._told_rooms.values() if told.at_s >= since_s]
+        is_ample = all(told.used_share <= AMPLE_SHARE for told in recent)
+        return size <= ORDINARY_BYTES and bool(recent) and is_ample
 
     async def hold_room(self, room: RoomRequest, timeout_s: float) -> Result[None, Failure]:
         """Holds room for a turn on disks; code OVERLOADED means that there is none."""
--- a/tests/deployed/test_disk_room.py
+++ b/tests/deployed/test_disk_room.py
@@ -18,6 +18,7 @@
 from endiveworks_daemon.disks.catch_up import catch_up
 from endiveworks_daemon.gateway import stream as stream_module
 from endiveworks_daemon.gateway.turn_room import RETURN_SPREAD
+from endiveworks_daemon.gateway.turn_store import AMPLE_SHARE, ROOM_TOLD_S
 
 from tests.deployed.harness import TURN, Deployment, RunningDisk, run, streams
 from tests.deployed.test_streams import PROGRAM, turn
@@ -25,6 +26,7 @@
 DISK_MB = 20.0
 SMALL_DISK_MB = 16.0
 LONG = b"l" * 600_000
+SHORT = b"s" * 1_000
 RETENTION_S = 60.0
 
 
@@ -108,6 +110,39 @@
         run(scenario)
 
 
+class TestAmpleRoom:
+    """While disks are lost or replaced, turns waited for a reservation that crossed regions."""
+
+    def test_one_disk_that_has_told_of_its_room_is_enough(self, tmp_path: Path) -> None:
+        async def scenario() -> None:
+            async with deploy(tmp_path) as deployed:
+                assert not deployed.turns.has_ample_room(len(SHORT))
+                assert (await deployed.send(TURN, SHORT, **turn("t1"))).complete
+                told = deployed.turns._told_rooms
+                for folder in list(told)[1:]:
+                    del told[folder]
+                assert deployed.turns.has_ample_room(len(SHORT))
+                assert not deployed.turns.has_ample_room(len(LONG))
+
+        run(scenario)
+
+    def test_none_may_be_short_of_room_and_none_counts_for_long(self, tmp_path: Path) -> None:
+        async def scenario() -> None:
+            async with deploy(tmp_path) as deployed:
+                assert (await deployed.send(TURN, SHORT, **turn("t1"))).complete
+                told = deployed.turns._told_rooms
+                folder, known = next(iter(told.items()))
+                told[folder] = known._replace(used_share=AMPLE_SHARE + 0.1)
+                assert not deployed.turns.has_ample_room(len(SHORT))
+                told[folder] = known
+                assert deployed.turns.has_ample_room(len(SHORT))
+                for folder, known in told.items():
+                    told[folder] = known._replace(at_s=known.at_s - ROOM_TOLD_S)
+                assert not deployed.turns.has_ample_room(len(SHORT))
+
+        run(scenario)
+
+
 class TestKeptTurns:
     def test_all_go_on_after_all_disks_were_killed(self, tmp_path: Path) -> None:
         async def scenario() -> None:
