Read a long reply from the log only when there is room to send it

Cause: a disk read the turns of a reply before it waited for room among the replies that are not sent, so that each entry that read a turn of 4 MiB at the same moment added that much, several times over. Found by reading the change again; an entry reads one long turn at a time, but there may be sixty entries.

Change: a handler returns the size of a long reply and how to build it; it is built when there is room. A reply that can't be built fails alone.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/disks/disk_store.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/disks/disk_store.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from pathlib import Path
 from typing import NamedTuple
 
@@ -29,7 +29,7 @@
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
-from ..rpc import Handler
+from ..rpc import SHORT_BYTES, Handler, LongReply
 from .disk_records import DiskRecords, Encoded
 from .room_report import RoomReport
 from .set_aside_files import remove_if_large
@@ -135,7 +135,7 @@
         stored = messages.Stored(self.folder, None, spending, refused_s, self.room.used_share())
         return msgspec.msgpack.encode(stored)
 
-    async def fetch(self, message: memoryview) -> bytes:
+    async def fetch(self, message: memoryview) -> bytes | LongReply:
         """Handles Fetch."""
         req = msgspec.msgpack.decode(message, type=messages.Fetch)
         if self._is_stale(req.epoch):
@@ -143,10 +143,14 @@
         if not req.turn:
             renew(self.state, req.known, time.time())
         chain = chain_of(self.state, req.turn, req.known)
-        page = [self._records.read(stored) for stored in _first_page(chain, req.max_bytes)]
-        turns = [msgspec.Raw(turn_bytes(data)) for data in page]
-        size = sum(stored.log_bytes for stored in chain)
-        return msgspec.msgpack.encode(_EncodedFetched(self.folder, None, turns, size))
+        page = _first_page(chain, req.max_bytes)
+        chain_bytes = sum(stored.log_bytes for stored in chain)
+
+        def build() -> bytes:
+            turns = [msgspec.Raw(turn_bytes(self._records.read(stored))) for stored in page]
+            return msgspec.msgpack.encode(_EncodedFetched(self.folder, None, turns, chain_bytes))
+
+        return _reply(page, build)
 
     async def list_held(self, message: memoryview) -> bytes:
         """Handles ListHeld; replies once the view is synced.
@@ -160,20 +164,25 @@
         ledgers = [encode(record) for record in ledger_records(self.state)]
         return msgspec.msgpack.encode(messages.Held(self.folder, list(self.state.turns), ledgers))
 
-    async def read_turns(self, message: memoryview) -> bytes:
+    async def read_turns(self, message: memoryview) -> bytes | LongReply:
         """Handles ReadTurns; the reply ends once it reaches PAGE_BYTES."""
         req = msgspec.msgpack.decode(message, type=messages.ReadTurns)
-        page: list[Encoded] = []
+        page: list[StoredTurn] = []
         size = 0
         for turn_id in req.turns:
             stored = self.state.turns.get(turn_id)
             if stored is None:
                 continue
-            page.append(self._records.read(stored))
-            size += len(page[-1])
+            page.append(stored)
+            size += stored.log_bytes
             if size >= messages.PAGE_BYTES:
                 break
-        return msgspec.msgpack.encode(_EncodedTurnsRead(self.folder, page))
+
+        def build() -> bytes:
+            turns = [self._records.read(stored) for stored in page]
+            return msgspec.msgpack.encode(_EncodedTurnsRead(self.folder, turns))
+
+        return _reply(page, build)
 
     async def ping(self, message: memoryview) -> bytes:
         """Handles Ping."""
@@ -304,6 +313,12 @@
     return page
 
 
+def _reply(page: Sequence[StoredTurn], build: Callable[[], bytes]) -> bytes | LongReply:
+    """Returns a reply with turns, which is built later if it is a long one."""
+    size = sum(stored.log_bytes for stored in page)
+    return LongReply(size, build) if size > SHORT_BYTES else build()
+
+
 def handlers(disk_store: DiskStore) -> dict[str, Handler]:
     """Returns the RPC handlers by method name."""
     return {
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/rpc.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/rpc.py
@@ -35,8 +35,21 @@
 _EMPTY_BYTES = 2  # Length of empty bytes in msgpack.
 _T = TypeVar("_T")
 
+
+class LongReply(NamedTuple):
+    """A reply that is built when there is room for it.
+
+    Attributes:
+        size: Its size in bytes, about.
+        build: Returns the encoded reply.
+    """
+
+    size: int
+    build: Callable[[], bytes]
+
+
 # Handles one call: takes the encoded request, a part of its frame, and returns the encoded reply.
-Handler = Callable[[memoryview], Awaitable[bytes]]
+Handler = Callable[[memoryview], Awaitable[bytes | LongReply]]
 
 
 class RpcClient:
@@ -248,7 +261,7 @@
         size: int,
     ) -> None:
         try:
-            data = await handler(message)
+            reply = await handler(message)
         except Exception as exc:
             # No error reply is sent: the client's timeout covers a call without a reply.
             logs.logger("rpc").error("message_failed", exc_info=exc)
@@ -256,16 +269,27 @@
         finally:
             del message
             self._pending.release(size)
-        if writer.is_closing():
-            return
-        if len(data) <= SHORT_BYTES:
-            _write(writer, (call_id,), data)
+        if isinstance(reply, bytes) and len(reply) <= SHORT_BYTES:
+            if not writer.is_closing():
+                _write(writer, (call_id,), reply)
             return
-        await self._pending.claim(len(data))
+        if isinstance(reply, bytes):
+            data = reply
+            reply = LongReply(len(data), lambda: data)
+        await self._send_long(writer, call_id, reply)
+
+    async def _send_long(
+        self, writer: asyncio.StreamWriter, call_id: int, reply: LongReply
+    ) -> None:
+        """Builds and sends a reply once there is room for it, unless its caller is gone by then."""
+        await self._pending.claim(reply.size)
         try:
-            await _send_long(writer, (call_id,), data)
+            if not writer.is_closing():
+                await _send_all(writer, (call_id,), reply.build())
+        except Exception as exc:
+            logs.logger("rpc").error("message_failed", exc_info=exc)
         finally:
-            self._pending.release(len(data))
+            self._pending.release(reply.size)
 
 
 async def serve(address: str, handlers: Mapping[str, Handler]) -> RpcServer:
@@ -296,7 +320,7 @@
     return RpcServer(f"{ip}:{port}", close, finish)
 
 
-async def _send_long(writer: asyncio.StreamWriter, head: tuple[Any, ...], data: bytes) -> None:
+async def _send_all(writer: asyncio.StreamWriter, head: tuple[Any, ...], data: bytes) -> None:
     """Sends a reply and waits until the peer has taken it in; closes the connection if not."""
     _write(writer, head, data)
     try:
--- a/tests/deployed/test_long_chains.py
+++ b/tests/deployed/test_long_chains.py
@@ -9,7 +9,7 @@
 from endiveworks.turns.records import Turn
 from endiveworks_daemon.disks.disk_store import DiskStore
 from endiveworks_daemon.gateway.turn_store import TurnStore
-from endiveworks_daemon.rpc import MAX_FRAME_BYTES
+from endiveworks_daemon.rpc import MAX_FRAME_BYTES, LongReply
 from returns.result import Success
 
 from tests.deployed.harness import LOCATION, TURN, Deployment, Entry, run, streams
@@ -27,9 +27,9 @@
     sizes: list[int] = []
     fetch = DiskStore.fetch
 
-    async def counted(self: DiskStore, message: memoryview) -> bytes:
+    async def counted(self: DiskStore, message: memoryview) -> bytes | LongReply:
         reply = await fetch(self, message)
-        sizes.append(len(reply))
+        sizes.append(len(reply.build() if isinstance(reply, LongReply) else reply))
         return reply
 
     with unittest.mock.patch.object(DiskStore, "fetch", counted):
--- a/tests/deployed/test_rpc.py
+++ b/tests/deployed/test_rpc.py
@@ -1,7 +1,7 @@
 """RPC clients on connections that stop delivering data without an error."""
 
 import asyncio
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import msgspec
 import pytest
@@ -103,6 +103,60 @@
 
         asyncio.run(asyncio.wait_for(scenario(), 60))
 
+    def test_long_replies_are_built_one_after_the_other(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Each was read from the disk at once, and waited for its turn to be sent."""
+        unsent = {"now": 0, "peak": 0}
+        size = rpc.MAX_PENDING_BYTES // 2
+        send_all = rpc._send_all
+
+        def build() -> bytes:
+            unsent["now"] += 1
+            unsent["peak"] = max(unsent["peak"], unsent["now"])
+            return msgspec.msgpack.encode(Echo(b"x" * size))
+
+        async def send_slowly(*args: Any) -> None:
+            await send_all(*args)
+            await asyncio.sleep(0.01)
+            unsent["now"] -= 1
+
+        async def long(message: memoryview) -> rpc.LongReply:
+            return rpc.LongReply(size, build)
+
+        async def scenario() -> None:
+            monkeypatch.setattr(rpc, "_send_all", send_slowly)
+            server = await rpc.serve("127.0.0.1:0", {PING: _pong, "long": long})
+            clients = [rpc.RpcClient(server.address) for _ in range(self.CALLS)]
+            calls = (client.call("long", Ping("a"), Echo, 20.0) for client in clients)
+            for found in await asyncio.gather(*calls):
+                assert len(found.unwrap().data) == size
+            assert unsent["peak"] <= 2
+            for client in clients:
+                client.close()
+            server.close()
+
+        asyncio.run(asyncio.wait_for(scenario(), 60))
+
+    def test_a_reply_that_cannot_be_built_fails_alone(self) -> None:
+        async def scenario() -> None:
+            def build() -> bytes:
+                raise OSError("damaged")
+
+            async def long(message: memoryview) -> rpc.LongReply:
+                return rpc.LongReply(rpc.MAX_PENDING_BYTES, build)
+
+            server = await rpc.serve("127.0.0.1:0", {PING: _pong, "long": long})
+            client = rpc.RpcClient(server.address)
+            calls = [client.call("long", Ping("a"), Echo, TIMEOUT_S) for _ in range(2)]
+            found = await asyncio.gather(*calls)
+            assert not any(isinstance(reply, Success) for reply in found)
+            assert await _ping(client)
+            client.close()
+            server.close()
+
+        asyncio.run(asyncio.wait_for(scenario(), 60))
+
     def test_a_single_call_longer_than_that_is_served(self) -> None:
         async def scenario() -> None:
             async def echo(message: memoryview) -> bytes:
