Give the processes of every second soak run the limits of the smallest machines

The guards of a process's own limits act only where the settings name limits, which the soak's did not. Odd seeds have 150 MB for entries, and 170 MB and 330 MB of disk for disks.

--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -4,6 +4,7 @@
 import json
 import os
 import random
+from collections.abc import Mapping
 from pathlib import Path
 
 from endiveworks_standins.site_caller import read_response, write_request
@@ -21,6 +22,9 @@
 BEAT_S = 0.5
 READY_TIMEOUT_S = 1.0
 SLOTS = 8
+# Limits of the processes in every second run, as on the smallest machines of the users.
+ENTRY_LIMITS = {"memory_mb": 150, "max_fds": 4100}
+DISK_LIMITS = {"memory_mb": 170, "max_fds": 8200, "disk_mb": 330}
 # Loopback networks of runs beside one another; each run takes that of its process id.
 _NETWORKS = 250
 
@@ -45,7 +49,14 @@
         net = f"127.{1 + pid % _NETWORKS}.{1 + pid // _NETWORKS % _NETWORKS}"
         names = enumerate([*ENTRIES, *DISKS], 1)
         hosts = [
-            Host(name, f"{net}.{number}", folder, self.store.address, name in DISKS)
+            Host(
+                name,
+                f"{net}.{number}",
+                folder,
+                self.store.address,
+                name in DISKS,
+                _limits(name) if seed % 2 else None,
+            )
             for number, name in names
         ]
         self.entries = [host for host in hosts if host.name in ENTRIES]
@@ -117,3 +128,7 @@
                 }
                 self.store.put(f"servers/{name}", json.dumps(entry).encode())
             await asyncio.sleep(BEAT_S)
+
+
+def _limits(name: str) -> Mapping[str, int]:
+    return DISK_LIMITS if name in DISKS else ENTRY_LIMITS
