Count a sender's memory on disks too, and give an address more of the room than a tenant

Cause: the share of one sender counted its bytes in the log only. Where the number of turns binds, as with turns of 1 kB, one tenant could take the room of all. Found by reading the change again.

Change: the memory of a sender's turns and of what they spend counts as well. A tenant may take three quarters; an address, which many callers may have in common, nine tenths.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/turn_room.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/turn_room.py
@@ -28,7 +28,8 @@
     size = len(ex.body) + output if ex.route.retains_turns else 0
     is_first = not ex.request.previous_turn
     hold_s = max(0.0, ex.remaining_s()) + ROOM_MARGIN_S
-    return RoomRequest(ex.scoped(ex.request.id), size, ex.sender, is_first, hold_s)
+    turn, is_tenant = ex.scoped(ex.request.id), bool(ex.request.tenant)
+    return RoomRequest(turn, size, ex.sender, is_first, is_tenant, hold_s)
 
 
 async def hold_room(context: Context, ex: Exchange, room: RoomRequest) -> None:
--- a/packages/endiveworks/src/endiveworks/turns/disk.py
+++ b/packages/endiveworks/src/endiveworks/turns/disk.py
@@ -59,6 +59,15 @@
         self.log_index = 0
         self.record: bytes | memoryview | None = record
 
+    @property
+    def memory_bytes(self) -> int:
+        """Memory that it takes, with its entry in the ledger of its program.
+
+        The first turn of a chain counts for the ledger as well.
+        """
+        ledger_bytes = 0 if self.parent else LEDGER_MEMORY_BYTES
+        return TURN_MEMORY_BYTES + SPENDING_MEMORY_BYTES + ledger_bytes
+
     @property
     def log_bytes(self) -> int:
         """Bytes that its record takes in the log."""
@@ -104,6 +113,7 @@
         log_bytes: Bytes that their records take in the log.
         record_count: Number of their records.
         sender_bytes: Bytes of turns in the log, by sender.
+        sender_memory_bytes: Memory that turns and their entries in ledgers take, by sender.
     """
 
     def __init__(self) -> None:
@@ -113,6 +123,7 @@
         self.log_bytes = 0
         self.record_count = 0
         self.sender_bytes: Counter[str] = Counter()
+        self.sender_memory_bytes: Counter[str] = Counter()
 
     def __len__(self) -> int:
         """Returns the number of stored turns."""
@@ -257,6 +268,7 @@
     state.record_count += 1
     if sender:
         state.sender_bytes[sender] += stored.log_bytes
+        state.sender_memory_bytes[sender] += stored.memory_bytes
     ancestor = state.turns.get(turn.parent)
     while ancestor is not None and ancestor.expires_s < expires_s:
         ancestor.expires_s = expires_s
@@ -290,8 +302,9 @@
     state.record_count -= 1
     if stored.sender:
         state.sender_bytes[stored.sender] -= stored.log_bytes
+        state.sender_memory_bytes[stored.sender] -= stored.memory_bytes
         if state.sender_bytes[stored.sender] <= 0:
-            del state.sender_bytes[stored.sender]
+            del state.sender_bytes[stored.sender], state.sender_memory_bytes[stored.sender]
 
 
 def _drop_ledger(state: DiskState, program: str) -> None:
--- a/packages/endiveworks/src/endiveworks/turns/room.py
+++ b/packages/endiveworks/src/endiveworks/turns/room.py
@@ -11,7 +11,6 @@
 
 import itertools
 import math
-from collections import Counter
 from typing import NamedTuple
 
 from .disk import (
@@ -39,7 +38,9 @@
 LONG_TURN_BYTES = 512 * 1024  # See LONG_TURN_SHARE.
 # Share of the room, and of a sender's, up to which turns that continue no other one are admitted.
 FIRST_TURN_SHARE = 0.9
-SENDER_SHARE = 0.75  # Share of the room that the turns of one sender may take.
+TENANT_SHARE = 0.75  # Share of the room that the turns of one tenant may take.
+# Share that those of one address may take, which many callers may have in common.
+ADDRESS_SHARE = 0.9
 # Turns in the ledger of one program, which each of its turns reads whole.
 MAX_PROGRAM_TURNS = 10_000
 MIN_WAIT_S = 1.0  # Least time after which a refused sender is asked to return.
@@ -68,6 +69,7 @@
         size: Bytes of its prompt and, as far as known, of its output.
         sender: Whose turn it is; empty if it is not known.
         is_first: Whether it continues no other turn.
+        is_tenant: Whether the sender is a tenant, or else the address of a caller.
         hold_s: Time for which the room is held unless the turn is stored or settled before.
     """
 
@@ -75,6 +77,7 @@
     size: int
     sender: str
     is_first: bool
+    is_tenant: bool
     hold_s: float
 
 
@@ -84,6 +87,13 @@
     memory: int
     log: int
 
+    def plus(self, other: "_Need") -> "_Need":
+        """Returns the sum of both."""
+        return _Need(self.memory + other.memory, self.log + other.log)
+
+
+_NOTHING = _Need(0, 0)
+
 
 class _Hold(NamedTuple):
     need: _Need
@@ -133,8 +143,8 @@
         part = (tolerance + 1) / (2 * tolerance + 1)
         self.admitted = RoomLimits(*(limit * part for limit in limits))
         self._holds: dict[str, _Hold] = {}
-        self._held = _Need(0, 0)
-        self._held_by: Counter[str] = Counter()  # Bytes of the log, by sender.
+        self._held = _NOTHING
+        self._held_by: dict[str, _Need] = {}  # By sender.
 
     def request(self, req: RoomRequest, now_s: float, program: str = "") -> float:
         """Holds room for a turn; returns 0, or the time after which there may be room.
@@ -155,8 +165,7 @@
         if missing.memory > 0 or missing.log > 0:
             return self._wait_s(missing, now_s)
         self._holds[req.turn] = _Hold(need, req.sender, now_s + req.hold_s)
-        self._held_by[req.sender] += need.log
-        self._held = _Need(self._held.memory + need.memory, self._held.log + need.log)
+        self._hold(req.sender, need)
         return 0.0
 
     def release(self, turn: str) -> str:
@@ -164,13 +173,15 @@
         hold = self._holds.pop(turn, None)
         if hold is None:
             return ""
-        need = hold.need
-        self._held = _Need(self._held.memory - need.memory, self._held.log - need.log)
-        self._held_by[hold.sender] -= need.log
-        if not self._held_by[hold.sender]:
+        self._hold(hold.sender, _Need(-hold.need.memory, -hold.need.log))
+        if not any(self._held_by[hold.sender]):
             del self._held_by[hold.sender]
         return hold.sender
 
+    def _hold(self, sender: str, need: _Need) -> None:
+        self._held = self._held.plus(need)
+        self._held_by[sender] = self._held_by.get(sender, _NOTHING).plus(need)
+
     def fits(self, size: int) -> bool:
         """Returns whether records of a size can be kept at all, beyond what is admitted."""
         need = _need(size)
@@ -181,10 +192,7 @@
 
     def used_share(self) -> float:
         """Returns the share of the room that is taken or held; 0 without limits."""
-        admitted = self.admitted
-        used = _Need(
-            self._state.memory_bytes + self._held.memory, self._state.log_bytes + self._held.log
-        )
+        admitted, used = self.admitted, self._used().plus(self._held)
         return max(used.memory / admitted.memory_bytes, used.log / admitted.log_bytes)
 
     def held_bytes(self) -> int:
@@ -193,20 +201,26 @@
 
     def _missing(self, req: RoomRequest, need: _Need) -> _Need:
         """Returns how much must be given back before there is room."""
-        admitted, sender = self.admitted, req.sender
         share = admitted_share(req.size, req.is_first)
-        memory = self._state.memory_bytes + self._held.memory + need.memory
-        log = self._state.log_bytes + self._held.log + need.log
-        missing_log = log - admitted.log_bytes * share
-        if sender:
-            taken = self._state.sender_bytes[sender] + self._held_by[sender] + need.log
-            sender_share = SENDER_SHARE * (FIRST_TURN_SHARE if req.is_first else 1.0)
-            missing_log = max(missing_log, taken - admitted.log_bytes * sender_share)
-        missing_memory = memory - admitted.memory_bytes * share
-        return _Need(
-            math.ceil(missing_memory) if missing_memory > 0 else 0,
-            math.ceil(missing_log) if missing_log > 0 else 0,
-        )
+        missing = self._beyond(self._used().plus(self._held).plus(need), share)
+        if not req.sender:
+            return missing
+        state = self._state
+        taken = _Need(state.sender_memory_bytes[req.sender], state.sender_bytes[req.sender])
+        taken = taken.plus(self._held_by.get(req.sender, _NOTHING)).plus(need)
+        sender_share = TENANT_SHARE if req.is_tenant else ADDRESS_SHARE
+        sender_share *= FIRST_TURN_SHARE if req.is_first else 1.0
+        of_sender = self._beyond(taken, sender_share)
+        return _Need(max(missing.memory, of_sender.memory), max(missing.log, of_sender.log))
+
+    def _used(self) -> _Need:
+        return _Need(self._state.memory_bytes, self._state.log_bytes)
+
+    def _beyond(self, taken: _Need, share: float) -> _Need:
+        """Returns how much is taken beyond a share of what is admitted."""
+        memory = taken.memory - self.admitted.memory_bytes * share
+        log = taken.log - self.admitted.log_bytes * share
+        return _Need(math.ceil(memory) if memory > 0 else 0, math.ceil(log) if log > 0 else 0)
 
     def _wait_s(self, missing: _Need, now_s: float) -> float:
         """Returns the time until the oldest turns that take what is missing have expired."""
