Count cached turns for a long chain, and keep fewer of them

Cause: turns that an entry had in its cache didn't count for the chain that it built from them, though the cache may evict them while the chain is held; the prompt that is joined from them did.

The cache holds 16 MB in place of 24, and the memory beside what is held counts three copies of the longest turn while it is stored.

The test fails on the code before, which serves the chain.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/turn_cache.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/turn_cache.py
@@ -4,7 +4,7 @@
 
 from endiveworks.turns.records import Turn
 
-MAX_CACHE_BYTES = 24 * 1024 * 1024  # Cached turns; a sixth of the smallest machine's memory.
+MAX_CACHE_BYTES = 16 * 1024 * 1024  # Cached turns; an eighth of the smallest machine's memory.
 TURN_OBJECT_BYTES = 512  # Memory of a cached turn beside its prompt and output.
 MAX_KNOWN_IDS = 64  # Ids of cached turns sent with a fetch, so that the reply omits these turns.
 
--- a/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/turn_store.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/gateway/turn_store.py
@@ -65,6 +65,8 @@
     def __init__(self, claim: Callable[[int], bool]) -> None:
         self._claim = claim
         self._unread = 0
+        self._cached = 0
+        self._claimed_cached = 0
 
     def cover(self, size: int) -> bool:
         """Claims what is missing for the unread part of a chain; returns whether there was any."""
@@ -74,6 +76,20 @@
         self._unread = max(self._unread, size)
         return True
 
+    def hold_cached(self, size: int) -> bool:
+        """Claims what is missing for turns from the cache, which may evict them meanwhile.
+
+        Short chains are not counted.
+        """
+        self._cached += size
+        missing = self._cached - self._claimed_cached
+        if self._cached <= messages.PAGE_BYTES or not missing:
+            return True
+        if not self._claim(missing):
+            return False
+        self._claimed_cached = self._cached
+        return True
+
     def record_read(self, size: int) -> None:
         """Notes that bytes of the chain have been read."""
         self._unread = max(0, self._unread - size)
@@ -269,7 +285,11 @@
                 detail = f"the turns before {turn} continue each other"
                 return Err(Failure(Code.CORRUPT, "turns.chain", "", detail, not_run=True))
             seen.add(turn_id)
-            found = fetched.get(turn_id) or self._turns.get(turn_id)
+            found = fetched.get(turn_id)
+            if found is None:
+                found = self._turns.get(turn_id)
+                if found is not None and not memory.hold_cached(_log_bytes(found)):
+                    return Err(_no_memory())
             if found is None:
                 result = await self._fetch_claimed(turn_id, timeout_s, memory)
                 if not isinstance(result, Success):
@@ -280,9 +300,8 @@
                 found = fetched.get(turn_id)
                 if found is None:
                     self._log_missing(turn, turn_id, [reply.folder for reply in replies])
-                if found is None and not chain:
-                    return Success(None)
-                if found is None:
+                    if not chain:
+                        return Success(None)
                     detail = f"the turn before {chain[-1].turn} is missing"
                     return Err(Failure(Code.CORRUPT, "turns.chain", "", detail, not_run=True))
             chain.append(found)
@@ -370,8 +389,7 @@
         replies = result.value_or([])
         size = max((reply.chain_bytes for reply in replies), default=0)
         if size > messages.PAGE_BYTES and not memory.cover(size):
-            detail = f"there is too little memory for a chain of {size} bytes"
-            return Err(Failure(Code.OVERLOADED, "turns.chain", "", detail, not_run=True))
+            return Err(_no_memory())
         if size and not any(reply.chain for reply in replies):
             async with self._long_transfer:
                 result = await self._fetch(turn, size, timeout_s)
@@ -401,6 +419,11 @@
         return result
 
 
+def _no_memory() -> Failure:
+    detail = "there is too little memory for a long chain"
+    return Failure(Code.OVERLOADED, "turns.chain", "", detail, not_run=True)
+
+
 def _log_bytes(turn: Turn) -> int:
     """Returns what a turn counts for in the size of a chain that a disk tells."""
     return len(turn.prompt) + len(turn.output) + RECORD_OVERHEAD_BYTES
--- a/packages/endiveworks/src/endiveworks/gateway/memory_budget.py
+++ b/packages/endiveworks/src/endiveworks/gateway/memory_budget.py
@@ -14,8 +14,8 @@
 
 BYTES_PER_MB = 1_000_000  # The settings count in decimal megabytes.
 # Memory of a process besides what it holds for requests: 31 MB for the interpreter and the fleet,
-# 25 MB of turns and 8 MB of transcripts that are kept, 15 MB of histograms when all are in use, and
-# a spare copy of the largest body.
+# 17 MB of turns and 8 MB of transcripts that are kept, 15 MB of histograms when all are in use, and
+# three copies of the longest turn while it is stored.
 BASE_BYTES = 84 * BYTES_PER_MB
 # Share of the rest that may be held; the allocator loses the other part between blocks.
 HELD_SHARE = 0.75
--- a/tests/deployed/test_long_chains.py
+++ b/tests/deployed/test_long_chains.py
@@ -91,6 +91,23 @@
 
         run(scenario)
 
+    def test_turns_of_a_long_chain_count_though_they_are_cached(self, tmp_path: Path) -> None:
+        """The cache may evict them while the chain is held; an entry took 137 MB of 150."""
+
+        async def scenario() -> None:
+            replicas = {"llm/a": streams("x")}
+            async with Deployment(
+                tmp_path, replicas, memory_mb=MEMORY_MB, timeout_ms=20_000
+            ) as deployed:
+                assert await send_chain(deployed, 8) == 8
+                give_back = fill(deployed, 0.5)
+                assert (await deployed.send(TURN, b"x", **turn("u", "t8"))).status == 503
+                assert (await deployed.send(TURN, b"x", **turn("v"))).status == 200
+                give_back()
+                assert (await deployed.send(TURN, b"x", **turn("w", "t8"))).status == 200
+
+        run(scenario)
+
 
 class TestMessages:
     def test_a_chain_longer_than_a_message_is_read_in_parts(self, tmp_path: Path) -> None:
