Send replies that are not bytes objects as they are, and fix a test of the room

The test now fills the disks, sees a refusal, lets all turns expire, and asserts that none is left and that two long turns are served whole.

--- a/packages/endiveworks-daemon/src/endiveworks_daemon/rpc.py
+++ b/packages/endiveworks-daemon/src/endiveworks_daemon/rpc.py
@@ -269,14 +269,12 @@
         finally:
             del message
             self._pending.release(size)
-        if isinstance(reply, bytes) and len(reply) <= SHORT_BYTES:
-            if not writer.is_closing():
-                _write(writer, (call_id,), reply)
-            return
-        if isinstance(reply, bytes):
-            data = reply
-            reply = LongReply(len(data), lambda: data)
-        await self._send_long(writer, call_id, reply)
+        if isinstance(reply, LongReply):
+            await self._send_long(writer, call_id, reply)
+        elif len(reply) > SHORT_BYTES:
+            await self._send_long(writer, call_id, LongReply(len(reply), lambda: reply))
+        elif not writer.is_closing():
+            _write(writer, (call_id,), reply)
 
     async def _send_long(
         self, writer: asyncio.StreamWriter, call_id: int, reply: LongReply
--- a/tests/deployed/test_disk_room.py
+++ b/tests/deployed/test_disk_room.py
@@ -100,12 +100,16 @@
     def test_turns_are_served_again_when_others_have_expired(self, tmp_path: Path) -> None:
         async def scenario() -> None:
             async with deploy(tmp_path) as deployed:
-                answered = await fill(deployed)
+                assert await fill(deployed)
+                assert (await deployed.send(TURN, LONG, **turn("refused"))).status == 503
                 for disk in deployed.disks:
                     for stored in disk.disk_store.state.turns.values():
                         stored.expires_s = 0.0
                     expire(disk.disk_store.state, 1.0)
-                assert len(await fill(deployed)) == len(answered)
+                    assert len(disk.disk_store.state) == 0
+                for number in range(2):
+                    again = turn(f"again{number}")
+                    assert (await deployed.send(TURN, LONG, **again)).complete
 
         run(scenario)
 
